--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the product on one machine."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Shows the product at work on one machine."""
--- /dev/null
+++ b/src/agaterudder/__main__.py
@@ -0,0 +1,6 @@
+"""Allows ``python -m agaterudder``."""
+
+from agaterudder import cli
+
+if __name__ == "__main__":
+    cli.main()
--- /dev/null
+++ b/src/agaterudder/batches.py
@@ -0,0 +1,369 @@
+"""Keeps the batches that this VM owns, in step with their rows.
+
+Submissions and settlements are gathered, so that the writes for each task
+fall as the load rises.
+"""
+
+import dataclasses
+import logging
+import typing as t
+
+import gevent
+import gevent.event
+import gevent.queue
+
+from agaterudder import codes
+from agaterudder import exceptions
+from agaterudder import store
+from agaterudder import tasks
+from agaterudder import utils
+
+LOG = logging.getLogger(__name__)
+
+MOST_SUBMISSIONS = 2_000
+SUBMIT_SECONDS = 10.0
+
+
+class Held:
+    """A batch that this VM owns.
+
+    :ivar version: version of the row; -1 when the last write's outcome is
+        unknown and the row has to be read again.
+    :ivar dirty: whether the tasks changed since the last write.
+    """
+
+    __slots__ = ("batch", "version", "operations", "dirty", "settled_at")
+
+    def __init__(
+        self,
+        batch: tasks.Batch,
+        version: int,
+        operations: tuple[str, ...] = (),
+    ) -> None:
+        self.batch = batch
+        self.version = version
+        self.operations = operations
+        self.dirty = False
+        self.settled_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submitted:
+    """The task is recorded, now or by an earlier submission."""
+
+    task: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adopted:
+    """The batch is now owned by this VM.
+
+    :ivar former: row before the adoption, which names the former owner.
+    """
+
+    held: Held
+    former: tasks.Batch
+
+
+class _Pending(t.NamedTuple):
+    task: tasks.Task
+    result: gevent.event.AsyncResult
+
+
+class Batches:
+    """Owned batches, group commit and settlement writes."""
+
+    __slots__ = (
+        "_vm",
+        "_data_centre",
+        "_store",
+        "_gather_seconds",
+        "_pending",
+        "_held",
+        "_on_committed",
+        "_most_tasks",
+        "_count",
+        "incarnation",
+        "writes",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        data_centre: str,
+        table: store.Store,
+        gather_seconds: float,
+        most_tasks: int,
+        on_committed: t.Callable[[tasks.Batch], None],
+    ) -> None:
+        self._vm = vm
+        self._data_centre = data_centre
+        self._store = table
+        self._gather_seconds = gather_seconds
+        self._pending: gevent.queue.Queue = gevent.queue.Queue(
+            MOST_SUBMISSIONS
+        )
+        self._held: dict[str, Held] = {}
+        self._on_committed = on_committed
+        self._most_tasks = most_tasks
+        self._count = 0
+        self.incarnation = 0
+        self.writes = 0
+
+    @property
+    def held(self) -> dict[str, Held]:
+        """Owned batches by identifier."""
+        return self._held
+
+    def find(self, task: str) -> tasks.Task | None:
+        """Return an owned task, or None."""
+        place = tasks.batch_of(task)
+        held = self._held.get(place[1]) if place else None
+        if held is None:
+            return None
+        return next(
+            (item for item in held.batch.tasks if item.task == task), None
+        )
+
+    def changed(self, task: str) -> None:
+        """Note that an owned task has to be written."""
+        place = tasks.batch_of(task)
+        if place and place[1] in self._held:
+            self._held[place[1]].dirty = True
+
+    def submit(self, task: tasks.Task) -> Submitted | codes.Refused:
+        """Record a task; wait until it is in the table service."""
+        if self._count >= self._most_tasks:
+            return codes.Refused(
+                codes.Result.QUEUE_FULL, "this entry VM holds too many tasks"
+            )
+        pending = _Pending(task, gevent.event.AsyncResult())
+        try:
+            self._pending.put_nowait(pending)
+        except gevent.queue.Full:
+            return codes.Refused(
+                codes.Result.QUEUE_FULL, "too many submissions wait"
+            )
+        try:
+            return t.cast(
+                "Submitted | codes.Refused",
+                pending.result.get(timeout=SUBMIT_SECONDS),
+            )
+        except gevent.Timeout:
+            return codes.Refused(
+                codes.Result.CHANGE_UNKNOWN,
+                "the table service did not answer",
+            )
+
+    def run(self) -> None:
+        """Commit submissions in groups until the task is ended."""
+        while True:
+            group = [self._pending.get()]
+            gevent.sleep(self._gather_seconds)
+            while (
+                not self._pending.empty()
+                and len(group) < tasks.MOST_TASKS_IN_BATCH
+            ):
+                group.append(self._pending.get_nowait())
+            gevent.spawn(self._commit, group)
+
+    def _commit(self, group: list[_Pending]) -> None:
+        unique, repeated = _split_repeated(group)
+        self._commit_unique(unique)
+        for pending, first in repeated:
+            pending.result.set(first.result.get())
+
+    def _commit_unique(self, group: list[_Pending]) -> None:
+        while group:
+            name = utils.new_identifier()
+            batch = self._new_batch(name, [item.task for item in group])
+            markers = {
+                tasks.marker_key(item.task.team, item.task.request): item
+                for item in group
+                if item.task.request
+            }
+            writes = [store.Write(batch.key, 0, batch)]
+            writes.extend(
+                store.Write(key, 0, tasks.Marker(item.task.task))
+                for key, item in markers.items()
+            )
+            self.writes += 1
+            match self._store.transact(writes):
+                case store.Committed(versions=versions):
+                    self._hold(batch, versions[batch.key])
+                    for item in group:
+                        item.result.set(Submitted(item.task.task))
+                    return
+                case store.Conflicted(key=key) if key in markers:
+                    known = markers[key]
+                    known.result.set(self._known(key))
+                    group = [item for item in group if item is not known]
+                case store.Conflicted(key=key):
+                    LOG.warning("batch exists", extra={"key": key})
+                case codes.Refused() as refused:
+                    for item in group:
+                        item.result.set(refused)
+                    return
+
+    def _known(self, key: str) -> Submitted | codes.Refused:
+        try:
+            row = self._store.read(key, tasks.Marker)
+        except exceptions.StoreUnavailable as error:
+            return codes.Refused(codes.Result.CHANGE_UNKNOWN, str(error))
+        if row.value is None:
+            return codes.Refused(codes.Result.CONFLICT, "send it again")
+        return Submitted(row.value.task)
+
+    def _new_batch(self, name: str, members: list[tasks.Task]) -> tasks.Batch:
+        for number, task in enumerate(members):
+            task.task = tasks.identifier(self._data_centre, name, number)
+        return tasks.Batch(
+            name,
+            self._data_centre,
+            self._vm,
+            self._data_centre,
+            1,
+            members,
+            self.incarnation,
+        )
+
+    def _hold(self, batch: tasks.Batch, version: int) -> None:
+        self._held[batch.batch] = Held(batch, version)
+        self._count += len(batch.tasks)
+        self._on_committed(batch)
+
+    def drop(self, held: Held) -> None:
+        """Forget a batch that has another owner or is settled."""
+        if self._held.pop(held.batch.batch, None) is not None:
+            self._count -= len(held.batch.tasks)
+
+    def write(self, held: Held, now: float) -> codes.Refused | None:
+        """Write a changed batch; move it when every task has ended.
+
+        :returns: a refusal with ``CONFLICT`` when another VM owns it now.
+        """
+        if held.version < 0:
+            refused = self._read_again(held)
+            if refused is not None:
+                return refused
+        held.dirty = False
+        batch = held.batch
+        settled = batch.settled
+        before = store.Write(
+            batch.key,
+            held.version,
+            None if settled else batch,
+            held.operations,
+        )
+        writes = [before]
+        if settled:
+            writes.append(store.Write(batch.settled_key, 0, batch))
+        self.writes += 1
+        match self._store.transact(writes):
+            case store.Committed(versions=versions):
+                held.version = versions.get(batch.key, held.version + 1)
+                held.settled_at = now if settled else None
+                return None
+            case store.Conflicted():
+                held.version = -1
+                held.dirty = True
+                return self._read_again(held)
+            case codes.Refused() as refused:
+                held.dirty = True
+                if not refused.not_run:
+                    held.version = -1
+                return refused
+
+    def _read_again(self, held: Held) -> codes.Refused | None:
+        """Find out what the row holds; it may have another owner."""
+        batch = held.batch
+        try:
+            row = self._store.read(batch.key, tasks.Batch)
+            if row.value is None:
+                moved = self._store.read(batch.settled_key, tasks.Batch)
+                row = moved if moved.value is not None else row
+        except exceptions.StoreUnavailable as error:
+            return codes.Refused(codes.Result.STORE_AWAY, str(error))
+        if (
+            row.value is None
+            or row.value.owner != self._vm
+            or row.value.epoch != batch.epoch
+        ):
+            return codes.Refused(
+                codes.Result.CONFLICT, "another entry VM owns the batch"
+            )
+        held.version = row.version
+        held.operations = row.operations
+        if row.key == batch.settled_key:
+            held.dirty = False
+            held.settled_at = 0.0
+        return None
+
+    def adopt(self, row: store.Row[tasks.Batch]) -> Adopted | codes.Refused:
+        """Become the owner of a batch by comparing its row."""
+        former = row.value
+        if former is None:
+            return codes.Refused(codes.Result.NOT_FOUND, "the row is gone")
+        batch = tasks.Batch(
+            former.batch,
+            former.data_centre,
+            self._vm,
+            self._data_centre,
+            former.epoch + 1,
+            former.tasks,
+            self.incarnation,
+        )
+        self.writes += 1
+        match self._store.transact([store.replace(row, batch)]):
+            case store.Committed(versions=versions):
+                held = Held(batch, versions[batch.key], row.operations)
+                self._held[batch.batch] = held
+                self._count += len(batch.tasks)
+                return Adopted(held, former)
+            case store.Conflicted():
+                return codes.Refused(
+                    codes.Result.CONFLICT, "another entry VM was first"
+                )
+            case codes.Refused() as refused:
+                return refused
+
+    def release(
+        self, held: Held, placements: dict[str, str]
+    ) -> codes.Refused | None:
+        """Give a batch to whoever adopts it, with what runs where."""
+        batch = held.batch
+        batch.owner = ""
+        batch.placements = placements
+        batch.released_by = self._vm
+        outcome = self._store.transact(
+            [store.Write(batch.key, held.version, batch, held.operations)]
+        )
+        match outcome:
+            case store.Committed():
+                self.drop(held)
+                return None
+            case store.Conflicted():
+                self.drop(held)
+                return None
+            case codes.Refused():
+                batch.owner = self._vm
+                batch.placements = None
+                batch.released_by = ""
+                return outcome
+
+
+def _split_repeated(
+    group: list[_Pending],
+) -> tuple[list[_Pending], list[tuple[_Pending, _Pending]]]:
+    """Pair the submissions of a group that repeat a request id."""
+    first: dict[tuple[str, str], _Pending] = {}
+    unique: list[_Pending] = []
+    repeated: list[tuple[_Pending, _Pending]] = []
+    for item in group:
+        key = (item.task.team, item.task.request)
+        if item.task.request and key in first:
+            repeated.append((item, first[key]))
+            continue
+        first[key] = item
+        unique.append(item)
+    return unique, repeated
--- /dev/null
+++ b/src/agaterudder/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts of the life cycles, in files that the code interprets."""
--- /dev/null
+++ b/src/agaterudder/dispatch.py
@@ -0,0 +1,441 @@
+"""Carries requests for services to backend servers.
+
+A request waits for a slot in the queue of its service, goes to a backend
+server of this data centre, and through a peer only when this data centre
+can't serve it.
+"""
+
+import dataclasses
+import itertools
+import logging
+import time
+import typing as t
+
+import gevent
+import gevent.event
+
+from agaterudder import admission
+from agaterudder import codes
+from agaterudder import forwarding
+from agaterudder import messages
+from agaterudder import metrics
+from agaterudder import platform
+from agaterudder import requests
+from agaterudder import retries
+from agaterudder import routing
+from agaterudder import settings
+from agaterudder import slots
+from agaterudder import utils
+
+LOG = logging.getLogger(__name__)
+
+BORROW_SECONDS = 0.1
+CALL_SECONDS = 0.5
+MOST_BORROWED = 4
+TURN_SECONDS = 0.1
+
+Outcome = requests.Answer | codes.Refused
+
+
+class Remote(t.Protocol):
+    """Other entry processes that can help."""
+
+    def helpers(self, now: float) -> list[str]:
+        """Return peers in other data centres that may serve a request."""
+
+    def neighbours(self, now: float) -> list[str]:
+        """Return peers of this data centre."""
+
+    def forward(
+        self, vm: str, call: messages.ForwardRequest, timeout: float
+    ) -> messages.ForwardAnswer | None:
+        """Send a request to a peer and wait for its answer."""
+
+    def borrow(
+        self, vm: str, call: messages.BorrowSlots, timeout: float
+    ) -> messages.LendSlots | None:
+        """Ask a peer for slots."""
+
+    def can_call(self, vm: str, now: float) -> bool:
+        """Return whether a call to the peer would leave this process."""
+
+
+class _Waiter(t.NamedTuple):
+    request: requests.Request
+    result: gevent.event.AsyncResult
+
+
+class _Service:
+    """State of one service on this entry VM."""
+
+    __slots__ = ("settings", "queue", "servers", "waiters", "asked_at")
+
+    def __init__(self, described: settings.Service) -> None:
+        self.settings = described
+        self.queue = admission.RequestQueue(described.queue_length)
+        self.servers = routing.Servers(
+            slots.ServiceSlots(described.timeout_seconds)
+        )
+        self.waiters: dict[int, _Waiter] = {}
+        self.asked_at = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Tried:
+    """What one attempt gave."""
+
+    outcome: Outcome
+    server: str
+
+
+class Dispatcher:
+    """Serves requests; one for each entry process."""
+
+    __slots__ = (
+        "_settings",
+        "_services",
+        "_forwarder",
+        "_remote",
+        "_shares",
+        "_budget",
+        "_metrics",
+        "_out_here",
+    )
+
+    def __init__(
+        self,
+        checked: settings.Settings,
+        remote: Remote,
+        shares: t.Callable[[], dict[str, float]],
+        out_here: t.Callable[[], bool],
+        measured: metrics.Metrics,
+    ) -> None:
+        self._settings = checked
+        self._services = {
+            item.name: _Service(item) for item in checked.services
+        }
+        self._forwarder = forwarding.Forwarder(checked.limits.body_bytes)
+        self._remote = remote
+        self._shares = shares
+        self._out_here = out_here
+        self._budget = retries.RetryBudget()
+        self._metrics = measured
+
+    def slots(self, service: str) -> slots.ServiceSlots:
+        """Return the slots of a service."""
+        return self._services[service].servers.slots
+
+    def services(self) -> list[settings.Service]:
+        """Return the services of the settings."""
+        return [service.settings for service in self._services.values()]
+
+    def listed(self, vms: t.Sequence[platform.Vm]) -> None:
+        """Take the backend servers of this data centre."""
+        for name, service in self._services.items():
+            service.servers.listed(vm for vm in vms if vm.service == name)
+        self._forwarder.keep([vm.vm for vm in vms])
+
+    def serve(self, request: requests.Request) -> Outcome:
+        """Serve a caller's request, here or through a peer."""
+        service = self._services.get(request.service)
+        if service is None:
+            return codes.Refused(
+                codes.Result.UNKNOWN_SERVICE,
+                f"no service {request.service}",
+            )
+        outcome: Outcome = codes.Refused(
+            codes.Result.DATA_CENTRE_OUT, "the data centre is taken out"
+        )
+        if not self._out_here():
+            outcome = self.serve_here(request)
+        if self._elsewhere(outcome):
+            outcome = self._serve_elsewhere(request, outcome)
+        self._record(request, outcome)
+        return outcome
+
+    def serve_here(self, request: requests.Request) -> Outcome:
+        """Serve a request on the backend servers of this data centre."""
+        service = self._services.get(request.service)
+        if service is None:
+            return codes.Refused(
+                codes.Result.UNKNOWN_SERVICE, f"no service {request.service}"
+            )
+        excluded: list[str] = []
+        while True:
+            tried = self._attempt(service, request, excluded)
+            if not self._may_retry(request, tried, time.monotonic()):
+                return tried.outcome
+            if tried.server:
+                excluded.append(tried.server)
+
+    def _attempt(
+        self,
+        service: _Service,
+        request: requests.Request,
+        excluded: list[str],
+    ) -> _Tried:
+        now = time.monotonic()
+        chosen: routing.Chosen | routing.Busy | codes.Refused
+        chosen = routing.Busy()
+        if not len(service.queue) or excluded:
+            chosen = service.servers.choose(now, excluded)
+        if isinstance(chosen, routing.Busy):
+            waited = self._wait(service, request)
+            if isinstance(waited, codes.Refused):
+                return _Tried(waited, "")
+            chosen = waited
+        if isinstance(chosen, codes.Refused):
+            return _Tried(chosen, "")
+        return self._execute(service, request, chosen.server)
+
+    def _wait(
+        self, service: _Service, request: requests.Request
+    ) -> routing.Chosen | codes.Refused:
+        """Wait in the queue until a slot was taken for the request."""
+        now = time.monotonic()
+        if not service.servers.usable(now):
+            return codes.Refused(
+                codes.Result.NO_SERVER, "no backend server can be used"
+            )
+        capacity = service.servers.capacity(now)
+        offered = service.queue.offer(request, capacity, self._shares(), now)
+        if isinstance(offered, codes.Refused):
+            return offered
+        if offered.shed is not None:
+            self._refuse(
+                service, offered.shed, codes.Result.SHED, "it gave way"
+            )
+        waiter = _Waiter(request, gevent.event.AsyncResult())
+        service.waiters[id(request)] = waiter
+        self.pump(service.settings.name)
+        try:
+            return t.cast(
+                "routing.Chosen | codes.Refused",
+                waiter.result.get(timeout=request.deadline - now + 1.0),
+            )
+        except gevent.Timeout:
+            service.queue.discard(request)
+            return codes.Refused(codes.Result.TOO_LATE, "no slot in time")
+        finally:
+            service.waiters.pop(id(request), None)
+
+    def _refuse(
+        self,
+        service: _Service,
+        request: requests.Request,
+        code: codes.Result,
+        reason: str,
+    ) -> None:
+        waiter = service.waiters.get(id(request))
+        if waiter is not None:
+            waiter.result.set(codes.Refused(code, reason))
+
+    def pump(self, name: str) -> None:
+        """Give free slots to waiting requests."""
+        service = self._services[name]
+        now = time.monotonic()
+        for late in service.queue.expire(now):
+            self._refuse(
+                service, late, codes.Result.TOO_LATE, "no slot in time"
+            )
+        while len(service.queue):
+            chosen = service.servers.choose(now)
+            if not isinstance(chosen, routing.Chosen):
+                if isinstance(chosen, codes.Refused):
+                    self._refuse_all(service, chosen, now)
+                return
+            request = service.queue.take(self._shares(), now)
+            waiter = service.waiters.get(id(request))
+            if waiter is None:
+                service.servers.slots.release(chosen.server.vm)
+                service.servers.health.unused(chosen.server.vm)
+                continue
+            waiter.result.set(chosen)
+
+    def _refuse_all(
+        self, service: _Service, refused: codes.Refused, now: float
+    ) -> None:
+        while (request := service.queue.take({}, now)) is not None:
+            self._refuse(service, request, refused.code, refused.reason)
+
+    def _execute(
+        self,
+        service: _Service,
+        request: requests.Request,
+        server: platform.Vm,
+    ) -> _Tried:
+        started_at = time.monotonic()
+        timeout = min(
+            service.settings.timeout_seconds, request.deadline - started_at
+        )
+        try:
+            outcome: Outcome = codes.Refused(
+                codes.Result.TOO_LATE, "no time was left"
+            )
+            if timeout > 0:
+                outcome = self._forwarder.forward(server, request, timeout)
+        finally:
+            service.servers.slots.release(server.vm)
+        now = time.monotonic()
+        self._judge(service, server.vm, outcome, now)
+        if isinstance(outcome, requests.Answer):
+            service.queue.observe(now - started_at)
+            self._budget.succeeded()
+        self.pump(service.settings.name)
+        return _Tried(outcome, server.vm)
+
+    def _judge(
+        self, service: _Service, server: str, outcome: Outcome, now: float
+    ) -> None:
+        """Let the outcome count for or against the server."""
+        match outcome:
+            case requests.Answer(status=status):
+                ejected = service.servers.health.result(
+                    server, status < 500, now
+                )
+            case codes.Refused(code=codes.Result.LEAVING):
+                service.servers.leaves(server, now)
+                return
+            case codes.Refused(
+                code=codes.Result.SERVER_REFUSED | codes.Result.TOO_LATE
+            ):
+                service.servers.health.unused(server)
+                return
+            case _:
+                ejected = service.servers.health.result(server, False, now)
+        if ejected is not None:
+            LOG.warning(
+                "backend server ejected",
+                extra={"server": server, "why": ejected.reason},
+            )
+
+    def _may_retry(
+        self, request: requests.Request, tried: _Tried, now: float
+    ) -> bool:
+        outcome = tried.outcome
+        if not tried.server or now >= request.deadline:
+            return False
+        if isinstance(outcome, requests.Answer):
+            failed = outcome.status in (500, 502, 504)
+            return failed and request.repeatable and self._budget.spend()
+        if outcome.not_run:
+            return outcome.code is not codes.Result.TOO_LATE
+        return request.repeatable and self._budget.spend()
+
+    def _elsewhere(self, outcome: Outcome) -> bool:
+        """Return whether another data centre should be asked."""
+        return isinstance(outcome, codes.Refused) and outcome.code in (
+            codes.Result.NO_SERVER,
+            codes.Result.DATA_CENTRE_OUT,
+        )
+
+    def _serve_elsewhere(
+        self, request: requests.Request, outcome: Outcome
+    ) -> Outcome:
+        helpers = self._remote.helpers(time.monotonic())
+        for vm in helpers:
+            now = time.monotonic()
+            left = request.deadline - now
+            if left <= 0 or not self._remote.can_call(vm, now):
+                continue
+            call = _forward_request(request, left)
+            answer = self._remote.forward(vm, call, left)
+            outcome = _from_peer(answer, vm)
+            if isinstance(outcome, requests.Answer):
+                return outcome
+            repeat = request.repeatable and self._budget.spend()
+            if not (outcome.not_run or repeat):
+                return outcome
+        return outcome
+
+    def _record(self, request: requests.Request, outcome: Outcome) -> None:
+        name = (
+            "OK" if isinstance(outcome, requests.Answer) else outcome.code.name
+        )
+        self._metrics.observe(
+            "request",
+            time.monotonic() - request.arrived_at,
+            team=request.team,
+            priority=request.priority.value,
+        )
+        self._metrics.count(
+            "requests", team=request.team, service=request.service, result=name
+        )
+
+    # Slots
+
+    def run(self) -> None:
+        """Expire late requests and borrow slots until the task is ended."""
+        for turn in itertools.count():
+            gevent.sleep(TURN_SECONDS)
+            now = time.monotonic()
+            for name, service in self._services.items():
+                if len(service.queue):
+                    self.pump(name)
+                if len(service.queue) and now - service.asked_at > (
+                    BORROW_SECONDS
+                ):
+                    service.asked_at = now
+                    gevent.spawn(self._borrow, service, turn)
+            self._forwarder.close_idle(now)
+
+    def _borrow(self, service: _Service, turn: int) -> None:
+        now = time.monotonic()
+        neighbours = self._remote.neighbours(now)
+        if not neighbours:
+            return
+        vm = neighbours[turn % len(neighbours)]
+        call = messages.BorrowSlots(
+            utils.new_identifier(), service.settings.name, MOST_BORROWED
+        )
+        answer = self._remote.borrow(vm, call, CALL_SECONDS)
+        if answer is not None and answer.count:
+            service.servers.slots.borrow(answer.count, now, answer.seconds)
+            self.pump(service.settings.name)
+
+    def lend(self, call: messages.BorrowSlots) -> messages.LendSlots:
+        """Answer a peer that asks for slots."""
+        service = self._services.get(call.service)
+        count = 0
+        if service is not None and not len(service.queue):
+            loan = service.servers.slots.lend(
+                call.count,
+                self._settings.timing.clock_rate_margin,
+                time.monotonic(),
+            )
+            count = loan.count
+        return messages.LendSlots(
+            call.call, call.service, count, slots.LOAN_SECONDS
+        )
+
+
+def _forward_request(
+    request: requests.Request, left: float
+) -> messages.ForwardRequest:
+    return messages.ForwardRequest(
+        utils.new_identifier(),
+        request.identifier,
+        request.service,
+        request.team,
+        request.priority.value,
+        request.repeatable,
+        request.method,
+        request.path,
+        request.content_type,
+        request.body,
+        left,
+    )
+
+
+def _from_peer(answer: messages.ForwardAnswer | None, vm: str) -> Outcome:
+    if answer is None:
+        return codes.Refused(
+            codes.Result.OUTCOME_UNKNOWN, f"entry VM {vm} did not answer"
+        )
+    if answer.code != codes.Result.OK:
+        return codes.Refused(codes.Result(answer.code), answer.reason)
+    if answer.length != len(answer.body):
+        return codes.Refused(
+            codes.Result.SHORT_ANSWER, f"the answer through {vm} was cut"
+        )
+    return requests.Answer(answer.status, answer.content_type, answer.body)
--- /dev/null
+++ b/src/agaterudder/execution.py
@@ -0,0 +1,716 @@
+"""Runs the tasks of the batches that this VM owns.
+
+One task schedules, one renews leases for each worker, one settles, and
+one adopts. All state belongs to :class:`Execution`; what takes time runs
+beside it and reports back to its methods.
+"""
+
+import dataclasses
+import logging
+import time
+import typing as t
+
+import gevent
+import gevent.event
+import gevent.pool
+
+from agaterudder import batches
+from agaterudder import codes
+from agaterudder import configuration
+from agaterudder import decisions
+from agaterudder import exceptions
+from agaterudder import fleet
+from agaterudder import grants
+from agaterudder import metrics
+from agaterudder import resources
+from agaterudder import scheduling
+from agaterudder import settings
+from agaterudder import sizes
+from agaterudder import store
+from agaterudder import tasks
+from agaterudder import waiting
+from agaterudder import workers
+
+LOG = logging.getLogger(__name__)
+
+TURN_SECONDS = 0.05
+RENEW_SECONDS = 0.5
+STARTS_AT_ONCE = 64
+STEPS_PER_TURN = 200
+MOST_AVOIDED = 10
+UNKNOWN_SECONDS = 300.0
+DRAIN_PATIENCE_SECONDS = 10.0
+
+
+class Placement:
+    """A task that was started, or may have been.
+
+    :ivar certain: whether the worker confirmed the start.
+    """
+
+    __slots__ = ("task", "worker", "amount", "certain", "since", "used")
+
+    def __init__(
+        self,
+        task: tasks.Task,
+        worker: str,
+        amount: resources.Vector,
+        certain: bool,
+        since: float,
+    ) -> None:
+        self.task = task
+        self.worker = worker
+        self.amount = amount
+        self.certain = certain
+        self.since = since
+        self.used = resources.ZERO
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What the execution asks of the rest of the process.
+
+    :ivar may_start: refusal when no keyed task may start now.
+    :ivar view: usage elsewhere and capacity, for a decision.
+    :ivar worker: client of a worker by its VM.
+    :ivar worker_gone: whether the platform says that a worker is gone.
+    """
+
+    may_start: t.Callable[[str, float], codes.Refused | None]
+    view: t.Callable[[], scheduling.View]
+    worker: t.Callable[[str], workers.Worker | None]
+    worker_gone: t.Callable[[str], bool]
+
+
+class Execution:
+    """Waiting and running tasks of this VM."""
+
+    __slots__ = (
+        "_settings",
+        "_in_force",
+        "_batches",
+        "_grants",
+        "_fleet",
+        "_around",
+        "_decisions",
+        "_metrics",
+        "_waiting",
+        "_placements",
+        "_sizes",
+        "_wake",
+        "_starts",
+        "_needs",
+        "_deferred",
+        "_avoided",
+        "_forget",
+        "_making_room",
+        "_draining",
+        "stopping",
+    )
+
+    def __init__(
+        self,
+        checked: settings.Settings,
+        in_force: configuration.InForce,
+        table: store.Store,
+        workers_here: fleet.Fleet,
+        around: Surroundings,
+        log: decisions.Decisions,
+        measured: metrics.Metrics,
+    ) -> None:
+        self._settings = checked
+        self._in_force = in_force
+        self._batches = batches.Batches(
+            checked.entry.vm,
+            checked.entry.data_centre,
+            table,
+            checked.timing.batch_seconds,
+            checked.limits.tasks,
+            self._committed,
+        )
+        self._grants = grants.Grants(checked.entry.vm, table)
+        self._fleet = workers_here
+        self._around = around
+        self._decisions = log
+        self._metrics = measured
+        self._waiting = waiting.WaitingTasks()
+        self._placements: dict[str, Placement] = {}
+        self._sizes = sizes.Sizes()
+        self._wake = gevent.event.Event()
+        self._starts = gevent.pool.Pool(STARTS_AT_ONCE)
+        self._needs: dict[str, resources.Vector] = {}
+        self._deferred: dict[str, float] = {}
+        self._avoided: dict[str, list[str]] = {}
+        self._forget: dict[str, list[str]] = {}
+        self._making_room: set[str] = set()
+        self._draining: dict[str, float] = {}
+        self.stopping = False
+
+    @property
+    def owned(self) -> batches.Batches:
+        """Batches that this VM owns."""
+        return self._batches
+
+    @property
+    def held_grants(self) -> grants.Grants:
+        """Grants that this VM holds."""
+        return self._grants
+
+    @property
+    def waiting(self) -> waiting.WaitingTasks:
+        """Tasks that have not started."""
+        return self._waiting
+
+    @property
+    def placements(self) -> dict[str, Placement]:
+        """Started tasks."""
+        return self._placements
+
+    @property
+    def needs(self) -> dict[str, resources.Vector]:
+        """Amounts that teams need beyond their grants."""
+        return self._needs
+
+    def limit(self, team: str) -> grants.TeamLimit:
+        """Return the upper limit of a team in the version in force."""
+        found = self._in_force.assurances.teams.get(team)
+        limit = found.limit if found else resources.UNLIMITED
+        return grants.TeamLimit(limit, self._in_force.version)
+
+    def start(self) -> list[gevent.Greenlet]:
+        """Start the loops."""
+        loops = (
+            self._batches.run,
+            self._schedule_forever,
+            self._renew_forever,
+            self._settle_forever,
+        )
+        return [gevent.spawn(loop) for loop in loops]
+
+    def _committed(self, batch: tasks.Batch) -> None:
+        for task in batch.tasks:
+            if task.state is tasks.State.WAITING:
+                self._waiting.add(task)
+        self._wake.set()
+
+    # Starting
+
+    def _schedule_forever(self) -> None:
+        while True:
+            self._wake.wait(timeout=TURN_SECONDS)
+            self._wake.clear()
+            self.schedule(time.monotonic(), time.time())
+
+    def schedule(self, now: float, wall: float) -> int:
+        """Start what can start; return the number of starts."""
+        if self.stopping:
+            return 0
+        started = 0
+        for pool in self._waiting.pools():
+            blocked: set[str] = set()
+            for _ in range(STEPS_PER_TURN):
+                if self._starts.free_count() == 0:
+                    return started
+                step = self._next_step(pool, blocked, now, wall)
+                match step:
+                    case scheduling.Launch():
+                        self._launch(step, now)
+                        started += 1
+                    case scheduling.NeedGrant(team=team, amount=amount):
+                        blocked.add(team)
+                        self._needs[team] = self._wanted(team, amount)
+                    case scheduling.NeedRoom():
+                        self._make_room(step, now)
+                        break
+                    case scheduling.Nothing():
+                        break
+        return started
+
+    def _next_step(
+        self, pool: str, blocked: set[str], now: float, wall: float
+    ) -> scheduling.Step:
+        view = self._around.view()
+        teams = self._waiting.teams(pool)
+        refused = {
+            team
+            for team in teams
+            if self._around.may_start(team, now) is not None
+        }
+        full = dataclasses.replace(
+            view,
+            blocked=frozenset(blocked | refused),
+            deferred_since=self._deferred,
+        )
+        step = scheduling.next_step(
+            pool,
+            self._waiting,
+            self._fleet,
+            self._sizes,
+            self._grants.holding,
+            full,
+            lambda task: self._avoided.get(task, ()),
+            now,
+            wall,
+        )
+        self._note_deferred(teams, step, now)
+        return step
+
+    def _note_deferred(
+        self, teams: set[str], step: scheduling.Step, now: float
+    ) -> None:
+        if isinstance(step, scheduling.Launch):
+            self._deferred.pop(step.task.team, None)
+            return
+        for team in teams:
+            self._deferred.setdefault(team, now)
+
+    def _wanted(self, team: str, amount: resources.Vector) -> resources.Vector:
+        """Return how much to ask for: the next tasks, within reason."""
+        sample = self._waiting.sample(team, 20)
+        asked = resources.total(task.size for task in sample)
+        quarter = self.limit(team).limit.scaled(0.25)
+        return asked.smaller(quarter).larger(amount)
+
+    def _launch(self, step: scheduling.Launch, now: float) -> None:
+        task = step.task
+        self._waiting.remove(task.task)
+        task.state = tasks.State.STARTING
+        place = Placement(task, step.worker, step.amount, False, now)
+        self._placements[task.task] = place
+        self._fleet.views[step.worker].started(step.amount)
+        self._fleet.health.chosen(step.worker, now)
+        self._explain(
+            task, f"start on {step.worker}", f"size {step.amount.values()}"
+        )
+        self._starts.spawn(self._start_on_worker, place)
+
+    def _start_on_worker(self, place: Placement) -> None:
+        client = self._around.worker(place.worker)
+        held = self._held(place.task)
+        refused = self._around.may_start(place.task.team, time.monotonic())
+        if client is None or held is None or refused is not None:
+            self._not_started(place, "the worker or the batch left", False)
+            return
+        answer = client.start(
+            workers.Start(
+                place.task.task,
+                held.batch.batch,
+                held.batch.epoch,
+                self._settings.timing.task_lease_seconds,
+                place.amount,
+                place.task.run_seconds,
+                place.task.checkpoint,
+            )
+        )
+        now = time.monotonic()
+        match answer:
+            case workers.Started():
+                place.certain = True
+                place.since = now
+                place.task.state = tasks.State.RUNNING
+                delay = time.time() - place.task.submitted_at
+                self._metrics.observe(
+                    "task_start",
+                    delay,
+                    team=place.task.team,
+                    priority=place.task.priority.value,
+                )
+            case workers.NotStarted(reason=reason, fenced=fenced):
+                self._fleet.health.unused(place.worker)
+                self._not_started(place, reason, fenced)
+            case workers.NoAnswer(reason=reason):
+                place.since = now
+                LOG.warning(
+                    "start unanswered",
+                    extra={"task": place.task.task, "why": reason},
+                )
+
+    def _not_started(
+        self, place: Placement, reason: str, fenced: bool
+    ) -> None:
+        if not self._unplace(place):
+            return
+        if fenced:
+            held = self._held(place.task)
+            if held is not None:
+                self._lose(held)
+            return
+        view = self._fleet.views.get(place.worker)
+        if view is not None:
+            view.free = resources.ZERO
+        place.task.state = tasks.State.WAITING
+        self._waiting.put_back(place.task)
+        self._explain(place.task, "wait again", reason)
+
+    def _make_room(self, step: scheduling.NeedRoom, now: float) -> None:
+        if step.task.task in self._making_room:
+            return
+        running = [
+            (place.task, place.worker, place.amount)
+            for place in self._placements.values()
+            if place.certain
+        ]
+        chosen = scheduling.victims(step.amount, running, self._fleet, now)
+        if not chosen:
+            return
+        self._making_room.add(step.task.task)
+        gevent.spawn(self._checkpoint, step.task, chosen)
+
+    def _checkpoint(
+        self, urgent: tasks.Task | None, chosen: list[tuple[tasks.Task, str]]
+    ) -> None:
+        reason = f"room for {urgent.task}" if urgent else "its worker drains"
+        try:
+            for task, worker in chosen:
+                client = self._around.worker(worker)
+                if client is None:
+                    continue
+                self._explain(task, "checkpoint", reason)
+                self._take_reports(worker, client.checkpoint(task.task))
+        except exceptions.StoreUnavailable as error:
+            LOG.info("checkpoint unanswered", extra={"why": error})
+        finally:
+            if urgent is not None:
+                self._making_room.discard(urgent.task)
+            self._wake.set()
+
+    def evacuate(self, worker: str) -> None:
+        """Checkpoint what runs on a worker that drains too long."""
+        now = time.monotonic()
+        since = self._draining.setdefault(worker, now)
+        if now - since < DRAIN_PATIENCE_SECONDS:
+            return
+        self._draining[worker] = now
+        running = [
+            (place.task, worker)
+            for place in self._placements.values()
+            if place.worker == worker and place.certain
+        ]
+        if running:
+            gevent.spawn(self._checkpoint, None, running)
+
+    # Leases and outcomes
+
+    def _renew_forever(self) -> None:
+        while True:
+            calls = [
+                gevent.spawn(self.renew, worker)
+                for worker in self._workers_to_ask()
+            ]
+            gevent.joinall(calls, timeout=workers.TIMEOUT_SECONDS * 2)
+            self.resolve_lapsed(time.monotonic())
+            gevent.sleep(RENEW_SECONDS)
+
+    def _workers_to_ask(self) -> set[str]:
+        running = {place.worker for place in self._placements.values()}
+        return running.union(self._forget, self._fleet.views)
+
+    def renew(self, worker: str) -> None:
+        """Renew the leases on one worker and take its reports."""
+        client = self._around.worker(worker)
+        if client is None:
+            return
+        mine = [
+            task
+            for task, place in self._placements.items()
+            if place.worker == worker
+            and time.monotonic() - place.since < UNKNOWN_SECONDS
+        ]
+        forget = self._forget.pop(worker, [])
+        lease = self._settings.timing.task_lease_seconds
+        asked_at = time.monotonic()
+        try:
+            reports = client.renew(mine, forget, lease)
+        except exceptions.StoreUnavailable:
+            self._forget.setdefault(worker, []).extend(forget)
+            return
+        for task in mine:
+            place = self._placements.get(task)
+            if place is not None and place.certain:
+                place.since = asked_at
+        self._take_reports(worker, reports)
+
+    def _take_reports(self, worker: str, reports: workers.Reports) -> None:
+        now = time.monotonic()
+        view = self._fleet.views.get(worker)
+        if view is not None and reports.free is not resources.ZERO:
+            view.reported(reports.free, now)
+        for report in reports.tasks:
+            place = self._placements.get(report.task)
+            if place is not None and place.worker == worker:
+                self._take_report(place, report, now)
+        self._wake.set()
+
+    def _take_report(
+        self, place: Placement, report: workers.Report, now: float
+    ) -> None:
+        place.used = place.used.larger(report.used)
+        match report.state:
+            case "running":
+                place.certain = True
+                place.task.state = tasks.State.RUNNING
+            case "done":
+                self._ended(place, tasks.State.DONE, "done", now)
+            case "failed":
+                self._failed(place, now)
+            case "stopped":
+                self._ended(
+                    place, tasks.State.CANCELLED, "stopped by a call", now
+                )
+            case "checkpointed":
+                place.task.checkpoint = report.checkpoint
+                self._again(place, "checkpointed for urgent work")
+            case "lapsed":
+                self._interrupted(place, "the lease lapsed", now)
+            case "refused":
+                self._again(place, "it never started there")
+            case "unknown" if place.certain:
+                self._interrupted(place, "the worker forgot the task", now)
+            case "unknown":
+                gevent.spawn(self._make_sure, place)
+
+    def _make_sure(self, place: Placement) -> None:
+        """Ask a worker never to start a task whose start had no answer."""
+        client = self._around.worker(place.worker)
+        if client is None or place.task.state is not tasks.State.STARTING:
+            return
+        if time.monotonic() - place.since < workers.TIMEOUT_SECONDS:
+            return
+        try:
+            reports = client.stop(place.task.task)
+        except exceptions.StoreUnavailable:
+            return
+        self._take_reports(place.worker, reports)
+
+    def _failed(self, place: Placement, now: float) -> None:
+        task = place.task
+        task.attempts += 1
+        ejected = self._fleet.health.result(place.worker, False, now)
+        if ejected is not None:
+            LOG.warning(
+                "worker ejected",
+                extra={"worker": place.worker, "why": ejected.reason},
+            )
+        if not task.repeatable:
+            self._ended(place, tasks.State.FAILED, "failed", now, False)
+        elif task.attempts >= tasks.MOST_ATTEMPTS:
+            reason = f"failed on {task.attempts} workers"
+            self._ended(place, tasks.State.SET_ASIDE, reason, now, False)
+        else:
+            avoided = self._avoided.setdefault(task.task, [])
+            avoided.append(place.worker)
+            del avoided[:-MOST_AVOIDED]
+            self._again(place, f"failed on {place.worker}")
+
+    def _interrupted(self, place: Placement, reason: str, now: float) -> None:
+        place.task.attempts += 1
+        if not place.task.repeatable:
+            self._ended(place, tasks.State.UNKNOWN, reason, now, None)
+        elif place.task.attempts >= tasks.MOST_ATTEMPTS:
+            self._ended(place, tasks.State.SET_ASIDE, reason, now, None)
+        else:
+            self._again(place, reason)
+
+    def _again(self, place: Placement, reason: str) -> None:
+        if not self._unplace(place):
+            return
+        place.task.state = tasks.State.WAITING
+        self._forget.setdefault(place.worker, []).append(place.task.task)
+        self._waiting.put_back(place.task)
+        self._batches.changed(place.task.task)
+        self._explain(place.task, "wait again", reason)
+
+    def _ended(
+        self,
+        place: Placement,
+        state: tasks.State,
+        reason: str,
+        now: float,
+        succeeded: bool | None = True,
+    ) -> None:
+        if not self._unplace(place):
+            return
+        task = place.task
+        task.state = state
+        task.reason = reason
+        if succeeded:
+            self._fleet.health.result(place.worker, True, now)
+        if any(place.used.values()):
+            self._sizes.observe(task.team, task.kind, task.size, place.used)
+        self._forget.setdefault(place.worker, []).append(task.task)
+        self._avoided.pop(task.task, None)
+        self._batches.changed(task.task)
+        self._metrics.count("tasks", team=task.team, state=state.value)
+        self._explain(task, state.value, reason)
+
+    def _unplace(self, place: Placement) -> bool:
+        """Free what a task used; return False when it was done before."""
+        if self._placements.get(place.task.task) is not place:
+            return False
+        del self._placements[place.task.task]
+        self._grants.holding(place.task.team).release(place.task.task)
+        self._wake.set()
+        return True
+
+    def resolve_lapsed(self, now: float) -> None:
+        """Decide about tasks whose worker stays silent.
+
+        A worker stops a task whose lease lapsed, also when it is cut off,
+        so that after the lease the task runs no more.
+        """
+        timing = self._settings.timing
+        lapse = lapse_seconds(timing)
+        for place in list(self._placements.values()):
+            gone = self._around.worker_gone(place.worker)
+            silent = now - place.since
+            if not gone and silent < lapse:
+                continue
+            if place.task.repeatable or gone or silent > UNKNOWN_SECONDS:
+                self._interrupted(place, "its worker is silent", now)
+
+    # Settling
+
+    def _settle_forever(self) -> None:
+        while True:
+            gevent.sleep(self._settings.timing.batch_seconds * 4)
+            self.settle(time.monotonic())
+
+    def settle(self, now: float) -> None:
+        """Write the changed batches and forget those long settled."""
+        for held in list(self._batches.held.values()):
+            if held.dirty and self._worth_writing(held):
+                refused = self._batches.write(held, now)
+                if (
+                    refused is not None
+                    and refused.code is codes.Result.CONFLICT
+                ):
+                    self._lose(held)
+            retention = min(60.0, self._settings.timing.retention_seconds)
+            if (
+                held.settled_at is not None
+                and now - held.settled_at > retention
+            ):
+                self._batches.drop(held)
+
+    def _worth_writing(self, held: batches.Held) -> bool:
+        """Return whether all ended, or a part that is worth a write."""
+        if held.batch.settled:
+            return True
+        ended = sum(t.state in tasks.SETTLED for t in held.batch.tasks)
+        return ended * 2 >= len(held.batch.tasks) or not any(
+            task.task in self._placements for task in held.batch.tasks
+        )
+
+    def _lose(self, held: batches.Held) -> None:
+        """Drop a batch that another VM owns now."""
+        for task in held.batch.tasks:
+            self._waiting.remove(task.task)
+            place = self._placements.get(task.task)
+            if place is not None:
+                self._unplace(place)
+        self._batches.drop(held)
+        LOG.warning("batch lost", extra={"batch": held.batch.batch})
+
+    # Callers' and operators' calls
+
+    def cancel(self, task: tasks.Task, now: float) -> tasks.State:
+        """Cancel a task; a start that has not happened does not happen."""
+        if task.task in self._waiting:
+            self._waiting.remove(task.task)
+            task.state = tasks.State.CANCELLED
+            task.reason = "cancelled before it started"
+            self._batches.changed(task.task)
+            self._explain(task, "cancelled", "the caller")
+            return task.state
+        place = self._placements.get(task.task)
+        if place is not None:
+            gevent.spawn(self._stop, place)
+        return task.state
+
+    def _stop(self, place: Placement) -> None:
+        client = self._around.worker(place.worker)
+        if client is None:
+            return
+        try:
+            reports = client.stop(place.task.task)
+        except exceptions.StoreUnavailable as error:
+            LOG.info("stop unanswered", extra={"why": error})
+            return
+        for report in reports.tasks:
+            if report.state == "refused":
+                self._ended(
+                    place,
+                    tasks.State.CANCELLED,
+                    "cancelled before it started",
+                    time.monotonic(),
+                    None,
+                )
+        self._take_reports(place.worker, reports)
+
+    def release_batches(self) -> None:
+        """Give every open batch to the other entry VMs."""
+        for held in list(self._batches.held.values()):
+            if held.dirty:
+                self._batches.write(held, time.monotonic())
+            if held.batch.settled:
+                continue
+            placed = {
+                task.task: self._placements[task.task].worker
+                for task in held.batch.tasks
+                if task.task in self._placements
+            }
+            if self._batches.release(held, placed) is None:
+                self._lose(held)
+
+    # Adoption
+
+    def resume(
+        self,
+        adopted: batches.Adopted,
+        known: dict[str, workers.Report],
+        where: dict[str, str],
+    ) -> None:
+        """Go on with an adopted batch.
+
+        :param known: reports of its tasks from the workers.
+        :param where: worker of each reported task.
+        """
+        now = time.monotonic()
+        for task in adopted.held.batch.tasks:
+            if task.state in tasks.SETTLED:
+                continue
+            report = known.get(task.task)
+            if report is None:
+                task.state = tasks.State.WAITING
+                self._waiting.add(task)
+                continue
+            amount = self._sizes.corrected(task.team, task.kind, task.size)
+            place = Placement(task, where[task.task], amount, True, now)
+            self._placements[task.task] = place
+            self._grants.holding(task.team).adopt(task.task, amount)
+            self._take_report(place, report, now)
+        self._wake.set()
+
+    def _held(self, task: tasks.Task) -> batches.Held | None:
+        place = tasks.batch_of(task.task)
+        return self._batches.held.get(place[1]) if place else None
+
+    def _explain(self, task: tasks.Task, what: str, inputs: str) -> None:
+        self._decisions.record(
+            "task",
+            task.task,
+            decisions.Decision(
+                time.time(),
+                what,
+                inputs,
+                self._in_force.assurances.source("team", task.team),
+            ),
+        )
+
+
+def lapse_seconds(timing: settings.Timing) -> float:
+    """Return the time after which a lease given before has lapsed."""
+    return (
+        timing.task_lease_seconds * (1 + timing.clock_rate_margin)
+        + timing.lease_margin_seconds
+    )
--- /dev/null
+++ b/src/agaterudder/fleet.py
@@ -0,0 +1,143 @@
+"""Views of the workers of this data centre.
+
+Capacity is what the worker itself reported last, less what was started
+since. The worker has the last word; a view only avoids useless starts.
+"""
+
+import dataclasses
+import hashlib
+import typing as t
+
+from agaterudder import health
+from agaterudder import platform
+from agaterudder import resources
+
+
+class WorkerView:
+    """What this VM knows of one worker."""
+
+    __slots__ = ("vm", "free", "reported_at")
+
+    def __init__(self, vm: platform.Vm) -> None:
+        self.vm = vm
+        self.free = vm.size
+        self.reported_at = 0.0
+
+    def reported(self, free: resources.Vector, now: float) -> None:
+        """Take the worker's own word on its free capacity."""
+        self.free = free
+        self.reported_at = now
+
+    def started(self, size: resources.Vector) -> None:
+        """Count a task started since the last report."""
+        self.free = self.free - size
+
+
+class Fleet:
+    """Workers of one data centre."""
+
+    __slots__ = ("_views", "_health", "_held_back")
+
+    def __init__(self) -> None:
+        self._views: dict[str, WorkerView] = {}
+        self._health = health.Health()
+        self._held_back: frozenset[str] = frozenset()
+
+    @property
+    def health(self) -> health.Health:
+        """Results of the workers."""
+        return self._health
+
+    @property
+    def views(self) -> dict[str, WorkerView]:
+        """Views by VM."""
+        return self._views
+
+    def listed(self, vms: t.Iterable[platform.Vm]) -> None:
+        """Take the workers of a reading of the platform's list."""
+        views = {}
+        for vm in vms:
+            if vm.state is platform.VmState.GONE:
+                continue
+            view = self._views.get(vm.vm) or WorkerView(vm)
+            view.vm = vm
+            views[vm.vm] = view
+        self._views = views
+        self._health.keep(views)
+
+    def hold_back(self, vms: t.Iterable[str]) -> None:
+        """Give no new work to VMs that drain for maintenance or a move."""
+        self._held_back = frozenset(vms)
+
+    def usable(self, pool: str, now: float) -> list[WorkerView]:
+        """Return the workers of a pool that may get new work."""
+        return [
+            view
+            for name, view in self._views.items()
+            if view.vm.pool == pool
+            and view.vm.state is platform.VmState.LIVE
+            and name not in self._held_back
+            and self._health.usable(name, now)
+        ]
+
+    def largest(self, pool: str) -> list[resources.Vector]:
+        """Return the sizes of a pool's workers."""
+        return [
+            view.vm.size
+            for view in self._views.values()
+            if view.vm.pool == pool
+        ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """The worker that gets a task."""
+
+    worker: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoPlace:
+    """No usable worker has room now."""
+
+
+def _own_first(vm: str, worker: str) -> int:
+    """Return an order of the workers that differs between entry VMs."""
+    raw = hashlib.blake2b(f"{vm}/{worker}".encode(), digest_size=4)
+    return int.from_bytes(raw.digest(), "big")
+
+
+def choose(
+    size: resources.Vector,
+    usable: t.Sequence[WorkerView],
+    vm: str,
+    avoided: t.Container[str] = (),
+) -> Place | NoPlace:
+    """Choose the worker that is left with the least room.
+
+    :param vm: this entry VM; among like workers each entry VM prefers
+        others, so that two seldom choose the same.
+    :param avoided: workers that failed the task already.
+    """
+    fitting = [
+        view
+        for view in usable
+        if size.fits_in(view.free) and view.vm.vm not in avoided
+    ]
+    if not fitting:
+        return NoPlace()
+    best = min(
+        fitting,
+        key=lambda view: (
+            round((view.free - size).dominant_share(view.vm.size), 2),
+            _own_first(vm, view.vm.vm),
+        ),
+    )
+    return Place(best.vm.vm)
+
+
+def fits_some(
+    size: resources.Vector, sizes: t.Iterable[resources.Vector]
+) -> bool:
+    """Return whether some empty worker could hold a task."""
+    return any(size.fits_in(whole) for whole in sizes)
--- /dev/null
+++ b/src/agaterudder/forwarding.py
@@ -0,0 +1,191 @@
+"""Sends one request to one backend server and reads the whole answer.
+
+A connection carries one request at a time and is closed, never used
+again, when its answer was late, short or malformed. A request that may
+not be repeated goes out only on a connection that answered a moment ago,
+or on a new one.
+"""
+
+import collections
+import time
+
+import gevent
+import geventhttpclient
+import geventhttpclient.response
+
+from agaterudder import codes
+from agaterudder import platform
+from agaterudder import requests
+from agaterudder import utils
+
+CONNECT_SECONDS = 1.0
+RECENT_SECONDS = 0.5
+IDLE_SECONDS = 20.0
+READ_BLOCK_BYTES = 65_536
+NETWORK_SECONDS = 600.0
+NO_LIBRARY_RETRY = -1
+
+
+class Connection:
+    """One connection to a backend server, idle or in use.
+
+    :ivar answered_at: when it last carried a whole answer.
+    """
+
+    __slots__ = ("_client", "answered_at", "closed")
+
+    def __init__(self, server: platform.Vm) -> None:
+        host, port = utils.split_address(server.address)
+        self._client = geventhttpclient.HTTPClient(
+            host,
+            port,
+            block_size=READ_BLOCK_BYTES,
+            connection_timeout=CONNECT_SECONDS,
+            network_timeout=NETWORK_SECONDS,
+        )
+        # The library repeats a request when the connection closes without
+        # an answer; whether to repeat is decided here alone.
+        self._client._connection_pool.size = NO_LIBRARY_RETRY
+        self.answered_at = 0.0
+        self.closed = False
+
+    def open(self) -> None:
+        """Connect, so that a later failure is known to come after it.
+
+        :raises OSError: when the server can't be reached.
+        """
+        pool = self._client._connection_pool
+        pool.return_socket(pool.get_socket())
+
+    def send(
+        self, request: requests.Request
+    ) -> geventhttpclient.response.HTTPSocketPoolResponse:
+        """Send the request and read the head of the answer."""
+        headers = {
+            "Agaterudder-Request-Id": request.identifier,
+            "Agaterudder-Team": request.team,
+        }
+        if request.content_type:
+            headers["Content-Type"] = request.content_type
+        return self._client.request(
+            request.method, request.path, body=request.body, headers=headers
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.closed = True
+        self._client.close()
+
+
+class Forwarder:
+    """Idle connections to the backend servers of this data centre."""
+
+    __slots__ = ("_idle", "_body_bytes")
+
+    def __init__(self, body_bytes: int) -> None:
+        self._idle: dict[str, collections.deque[Connection]] = {}
+        self._body_bytes = body_bytes
+
+    def forward(
+        self, server: platform.Vm, request: requests.Request, timeout: float
+    ) -> requests.Answer | codes.Refused:
+        """Execute a request on a server.
+
+        :param timeout: seconds for connecting, sending and the answer.
+        """
+        try:
+            connection = self._connection(server, request.repeatable)
+        except (OSError, gevent.Timeout):
+            return codes.Refused(
+                codes.Result.NO_SERVER, f"{server.vm} can't be reached"
+            )
+        try:
+            with gevent.Timeout(timeout):
+                answer = self._exchange(connection, request)
+        except gevent.Timeout:
+            connection.close()
+            return codes.Refused(
+                codes.Result.TIMED_OUT, f"{server.vm} did not answer in time"
+            )
+        except (OSError, ValueError) as error:
+            connection.close()
+            return codes.Refused(
+                codes.Result.OUTCOME_UNKNOWN,
+                f"the connection to {server.vm} broke: {error}",
+            )
+        except BaseException:
+            connection.close()
+            raise
+        if isinstance(answer, requests.Answer) and not connection.closed:
+            connection.answered_at = time.monotonic()
+            self._idle[server.vm].append(connection)
+        else:
+            connection.close()
+        return answer
+
+    def keep(self, servers: list[str]) -> None:
+        """Close the idle connections to servers no longer listed."""
+        for name in [name for name in self._idle if name not in servers]:
+            for connection in self._idle.pop(name):
+                connection.close()
+
+    def close_idle(self, now: float) -> None:
+        """Close connections that were not used for a while."""
+        for idle in self._idle.values():
+            while idle and now - idle[0].answered_at > IDLE_SECONDS:
+                idle.popleft().close()
+
+    def idle_connections(self, server: str) -> int:
+        """Return the number of idle connections to a server."""
+        return len(self._idle.get(server, ()))
+
+    def _connection(self, server: platform.Vm, repeatable: bool) -> Connection:
+        idle = self._idle.setdefault(server.vm, collections.deque())
+        if idle:
+            connection = idle.pop()
+            recent = time.monotonic() - connection.answered_at
+            if recent <= RECENT_SECONDS:
+                return connection
+            if repeatable and recent <= IDLE_SECONDS:
+                return connection
+            connection.close()
+        connection = Connection(server)
+        with gevent.Timeout(CONNECT_SECONDS):
+            connection.open()
+        return connection
+
+    def _exchange(
+        self, connection: Connection, request: requests.Request
+    ) -> requests.Answer | codes.Refused:
+        response = connection.send(request)
+        body = bytes(response.read(self._body_bytes + 1))
+        if len(body) > self._body_bytes:
+            return codes.Refused(
+                codes.Result.SHORT_ANSWER, "the answer is too large"
+            )
+        declared = response.content_length
+        cut = declared is not None and declared != len(body)
+        if request.method != "HEAD" and (cut or not response.message_complete):
+            return codes.Refused(
+                codes.Result.SHORT_ANSWER, "the answer was cut"
+            )
+        return self._finish(connection, response, request, body)
+
+    def _finish(
+        self,
+        connection: Connection,
+        response: geventhttpclient.response.HTTPSocketPoolResponse,
+        request: requests.Request,
+        body: bytes,
+    ) -> requests.Answer | codes.Refused:
+        refused = response.status_code == 503
+        leaving = refused and response.get("x-leaving") is not None
+        not_run = refused and response.get("x-not-run") is not None
+        if response.should_close():
+            connection.close()
+        if leaving:
+            return codes.Refused(codes.Result.LEAVING, "it is leaving")
+        if not_run:
+            return codes.Refused(codes.Result.SERVER_REFUSED, "it is full")
+        kind = response.get("content-type", "application/octet-stream")
+        return requests.Answer(response.status_code, str(kind), body)
--- /dev/null
+++ b/src/agaterudder/grants.py
@@ -0,0 +1,199 @@
+"""Keeps this VM's grants of the teams' upper limits.
+
+The rows of the table service decide; in an outage the grants held go on
+being spent.
+"""
+
+import dataclasses
+import logging
+import typing as t
+
+from agaterudder import codes
+from agaterudder import escrow
+from agaterudder import exceptions
+from agaterudder import resources
+from agaterudder import store
+
+LOG = logging.getLogger(__name__)
+
+PREFIX = "limits/"
+IDLE_SECONDS = 5.0
+STARVED_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamLimit:
+    """Limit of a team in a configuration version."""
+
+    limit: resources.Vector
+    version: int
+
+
+class Grants:
+    """Holdings by team, and the calls that change them."""
+
+    __slots__ = ("_vm", "_store", "_holdings", "_restored")
+
+    def __init__(self, vm: str, table: store.Store) -> None:
+        self._vm = vm
+        self._store = table
+        self._holdings: dict[str, escrow.Holding] = {}
+        self._restored = False
+
+    @property
+    def restored(self) -> bool:
+        """Whether the grants of a former incarnation were read."""
+        return self._restored
+
+    def holding(self, team: str) -> escrow.Holding:
+        """Return the holding of a team."""
+        return self._holdings.setdefault(team, escrow.Holding())
+
+    def usage(self) -> dict[str, resources.Vector]:
+        """Return what running tasks of each team use."""
+        spent = {
+            team: holding.spent for team, holding in self._holdings.items()
+        }
+        return {
+            team: used for team, used in spent.items() if any(used.values())
+        }
+
+    def held_teams(self) -> list[str]:
+        """Return the teams of which this VM holds a grant."""
+        return [
+            team
+            for team, holding in self._holdings.items()
+            if any(holding.grant.values())
+        ]
+
+    def restore(self) -> bool:
+        """Take over the grants of a former incarnation on this VM.
+
+        They stay reserved until its leases have lapsed. Each row is
+        written once more, so that a write of the former incarnation that
+        is still under way can't take effect afterwards.
+
+        :raises StoreUnavailable: when the table service is away.
+        """
+        complete = True
+        for row in self._store.scan(PREFIX, escrow.Pot):
+            pot = row.value
+            if pot is None or self._vm not in pot.grants:
+                continue
+            outcome = self._store.transact([store.replace(row, pot)])
+            if not isinstance(outcome, store.Committed):
+                complete = False
+                continue
+            holding = self.holding(row.key.removeprefix(PREFIX))
+            if not self._restored:
+                holding.grant = pot.grants[self._vm]
+                holding.reserved = pot.grants[self._vm]
+        self._restored = complete
+        return complete
+
+    def end_reservations(self) -> None:
+        """Free what former leases reserved, after they have lapsed."""
+        for holding in self._holdings.values():
+            holding.reserved = resources.ZERO
+
+    def enlarge(
+        self, team: str, wanted: resources.Vector, limit: TeamLimit
+    ) -> codes.Refused | None:
+        """Ask the pot for more."""
+
+        def more(pot: escrow.Pot) -> escrow.Pot | codes.Refused:
+            return escrow.enlarged(pot, self._vm, wanted)
+
+        return self._change(team, limit, more)
+
+    def hand_back(
+        self, team: str, amount: resources.Vector, limit: TeamLimit
+    ) -> codes.Refused | None:
+        """Return a part of the grant to the pot.
+
+        The part is taken from the holding first, so that it can't be spent
+        while the answer is under way, and is lost to this VM, not to the
+        limit, when the outcome stays unknown.
+        """
+        holding = self.holding(team)
+        holding.grant = holding.grant - amount
+
+        def less(pot: escrow.Pot) -> escrow.Pot:
+            return escrow.handed_back(pot, self._vm, amount)
+
+        refused = self._change(team, limit, less)
+        if refused is not None and refused.not_run:
+            holding.grant = holding.grant + amount
+        return refused
+
+    def adopt(
+        self,
+        team: str,
+        former: str,
+        amount: resources.Vector,
+        limit: TeamLimit,
+    ) -> codes.Refused | None:
+        """Take the part of a former owner's grant that covers tasks."""
+
+        def moved(pot: escrow.Pot) -> escrow.Pot:
+            return escrow.transferred(pot, former, self._vm, amount)
+
+        refused = self._change(team, limit, moved)
+        if refused is None:
+            holding = self.holding(team)
+            holding.reserved = holding.reserved + amount
+        return refused
+
+    def reclaim(
+        self,
+        gone_at: t.Mapping[str, float],
+        lapse_seconds: float,
+        now: float,
+    ) -> int:
+        """Free the grants of VMs that are gone; return how many.
+
+        :raises StoreUnavailable: when the table service is away.
+        """
+        count = 0
+        for row in self._store.scan(PREFIX, escrow.Pot):
+            pot = row.value
+            if pot is None:
+                continue
+            for holder in set(pot.grants).intersection(gone_at):
+                after = escrow.reclaimed(
+                    pot, holder, gone_at[holder], lapse_seconds, now
+                )
+                if isinstance(after, escrow.Pot):
+                    self._store.transact([store.replace(row, after)])
+                    count += 1
+                    break
+        return count
+
+    def _change(
+        self,
+        team: str,
+        limit: TeamLimit,
+        change: t.Callable[[escrow.Pot], escrow.Pot | codes.Refused],
+    ) -> codes.Refused | None:
+        try:
+            row = self._store.read(PREFIX + team, escrow.Pot)
+        except exceptions.StoreUnavailable as error:
+            return codes.Refused(codes.Result.STORE_AWAY, str(error))
+        pot = row.value or escrow.Pot(limit.limit, limit.version)
+        after = change(escrow.relimited(pot, limit.limit, limit.version))
+        if isinstance(after, codes.Refused):
+            return after
+        outcome = self._store.transact([store.replace(row, after)])
+        match outcome:
+            case store.Committed():
+                # This write made every earlier one of ours that was still
+                # under way fail, so that the row is what this VM holds.
+                held = after.grants.get(self._vm) or resources.ZERO
+                self.holding(team).grant = held
+                return None
+            case store.Conflicted():
+                return codes.Refused(
+                    codes.Result.CONFLICT, f"the limit of {team} changed"
+                )
+            case codes.Refused():
+                return outcome
--- /dev/null
+++ b/src/agaterudder/health.py
@@ -0,0 +1,147 @@
+"""Ejection of servers that fail what their peers carry out.
+
+A server is ejected when its error rate is far above that of its peers,
+and probed after a growing delay. A cap keeps most of a pool in use: when
+many fail together, the servers are not the cause.
+"""
+
+import collections
+import dataclasses
+import math
+import typing as t
+
+WINDOW = 20
+LEAST_RESULTS = 5
+EXCESS_ERROR_RATE = 0.4
+LARGEST_EJECTED_FRACTION = 0.34
+FIRST_EJECTION_SECONDS = 2.0
+LONGEST_EJECTION_SECONDS = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ejected:
+    """The server is not chosen before ``until``, then probed."""
+
+    server: str
+    until: float
+    reason: str
+
+
+class _Record:
+    """Results of one server."""
+
+    __slots__ = ("results", "until", "ejections", "probing")
+
+    def __init__(self) -> None:
+        self.results: collections.deque[bool] = collections.deque(
+            maxlen=WINDOW
+        )
+        self.until = 0.0
+        self.ejections = 0
+        self.probing = False
+
+    @property
+    def error_rate(self) -> float:
+        """Fraction of the last results that were errors."""
+        if not self.results:
+            return 0.0
+        return self.results.count(False) / len(self.results)
+
+
+class Health:
+    """Results of a group of like servers."""
+
+    __slots__ = ("_records",)
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def keep(self, servers: t.Iterable[str]) -> None:
+        """Forget servers that are no longer listed."""
+        listed = set(servers)
+        self._records = {
+            name: self._records.get(name) or _Record() for name in listed
+        }
+
+    def usable(self, server: str, now: float) -> bool:
+        """Return whether a server may be chosen.
+
+        After its ejection a server gets one probe at a time.
+        """
+        record = self._records.get(server)
+        if record is None or record.until == 0.0:
+            return True
+        return now >= record.until and not record.probing
+
+    def chosen(self, server: str, now: float) -> None:
+        """Note that work was sent to a server."""
+        record = self._records.get(server)
+        if record is not None and record.until:
+            record.probing = True
+
+    def unused(self, server: str) -> None:
+        """Note that chosen work says nothing of the server."""
+        record = self._records.get(server)
+        if record is not None:
+            record.probing = False
+
+    def result(
+        self, server: str, succeeded: bool, now: float
+    ) -> Ejected | None:
+        """Take a result; return the ejection that follows from it."""
+        record = self._records.setdefault(server, _Record())
+        if record.until:
+            return self._probed(server, record, succeeded, now)
+        record.results.append(succeeded)
+        if succeeded or not self._outlier(server, record):
+            return None
+        if not self._may_eject(now):
+            return None
+        return self._eject(server, record, now)
+
+    def ejected(self) -> list[str]:
+        """Return the servers under ejection, sorted."""
+        return sorted(
+            name for name, record in self._records.items() if record.until
+        )
+
+    def _probed(
+        self, server: str, record: _Record, succeeded: bool, now: float
+    ) -> Ejected | None:
+        if not record.probing:
+            return None
+        record.probing = False
+        if not succeeded:
+            return self._eject(server, record, now)
+        record.until = 0.0
+        record.ejections = 0
+        record.results.clear()
+        return None
+
+    def _outlier(self, server: str, record: _Record) -> bool:
+        if len(record.results) < LEAST_RESULTS:
+            return False
+        others = [
+            other.error_rate
+            for name, other in self._records.items()
+            if name != server and other.results and not other.until
+        ]
+        usual = sorted(others)[len(others) // 2] if others else 0.0
+        return record.error_rate - usual > EXCESS_ERROR_RATE
+
+    def _may_eject(self, now: float) -> bool:
+        ejected = len(self.ejected())
+        most = math.ceil(len(self._records) * LARGEST_EJECTED_FRACTION)
+        return ejected + 1 <= min(most, len(self._records) - 1)
+
+    def _eject(self, server: str, record: _Record, now: float) -> Ejected:
+        seconds = min(
+            FIRST_EJECTION_SECONDS * 2**record.ejections,
+            LONGEST_EJECTION_SECONDS,
+        )
+        reason = f"error rate {record.error_rate:.2f} above its peers"
+        record.until = now + seconds
+        record.ejections += 1
+        record.probing = False
+        record.results.clear()
+        return Ejected(server, record.until, reason)
--- /dev/null
+++ b/src/agaterudder/lifecycles.py
@@ -0,0 +1,81 @@
+"""Interprets the state charts of VMs, tasks and waves.
+
+The charts are read and validated by sismic; because their states are
+flat, a transition is then one look-up.
+"""
+
+import functools
+import importlib.resources
+
+from sismic import exceptions as sismic_exceptions
+from sismic import io
+from sismic import model
+
+from agaterudder import exceptions
+
+
+class Chart:
+    """A state chart with flat states.
+
+    :ivar initial: first state.
+    """
+
+    __slots__ = ("name", "initial", "_next", "_states")
+
+    def __init__(self, name: str, statechart: model.Statechart) -> None:
+        self.name = name
+        root = statechart.state_for(statechart.root)
+        self.initial = str(root.initial)
+        self._states = frozenset(statechart.states) - {statechart.root}
+        self._next = {
+            (edge.source, edge.event): edge.target
+            for edge in statechart.transitions
+        }
+
+    @property
+    def states(self) -> frozenset[str]:
+        """Names of the states."""
+        return self._states
+
+    def allows(self, state: str, event: str) -> bool:
+        """Return whether an event may happen in a state."""
+        return (state, event) in self._next
+
+    def next_state(self, state: str, event: str) -> str:
+        """Return the state that follows an event.
+
+        :raises ChartError: when the event is not allowed in the state.
+        """
+        if (state, event) not in self._next:
+            raise exceptions.ChartError(
+                f"chart {self.name}: no {event} in state {state}"
+            )
+        return str(self._next[(state, event)])
+
+    def drawing(self) -> str:
+        """Return the chart as a Mermaid state diagram."""
+        lines = ["stateDiagram-v2", f"    [*] --> {_word(self.initial)}"]
+        lines.extend(
+            f"    {_word(source)} --> {_word(target)}: {event}"
+            for (source, event), target in self._next.items()
+        )
+        return "\n".join(lines) + "\n"
+
+
+def _word(state: str) -> str:
+    return state.replace(" ", "_")
+
+
+@functools.cache
+def load(name: str) -> Chart:
+    """Read the chart of that name.
+
+    :raises ChartError: when the file is not a valid chart.
+    """
+    files = importlib.resources.files("agaterudder.charts")
+    text = files.joinpath(f"{name}.yaml").read_text()
+    try:
+        statechart = io.import_from_yaml(text)
+    except sismic_exceptions.StatechartError as error:
+        raise exceptions.ChartError(f"{name}: {error}") from error
+    return Chart(name, statechart)
--- /dev/null
+++ b/src/agaterudder/membership.py
@@ -0,0 +1,148 @@
+"""Registration of the entry VMs and what each is known to have seen."""
+
+import dataclasses
+import typing as t
+
+import msgspec
+
+from agaterudder import messages
+from agaterudder import platform
+
+PREFIX = "entries/"
+
+
+class Member(msgspec.Struct, frozen=True):
+    """Row of a registered entry VM.
+
+    :ivar incarnation: rises with each start of a process on the VM.
+    :ivar stream: address for the other entry processes.
+    """
+
+    vm: str
+    incarnation: int
+    data_centre: str
+    stream: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """Members that have not yet acknowledged a version."""
+
+    missing: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForceEverywhere:
+    """Each registered member acknowledged, is gone, or refuses by itself."""
+
+    version: int
+
+
+class Roster:
+    """The registered members and the versions that they acknowledged.
+
+    Acknowledged versions only rise for an incarnation, so that they may be
+    passed on by any member in any order.
+    """
+
+    __slots__ = ("_members", "_versions", "_gone")
+
+    def __init__(self) -> None:
+        self._members: dict[str, Member] = {}
+        self._versions: dict[str, messages.MemberVersion] = {}
+        self._gone: frozenset[str] = frozenset()
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """Registered members by VM, without those that are gone."""
+        return {
+            vm: member
+            for vm, member in self._members.items()
+            if vm not in self._gone
+        }
+
+    @property
+    def versions(self) -> dict[str, messages.MemberVersion]:
+        """Highest version known of each member."""
+        return dict(self._versions)
+
+    @property
+    def gone(self) -> frozenset[str]:
+        """Entry VMs that the platform's list names as gone."""
+        return self._gone
+
+    @property
+    def data_centres(self) -> frozenset[str]:
+        """Data centres with registered members."""
+        return frozenset(
+            member.data_centre for member in self.members.values()
+        )
+
+    def in_data_centre(self, data_centre: str) -> list[str]:
+        """Return the members of a data centre, sorted."""
+        return sorted(
+            vm
+            for vm, member in self.members.items()
+            if member.data_centre == data_centre
+        )
+
+    def registered(self, members: t.Iterable[Member]) -> None:
+        """Take a reading of the registry."""
+        self._members = {member.vm: member for member in members}
+        self._versions = {
+            vm: known
+            for vm, known in self._versions.items()
+            if vm in self._members
+        }
+
+    def introduce(self, member: Member) -> None:
+        """Take a member that said hello before the registry was read."""
+        known = self._members.get(member.vm)
+        if known is None or known.incarnation < member.incarnation:
+            self._members[member.vm] = member
+
+    def listed(self, vms: t.Iterable[platform.Vm]) -> None:
+        """Take a reading of the platform's list.
+
+        Only the state gone counts: a VM that is missing or leaving may
+        still be acting.
+        """
+        gone = {vm.vm for vm in vms if vm.state is platform.VmState.GONE}
+        self._gone |= gone
+
+    def acknowledged(self, vm: str, known: messages.MemberVersion) -> None:
+        """Note a version that a member has, heard from any member."""
+        present = self._versions.get(vm)
+        if present is None or _order(known) > _order(present):
+            self._versions[vm] = known
+
+    def decide(
+        self, version: int, self_fenced: bool
+    ) -> InForceEverywhere | Waiting:
+        """Decide whether a version is in force everywhere.
+
+        :param self_fenced: whether so much time passed since the version
+            was written that a member without it refuses keyed work.
+        """
+        missing = tuple(
+            sorted(
+                vm
+                for vm, member in self.members.items()
+                if not self._has(member, version)
+            )
+        )
+        if missing and not self_fenced:
+            return Waiting(missing)
+        return InForceEverywhere(version)
+
+    def _has(self, member: Member, version: int) -> bool:
+        known = self._versions.get(member.vm)
+        return (
+            known is not None
+            and known.incarnation >= member.incarnation
+            and known.version >= version
+        )
+
+
+def _order(known: messages.MemberVersion) -> tuple[int, int]:
+    return (known.incarnation, known.version)
--- /dev/null
+++ b/src/agaterudder/resources.py
@@ -0,0 +1,76 @@
+"""Resource vectors: cores, memory, accelerators and running tasks."""
+
+import typing as t
+
+import msgspec
+
+
+class Vector(msgspec.Struct, frozen=True, array_like=True):
+    """Amount of each resource; also used for a running total.
+
+    :ivar cores: processor cores.
+    :ivar memory: memory in MB.
+    :ivar accelerators: accelerators.
+    :ivar tasks: number of running tasks.
+    """
+
+    cores: float = 0.0
+    memory: float = 0.0
+    accelerators: float = 0.0
+    tasks: float = 0.0
+
+    def __add__(self, other: "Vector") -> "Vector":
+        return Vector(
+            self.cores + other.cores,
+            self.memory + other.memory,
+            self.accelerators + other.accelerators,
+            self.tasks + other.tasks,
+        )
+
+    def __sub__(self, other: "Vector") -> "Vector":
+        return self + other.scaled(-1.0)
+
+    def scaled(self, factor: float) -> "Vector":
+        """Return the vector multiplied by ``factor``."""
+        return Vector(*(value * factor for value in self.values()))
+
+    def values(self) -> tuple[float, float, float, float]:
+        """Return the amounts in the order of the fields."""
+        return (self.cores, self.memory, self.accelerators, self.tasks)
+
+    def fits_in(self, other: "Vector") -> bool:
+        """Return whether no amount exceeds that of ``other``."""
+        return all(
+            mine <= theirs + TOLERANCE
+            for mine, theirs in zip(self.values(), other.values())
+        )
+
+    def smaller(self, other: "Vector") -> "Vector":
+        """Return the smaller amount of each resource."""
+        return Vector(*map(min, self.values(), other.values()))
+
+    def larger(self, other: "Vector") -> "Vector":
+        """Return the larger amount of each resource."""
+        return Vector(*map(max, self.values(), other.values()))
+
+    def dominant_share(self, capacity: "Vector") -> float:
+        """Return the largest fraction of ``capacity`` that is used.
+
+        Resources with no capacity do not count, and neither does the
+        number of tasks.
+        """
+        pairs = zip(self.values()[:3], capacity.values()[:3])
+        return max(
+            (mine / whole for mine, whole in pairs if whole > 0), default=0.0
+        )
+
+
+TOLERANCE = 1e-6
+UNBOUNDED = 1e12
+ZERO = Vector()
+UNLIMITED = Vector(UNBOUNDED, UNBOUNDED, UNBOUNDED, UNBOUNDED)
+
+
+def total(vectors: t.Iterable[Vector]) -> Vector:
+    """Return the sum of the vectors."""
+    return sum(vectors, ZERO)
--- /dev/null
+++ b/src/agaterudder/scheduling.py
@@ -0,0 +1,190 @@
+"""Decides which waiting task starts where."""
+
+import dataclasses
+import typing as t
+
+from agaterudder import assurances
+from agaterudder import escrow
+from agaterudder import fleet
+from agaterudder import requests
+from agaterudder import resources
+from agaterudder import sharing
+from agaterudder import sizes
+from agaterudder import tasks
+from agaterudder import waiting
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Launch:
+    """Start a task on a worker; its amount is taken from the grant."""
+
+    task: tasks.Task
+    worker: str
+    amount: resources.Vector
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NeedGrant:
+    """The team's grant on this VM does not cover its next task."""
+
+    team: str
+    amount: resources.Vector
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NeedRoom:
+    """Urgent work finds no room; lower work should be checkpointed."""
+
+    task: tasks.Task
+    amount: resources.Vector
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Nothing:
+    """No task can start now."""
+
+
+Step = Launch | NeedGrant | NeedRoom | Nothing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What a scheduling decision is made from.
+
+    :ivar usage: running resources of each team in the whole fleet.
+    :ivar waiting_elsewhere: teams that wait at other entry VMs.
+    :ivar capacity: capacity of the whole fleet.
+    :ivar blocked: teams that can't start now, for want of a grant.
+    :ivar deferred_since: when the first task of a team began to wait for
+        teams elsewhere, by team.
+    """
+
+    vm: str
+    assurances: assurances.Assurances
+    usage: t.Mapping[str, resources.Vector]
+    waiting_elsewhere: frozenset[str]
+    capacity: resources.Vector
+    blocked: frozenset[str]
+    deferred_since: t.Mapping[str, float]
+
+    @property
+    def weights(self) -> dict[str, float]:
+        """Share of each team."""
+        return {
+            name: team.share for name, team in self.assurances.teams.items()
+        }
+
+
+def next_step(
+    pool: str,
+    waiting_tasks: waiting.WaitingTasks,
+    workers: fleet.Fleet,
+    learnt: sizes.Sizes,
+    holding: t.Callable[[str], escrow.Holding],
+    view: View,
+    avoided: t.Callable[[str], t.Container[str]],
+    now: float,
+    wall: float,
+) -> Step:
+    """Decide the next step for one pool.
+
+    :param now: monotonic time in seconds.
+    :param wall: wall-clock time in seconds since the epoch.
+    """
+    teams = waiting_tasks.teams(pool) - view.blocked
+    ordered = sharing.order(teams, view.usage, view.weights, view.capacity)
+    usable = workers.usable(pool, now)
+    need: Step = Nothing()
+    for team in _urgent_first(ordered, pool, waiting_tasks, view, wall):
+        if _defers(team, view, now):
+            continue
+        for task in waiting_tasks.in_order(pool, team, wall):
+            amount = learnt.corrected(team, task.kind, task.size)
+            place = fleet.choose(amount, usable, view.vm, avoided(task.task))
+            match place:
+                case fleet.NoPlace():
+                    if _is_urgent(task) and isinstance(need, Nothing):
+                        need = NeedRoom(task, amount)
+                    continue
+                case fleet.Place(worker=worker):
+                    spent = holding(team).spend(task.task, amount)
+                    if isinstance(spent, escrow.Spent):
+                        return Launch(task, worker, amount)
+                    return NeedGrant(team, amount)
+    return need
+
+
+def _is_urgent(task: tasks.Task) -> bool:
+    return task.priority is requests.Priority.URGENT
+
+
+def _urgent_first(
+    ordered: list[str],
+    pool: str,
+    waiting_tasks: waiting.WaitingTasks,
+    view: View,
+    wall: float,
+) -> list[str]:
+    """Move teams below their share with urgent work to the front."""
+    whole = sum(view.weights.values()) or 1.0
+
+    def goes_first(team: str) -> bool:
+        used = view.usage.get(team, resources.ZERO)
+        weight = view.weights.get(team, 1.0) / whole
+        below = sharing.weighted_share(used, view.capacity, weight) < 1.0
+        first = next(waiting_tasks.in_order(pool, team, wall))
+        return below and _is_urgent(first)
+
+    return sorted(ordered, key=lambda team: not goes_first(team))
+
+
+def _defers(team: str, view: View, now: float) -> bool:
+    decision = sharing.decide(
+        team,
+        view.waiting_elsewhere,
+        view.usage,
+        view.weights,
+        view.capacity,
+        view.deferred_since.get(team, now),
+        now,
+    )
+    return isinstance(decision, sharing.Deferred)
+
+
+def victims(
+    amount: resources.Vector,
+    running: t.Iterable[tuple[tasks.Task, str, resources.Vector]],
+    workers: fleet.Fleet,
+    now: float,
+) -> list[tuple[tasks.Task, str]]:
+    """Return lower tasks of one worker that make room when checkpointed.
+
+    :param running: task, worker and amount of each running task.
+    """
+    by_worker: dict[str, list[tuple[tasks.Task, resources.Vector]]] = {}
+    for task, worker, size in running:
+        if task.priority is requests.Priority.LONG:
+            by_worker.setdefault(worker, []).append((task, size))
+    best: list[tuple[tasks.Task, str]] = []
+    for worker, lower in by_worker.items():
+        view = workers.views.get(worker)
+        if view is None or not workers.health.usable(worker, now):
+            continue
+        chosen = _enough(amount, view.free, lower)
+        if chosen and (not best or len(chosen) < len(best)):
+            best = [(task, worker) for task in chosen]
+    return best
+
+
+def _enough(
+    amount: resources.Vector,
+    free: resources.Vector,
+    lower: list[tuple[tasks.Task, resources.Vector]],
+) -> list[tasks.Task]:
+    chosen: list[tasks.Task] = []
+    for task, size in sorted(lower, key=lambda item: -item[1].cores):
+        if amount.fits_in(free):
+            return chosen
+        free = free + size
+        chosen.append(task)
+    return chosen if amount.fits_in(free) else []
--- /dev/null
+++ b/src/agaterudder/sizes.py
@@ -0,0 +1,67 @@
+"""Learns from usage reports how far declared sizes are off."""
+
+from agaterudder import resources
+
+SMOOTHING = 0.2
+LEAST_RATIO = 0.1
+MOST_RATIO = 8.0
+MOST_KINDS = 5_000
+HEADROOM = 1.1
+
+
+class Sizes:
+    """Ratio of used to declared resources by team and kind of work."""
+
+    __slots__ = ("_ratios",)
+
+    def __init__(self) -> None:
+        self._ratios: dict[tuple[str, str], resources.Vector] = {}
+
+    def observe(
+        self,
+        team: str,
+        kind: str,
+        declared: resources.Vector,
+        used: resources.Vector,
+    ) -> None:
+        """Take the highest usage that a task reported."""
+        key = (team, kind)
+        ratio = resources.Vector(
+            *(
+                _bounded(mine / whole) if whole > 0 else 1.0
+                for mine, whole in zip(used.values(), declared.values())
+            )
+        )
+        known = self._ratios.get(key)
+        if known is None and len(self._ratios) >= MOST_KINDS:
+            return
+        self._ratios[key] = ratio if known is None else _smoothed(known, ratio)
+
+    def corrected(
+        self, team: str, kind: str, declared: resources.Vector
+    ) -> resources.Vector:
+        """Return the size to reserve for a task.
+
+        Accelerators and the count of tasks stay as declared.
+        """
+        ratio = self._ratios.get((team, kind))
+        if ratio is None:
+            return declared
+        return resources.Vector(
+            declared.cores * ratio.cores * HEADROOM,
+            declared.memory * ratio.memory * HEADROOM,
+            declared.accelerators,
+            declared.tasks,
+        )
+
+
+def _bounded(ratio: float) -> float:
+    return max(LEAST_RATIO, min(MOST_RATIO, ratio))
+
+
+def _smoothed(
+    known: resources.Vector, seen: resources.Vector
+) -> resources.Vector:
+    """Follow a rise at once and a fall slowly."""
+    slow = known.scaled(1 - SMOOTHING) + seen.scaled(SMOOTHING)
+    return slow.larger(seen)
--- /dev/null
+++ b/src/agaterudder/workers.py
@@ -0,0 +1,156 @@
+"""Client of the workers, which run tasks under leases.
+
+A worker is the register of its own capacity: a start is idempotent by the
+task's identifier, and a start with a lower epoch of the batch is refused.
+"""
+
+import dataclasses
+import typing as t
+
+import msgspec
+
+from agaterudder import exceptions
+from agaterudder import resources
+from agaterudder import store
+
+TIMEOUT_SECONDS = 2.0
+
+
+class Start(msgspec.Struct, frozen=True):
+    """Start of a task on a worker."""
+
+    task: str
+    batch: str
+    epoch: int
+    lease_seconds: float
+    size: resources.Vector
+    run_seconds: float
+    checkpoint: str
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What a worker says of a task.
+
+    :ivar state: running, done, failed, lapsed, stopped, checkpointed,
+        refused (it will never start here) or unknown.
+    :ivar used: highest usage so far; reported with a lag.
+    """
+
+    task: str
+    state: str
+    used: resources.Vector = resources.ZERO
+    checkpoint: str = ""
+
+
+class Reports(msgspec.Struct, frozen=True):
+    """Answer to a renewal or a fence.
+
+    :ivar free: capacity of the worker that no task holds.
+    """
+
+    tasks: list[Report]
+    free: resources.Vector = resources.ZERO
+
+
+class _Renewal(msgspec.Struct):
+    tasks: list[str]
+    forget: list[str]
+    lease_seconds: float
+
+
+class _Fence(msgspec.Struct):
+    batches: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """The worker runs the task, or ran it already."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotStarted:
+    """The task certainly did not start there, and why."""
+
+    reason: str
+    fenced: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """The task may have started there."""
+
+    reason: str
+
+
+class Worker:
+    """Calls to one worker."""
+
+    __slots__ = ("_transport",)
+
+    def __init__(self, transport: store.Transport) -> None:
+        self._transport = transport
+
+    def start(self, start: Start) -> Started | NotStarted | NoAnswer:
+        """Start a task once."""
+        body = msgspec.json.encode(start)
+        try:
+            status, _ = self._transport.call("POST", "/tasks", body)
+        except exceptions.StoreUnavailable as error:
+            if error.sent:
+                return NoAnswer(str(error))
+            return NotStarted("the worker can't be reached")
+        match status:
+            case 200:
+                return Started()
+            case 409:
+                return NotStarted("a higher epoch owns the batch", True)
+            case _:
+                return NotStarted(f"the worker refused ({status})")
+
+    def renew(
+        self,
+        tasks: t.Sequence[str],
+        forget: t.Sequence[str],
+        lease_seconds: float,
+    ) -> Reports:
+        """Renew the leases of tasks and read their state.
+
+        :param forget: tasks whose outcome is recorded.
+        :raises StoreUnavailable: when no answer came.
+        """
+        body = _Renewal(list(tasks), list(forget), lease_seconds)
+        return self._reports("/leases", msgspec.json.encode(body))
+
+    def fence(self, batches: dict[str, int]) -> Reports:
+        """Refuse lower epochs of batches; return the tasks known of them.
+
+        :raises StoreUnavailable: when no answer came.
+        """
+        return self._reports("/fence", msgspec.json.encode(_Fence(batches)))
+
+    def stop(self, task: str) -> Reports:
+        """Stop a task; one that never started will not start any more.
+
+        :raises StoreUnavailable: when no answer came.
+        """
+        return self._reports(f"/tasks/{task}/stop", b"{}")
+
+    def checkpoint(self, task: str) -> Reports:
+        """Save a task's progress and stop it.
+
+        :raises StoreUnavailable: when no answer came.
+        """
+        return self._reports(f"/tasks/{task}/checkpoint", b"{}")
+
+    def throttle(self, task: str) -> Reports:
+        """Slow a task down.
+
+        :raises StoreUnavailable: when no answer came.
+        """
+        return self._reports(f"/tasks/{task}/throttle", b"{}")
+
+    def _reports(self, path: str, body: bytes) -> Reports:
+        status, content = self._transport.call("POST", path, body)
+        if status != 200:
+            raise exceptions.StoreUnavailable(f"{path}: status {status}")
+        return msgspec.json.decode(content, type=Reports)
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,183 @@
+"""Stand-in of a backend server with slots, connections and faults.
+
+``POST /faults`` sets a fault; ``GET /counts`` returns what was executed.
+"""
+
+import argparse
+import collections
+import json
+import socket
+import time
+import typing as t
+
+import gevent
+from gevent import pywsgi
+
+Environ = dict[str, t.Any]
+
+
+class _Handler(pywsgi.WSGIHandler):
+    """Handler that can break its connection in a chosen way."""
+
+    @property
+    def backend(self) -> "Backend":
+        """State of the stand-in."""
+        return t.cast(t.Any, self.server).backend  # type: ignore
+
+    def break_connection(self) -> None:
+        """Close the connection under way."""
+        self.close_connection = True
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def get_environ(self) -> Environ:
+        environ = super().get_environ()
+        environ["handler"] = self
+        environ["opened_at"] = self.backend.opened(self.socket)
+        return environ
+
+    def handle(self) -> None:
+        backend = self.backend
+        backend.connections += 1
+        backend.most_connections = max(
+            backend.most_connections, backend.connections
+        )
+        backend.opened_at[id(self.socket)] = time.monotonic()
+        try:
+            super().handle()
+        finally:
+            backend.connections -= 1
+
+
+class Backend:
+    """State of the stand-in and its WSGI application."""
+
+    def __init__(self, slots: int, work_seconds: float) -> None:
+        self.slots = slots
+        self.work_seconds = work_seconds
+        self.busy = 0
+        self.most_busy = 0
+        self.connections = 0
+        self.most_connections = 0
+        self.opened_at: dict[int, float] = {}
+        self.executed: collections.Counter[str] = collections.Counter()
+        self.refused = 0
+        self.leaving = False
+        self.fault = ""
+        self.fault_at = 0.0
+
+    def opened(self, sock: t.Any) -> float:
+        """Return when a connection was opened."""
+        return self.opened_at.get(id(sock), 0.0)
+
+    def application(
+        self, environ: Environ, start: t.Callable[..., t.Any]
+    ) -> t.Iterable[bytes]:
+        """Answer one request."""
+        path = environ["PATH_INFO"]
+        body = environ["wsgi.input"].read()
+        if path == "/faults":
+            return self._set_fault(json.loads(body), start)
+        if path == "/counts":
+            return _answer(start, 200, json.dumps(self._counts()).encode())
+        if self.fault == "silent" and environ["opened_at"] < self.fault_at:
+            gevent.sleep(3600)
+        if self.leaving:
+            start("503 -", [("Connection", "close"), ("X-Leaving", "1")])
+            return [b"leaving"]
+        if self.busy >= self.slots:
+            self.refused += 1
+            start("503 -", [("X-Not-Run", "1"), ("Content-Length", "0")])
+            return [b""]
+        return self._execute(environ, body, start)
+
+    def _execute(
+        self, environ: Environ, body: bytes, start: t.Callable[..., t.Any]
+    ) -> t.Iterable[bytes]:
+        self.busy += 1
+        self.most_busy = max(self.most_busy, self.busy)
+        identity = environ.get("HTTP_AGATERUDDER_REQUEST_ID", "")
+        self.executed[identity] += 1
+        try:
+            seconds = float(environ.get("HTTP_X_WORK_SECONDS", "-1"))
+            gevent.sleep(seconds if seconds >= 0 else self.work_seconds)
+            return self._finish(environ, identity, body, start)
+        finally:
+            self.busy -= 1
+
+    def _finish(
+        self,
+        environ: Environ,
+        identity: str,
+        body: bytes,
+        start: t.Callable[..., t.Any],
+    ) -> t.Iterable[bytes]:
+        content = json.dumps(
+            {"id": identity, "size": len(body), "pad": "x" * 200}
+        ).encode()
+        match self.fault:
+            case "killed":
+                environ["handler"].break_connection()
+                return [b""]
+            case "short":
+                start("200 -", [("Content-Length", str(len(content)))])
+                environ["handler"].close_connection = True
+                return [content[: len(content) // 2]]
+            case "late":
+                gevent.sleep(2.0)
+            case "failing":
+                return _answer(start, 500, b"failed")
+        return _answer(start, 200, content)
+
+    def _set_fault(
+        self, body: dict[str, t.Any], start: t.Callable[..., t.Any]
+    ) -> list[bytes]:
+        self.fault = body.get("fault", "")
+        self.fault_at = time.monotonic()
+        self.leaving = body.get("leaving", False)
+        return _answer(start, 200, b"")
+
+    def _counts(self) -> dict[str, t.Any]:
+        return {
+            "executed": dict(self.executed),
+            "refused": self.refused,
+            "most_busy": self.most_busy,
+            "most_connections": self.most_connections,
+        }
+
+
+def _answer(
+    start: t.Callable[..., t.Any], status: int, body: bytes
+) -> list[bytes]:
+    start(f"{status} -", [("Content-Length", str(len(body)))])
+    return [body]
+
+
+def create_server(listen: str, backend: Backend) -> pywsgi.WSGIServer:
+    """Return a server for the stand-in, not yet started."""
+    server = pywsgi.WSGIServer(
+        listen,
+        backend.application,
+        handler_class=_Handler,
+        log=None,
+        error_log=None,
+    )
+    setattr(server, "backend", backend)
+    return server
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--work-seconds", type=float, default=0.01)
+    arguments = parser.parse_args()
+    backend = Backend(arguments.slots, arguments.work_seconds)
+    create_server(arguments.listen, backend).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/launcher.py
@@ -0,0 +1,335 @@
+"""Starts a deployment on loopback, in separate processes.
+
+Used by the demo, the tests and the bench; the product starts no process.
+"""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing as t
+
+import geventhttpclient
+
+from agaterudder import keys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+START_SECONDS = 20.0
+OPERATOR = "ane"
+OPERATOR_SECRET = "operator-secret-of-the-stand-in"
+OPERATOR_SALT = "00112233445566778899aabbccddeeff"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What a deployment consists of.
+
+    :ivar services: number of backend servers of each service in each
+        data centre.
+    :ivar pools: number of workers of each pool in each data centre.
+    """
+
+    data_centres: tuple[str, ...] = ("north", "middle", "south")
+    entries: int = 2
+    services: tuple[tuple[str, int], ...] = (("tally", 2), ("ledger", 1))
+    pools: tuple[tuple[str, int], ...] = (("count", 2), ("report", 1))
+    worker_size: tuple[float, ...] = (16.0, 32_000.0, 0.0, 1_000.0)
+    work_seconds: float = 0.01
+    reboot_seconds: float = 0.5
+    timing: tuple[tuple[str, float], ...] = ()
+    open_services: tuple[str, ...] = ()
+    service_timeout: float = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """Status, code and decoded body of an answer."""
+
+    status: int
+    code: int
+    body: t.Any
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports on loopback that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout: float = 30.0,
+) -> Answer:
+    """Send one request on a connection of its own."""
+    host, _, port = address.rpartition(":")
+    client = geventhttpclient.HTTPClient(
+        host, int(port), network_timeout=timeout, connection_timeout=timeout
+    )
+    try:
+        response = client.request(method, path, body, headers or {})
+        content = bytes(response.read())
+        code = int(str(response.get("agaterudder-code", "-1")))
+    finally:
+        client.close()
+    try:
+        decoded = json.loads(content)
+    except ValueError:
+        decoded = content
+    return Answer(response.status_code, code, decoded)
+
+
+class Deployment:
+    """A running deployment; end it with :meth:`stop`.
+
+    :ivar entries: HTTP address of each entry VM.
+    :ivar backends: HTTP address of each backend server.
+    :ivar workers: HTTP address of each worker.
+    """
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.entries: dict[str, str] = {}
+        self.backends: dict[str, str] = {}
+        self.workers: dict[str, str] = {}
+        self.platform = ""
+        self._vms: list[dict[str, t.Any]] = []
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._directory = tempfile.TemporaryDirectory()
+        self._path = pathlib.Path(self._directory.name)
+
+    def start(self) -> None:
+        """Start every process and wait until the entry VMs are ready."""
+        self._plan_vms()
+        self.platform = self._address()
+        (self._path / "vms.json").write_text(json.dumps(self._vms))
+        self._run(
+            "platform",
+            "standins.platform",
+            "--listen",
+            self.platform,
+            "--vms",
+            str(self._path / "vms.json"),
+            "--reboot-seconds",
+            str(self.plan.reboot_seconds),
+        )
+        for name, address in self.backends.items():
+            self.start_backend(name, address)
+        for name, address in self.workers.items():
+            self.start_worker(name, address)
+        self._wait(self.platform, "/vms")
+        for vm in self.entries:
+            self.start_entry(vm)
+        for vm in self.entries:
+            self.wait_ready(vm)
+
+    def _plan_vms(self) -> None:
+        for centre in self.plan.data_centres:
+            for number in range(self.plan.entries):
+                name = f"entry-{centre}-{number}"
+                self.entries[name] = self._address()
+                self._list(name, "entry", centre, number, self.entries[name])
+            for service, count in self.plan.services:
+                for number in range(count):
+                    name = f"{service}-{centre}-{number}"
+                    self.backends[name] = self._address()
+                    self._list(
+                        name,
+                        "backend",
+                        centre,
+                        number,
+                        self.backends[name],
+                        service=service,
+                    )
+            for pool, count in self.plan.pools:
+                for number in range(count):
+                    name = f"worker-{pool}-{centre}-{number}"
+                    self.workers[name] = self._address()
+                    self._list(
+                        name,
+                        "worker",
+                        centre,
+                        number,
+                        self.workers[name],
+                        pool=pool,
+                        size=list(self.plan.worker_size),
+                    )
+
+    def _list(
+        self,
+        name: str,
+        role: str,
+        centre: str,
+        number: int,
+        address: str,
+        **fields: t.Any,
+    ) -> None:
+        self._vms.append(
+            {
+                "vm": name,
+                "role": role,
+                "data_centre": centre,
+                "rack": f"{centre}-{number}",
+                "address": address,
+                "state": "live",
+                **fields,
+            }
+        )
+
+    def _address(self) -> str:
+        return f"127.0.0.1:{free_ports(1)[0]}"
+
+    def start_backend(self, name: str, address: str) -> None:
+        """Start a stand-in backend server."""
+        seconds = str(self.plan.work_seconds)
+        self._run(
+            name,
+            "standins.backend",
+            "--listen",
+            address,
+            "--work-seconds",
+            seconds,
+        )
+
+    def start_worker(self, name: str, address: str) -> None:
+        """Start a stand-in worker."""
+        size = ",".join(str(part) for part in self.plan.worker_size)
+        self._run(name, "standins.worker", "--listen", address, "--size", size)
+
+    def start_entry(self, vm: str) -> None:
+        """Start an entry process on a VM."""
+        path = self._path / f"{vm}.toml"
+        if not path.exists():
+            path.write_text(self._settings(vm))
+        self._run(vm, "agaterudder", "serve", "--settings", str(path))
+
+    def _settings(self, vm: str) -> str:
+        centre = vm.split("-")[1]
+        services = "".join(
+            f'[[services]]\nname = "{name}"\n'
+            f"timeout_seconds = {self.plan.service_timeout}\n"
+            f"open = {str(name in self.plan.open_services).lower()}\n"
+            for name, _ in self.plan.services
+        )
+        timing = "".join(
+            f"{name} = {value}\n" for name, value in self.plan.timing
+        )
+        hashed = keys.digest(OPERATOR_SECRET, OPERATOR_SALT)
+        return (
+            f'[entry]\nvm = "{vm}"\ndata_centre = "{centre}"\n'
+            f'http = "{self.entries[vm]}"\nstream = "{self._address()}"\n'
+            f'[platform]\naddress = "{self.platform}"\npoll_seconds = 0.5\n'
+            f'[[operators]]\nname = "{OPERATOR}"\n'
+            f'salt = "{OPERATOR_SALT}"\nhash = "{hashed}"\n'
+            f"[timing]\nreadiness_lag_seconds = 0.5\n{timing}{services}"
+        )
+
+    def _run(self, name: str, module: str, *arguments: str) -> None:
+        log = open(self._path / f"{name}.log", "ab")
+        self._processes[name] = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            cwd=ROOT,
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def wait_ready(self, vm: str) -> None:
+        """Wait until an entry VM says that it is ready."""
+        self._wait(self.entries[vm], "/readyz")
+
+    def _wait(self, address: str, path: str) -> None:
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            try:
+                if call(address, "GET", path, timeout=1.0).status == 200:
+                    return
+            except (OSError, ValueError):
+                pass
+            time.sleep(0.05)
+        raise TimeoutError(f"{address}{path}")
+
+    def log(self, name: str) -> str:
+        """Return what a process has written."""
+        return (self._path / f"{name}.log").read_text()
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process that was started here."""
+        self._processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process and wait until it has ended."""
+        process = self._processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def end(self, name: str, timeout: float = 30.0) -> int:
+        """Ask a process to leave; return its exit status."""
+        process = self._processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(timeout)
+
+    def process(self, name: str) -> int:
+        """Return the identifier of a process."""
+        return self._processes[name].pid
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in self._processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self._processes.values():
+            process.wait()
+        self._processes.clear()
+        self._directory.cleanup()
+
+    def operate(
+        self,
+        method: str,
+        path: str,
+        content: t.Any = None,
+        vm: str | None = None,
+    ) -> Answer:
+        """Call an operators' path of an entry VM."""
+        address = self.entries[vm or next(iter(self.entries))]
+        body = b"" if content is None else json.dumps(content).encode()
+        key = f"{OPERATOR}.{OPERATOR_SECRET}"
+        headers = {"Agaterudder-Operator-Key": key}
+        return call(address, method, f"/v1/operator/{path}", body, headers)
+
+    def fault(self, address: str, **fields: t.Any) -> t.Any:
+        """Switch faults of a stand-in on or off."""
+        return call(
+            address, "POST", "/faults", json.dumps(fields).encode()
+        ).body
+
+    def set_vm(self, vm: str, **fields: t.Any) -> None:
+        """Change a line of the platform's list."""
+        body = json.dumps(fields).encode()
+        call(self.platform, "POST", f"/vms/{vm}/state", body)
+
+
+def leftovers(processes: t.Iterable[int]) -> list[int]:
+    """Return which of the processes still exist."""
+    found = []
+    for identifier in processes:
+        try:
+            os.kill(identifier, 0)
+        except ProcessLookupError:
+            continue
+        found.append(identifier)
+    return found
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: behave features and what they need."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for building and for the docs."""
