Install from the pinned file alone

Cause: pinning setuptools clashed with the linter's own requirement, so that a clean clone failed to install. Ruled out: an editable install, which needs that package. Change: the local environment gets a path file to src/.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,8 @@
 
 $(STAMP): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	$(BIN)/pip install -qq --disable-pip-version-check -r requirements.txt
+	echo "$(CURDIR)/src" > $$($(BIN)/python -c 'import sysconfig; print(sysconfig.get_path("purelib"))')/agaterudder.pth
 	touch $(STAMP)
 
 demo: $(STAMP)
