Split the entry process: peering and periodic upkeep in modules of their own

A data centre that was taken out gives its batches away. Behaviour else unchanged; whole-path feature passes.

--- a/src/agaterudder/batches.py
+++ b/src/agaterudder/batches.py
@@ -367,3 +367,21 @@
         first[key] = item
         unique.append(item)
     return unique, repeated
+
+
+def recorded_task(table: store.Store, task: str) -> tasks.Task | codes.Refused:
+    """Read a task that this process does not own from its row."""
+    place = tasks.batch_of(task)
+    if place is None:
+        return codes.Refused(codes.Result.NOT_FOUND, f"no task {task}")
+    data_centre, batch = place
+    for prefix in (tasks.LIVE_PREFIX, tasks.SETTLED_PREFIX):
+        key = f"{prefix}{data_centre}/{batch}"
+        try:
+            row = table.read(key, tasks.Batch)
+        except exceptions.StoreUnavailable as error:
+            return codes.Refused(codes.Result.STORE_AWAY, str(error))
+        for found in row.value.tasks if row.value else ():
+            if found.task == task:
+                return found
+    return codes.Refused(codes.Result.NOT_FOUND, f"no task {task}")
--- a/src/agaterudder/gateway.py
+++ b/src/agaterudder/gateway.py
@@ -222,7 +222,7 @@
             answer = entry.links.call(vm, call, LOOK_UP_SECONDS)
             if isinstance(answer, messages.TaskAnswer) and answer.state:
                 return TaskState(task, answer.state, answer.reason)
-        recorded = entries.recorded_task(entry, task)
+        recorded = batches.recorded_task(entry.store, task)
         if isinstance(recorded, codes.Refused):
             return recorded
         if recorded.team != team:
--- /dev/null
+++ b/src/agaterudder/peering.py
@@ -0,0 +1,182 @@
+"""Connects the links to other entry processes with this one."""
+
+import dataclasses
+import time
+import typing as t
+
+import gevent
+
+from agaterudder import codes
+from agaterudder import dispatch
+from agaterudder import messages
+from agaterudder import peers
+from agaterudder import requests
+
+if t.TYPE_CHECKING:
+    from agaterudder import entry as entries
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerHandler:
+    """Answers what the links report; see :class:`peers.Handler`."""
+
+    entry: "entries.Entry"
+
+    def digest(self) -> messages.Digest:
+        """See :class:`peers.Handler`."""
+        return self.entry.digest()
+
+    def version_to_offer(
+        self, peer: messages.Digest | None
+    ) -> messages.ConfigurationOffer | None:
+        """See :class:`peers.Handler`."""
+        present = self.entry.in_force.configuration
+        if peer is None or peer.version >= present.version:
+            return None
+        return messages.ConfigurationOffer(present)
+
+    def heard(
+        self,
+        link: peers.Link,
+        digest: messages.Digest,
+        asked_at: float | None,
+    ) -> None:
+        """See :class:`peers.Handler`."""
+        entry = self.entry
+        for vm, known in digest.versions.items():
+            entry.roster.acknowledged(vm, known)
+        entry.control.hear(digest)
+        current = digest.version <= entry.in_force.version
+        learnt = digest.version > 0 or entry.in_force.version > 0
+        if asked_at is not None and current and learnt:
+            entry.freshness.peer_contact(
+                digest.vm, digest.data_centre, asked_at
+            )
+
+    def offered(self, offer: messages.ConfigurationOffer) -> None:
+        """See :class:`peers.Handler`."""
+        self.entry.control.take(offer.configuration)
+
+    def called(self, link: peers.Link, call: messages.Message) -> None:
+        """See :class:`peers.Handler`."""
+        match call:
+            case messages.ForwardRequest():
+                gevent.spawn(self._serve, link, call)
+            case messages.BorrowSlots():
+                link.send(self.entry.dispatcher.lend(call))
+            case messages.TaskCall():
+                link.send(self._task(call))
+            case messages.ExplainCall(call=identifier, kind=kind, name=name):
+                lines = self.entry.decisions.explain(kind, name)
+                link.send(messages.ExplainAnswer(identifier, lines))
+            case (
+                messages.ForwardAnswer()
+                | messages.LendSlots()
+                | messages.TaskAnswer()
+                | messages.ExplainAnswer()
+            ):
+                self.entry.links.answered(call)
+
+    def _serve(self, link: peers.Link, call: messages.ForwardRequest) -> None:
+        link.send(self._answer(call))
+
+    def _answer(self, call: messages.ForwardRequest) -> messages.ForwardAnswer:
+        entry = self.entry
+        now = time.monotonic()
+        outcome: dispatch.Outcome | None = None
+        if entry.leaving:
+            outcome = codes.Refused(codes.Result.LEAVING, "it is leaving")
+        elif entry.data_centre in entry.in_force.data_centres_out:
+            outcome = codes.Refused(
+                codes.Result.DATA_CENTRE_OUT, "the data centre is taken out"
+            )
+        if outcome is None:
+            outcome = entry.dispatcher.serve_here(_request(call, now))
+        match outcome:
+            case codes.Refused(code=code, reason=reason):
+                return messages.ForwardAnswer(
+                    call.call, call.request, code.value, reason, 0, "", b"", 0
+                )
+            case requests.Answer(status=status, content_type=kind, body=body):
+                return messages.ForwardAnswer(
+                    call.call,
+                    call.request,
+                    0,
+                    "",
+                    status,
+                    kind,
+                    body,
+                    len(body),
+                )
+
+    def _task(self, call: messages.TaskCall) -> messages.TaskAnswer:
+        task = self.entry.execution.owned.find(call.task)
+        if task is None or task.team != call.team:
+            return messages.TaskAnswer(call.call, call.task, "", "")
+        if call.cancel:
+            self.entry.execution.cancel(task, time.monotonic())
+        return messages.TaskAnswer(
+            call.call, call.task, task.state.value, task.reason
+        )
+
+
+def _request(call: messages.ForwardRequest, now: float) -> requests.Request:
+    return requests.Request(
+        call.request,
+        call.service,
+        call.team,
+        requests.Priority(call.priority),
+        call.repeatable,
+        call.method,
+        call.path,
+        call.content_type,
+        call.body,
+        now + call.timeout_seconds,
+        now,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoteEntries:
+    """Other entry processes, as the dispatcher sees them."""
+
+    entry: "entries.Entry"
+
+    def helpers(self, now: float) -> list[str]:
+        """See :class:`dispatch.Remote`."""
+        out = self.entry.in_force.data_centres_out
+        return [
+            vm
+            for vm, link in self.entry.links.alive(now).items()
+            if link.last is not None
+            and not link.last.leaving
+            and link.last.data_centre != self.entry.data_centre
+            and link.last.data_centre not in out
+        ]
+
+    def neighbours(self, now: float) -> list[str]:
+        """See :class:`dispatch.Remote`."""
+        return sorted(
+            vm
+            for vm, link in self.entry.links.alive(now).items()
+            if link.last is not None
+            and link.last.data_centre == self.entry.data_centre
+        )
+
+    def forward(
+        self, vm: str, call: messages.ForwardRequest, timeout: float
+    ) -> messages.ForwardAnswer | None:
+        """See :class:`dispatch.Remote`."""
+        answer = self.entry.links.call(vm, call, timeout)
+        return answer if isinstance(answer, messages.ForwardAnswer) else None
+
+    def borrow(
+        self, vm: str, call: messages.BorrowSlots, timeout: float
+    ) -> messages.LendSlots | None:
+        """See :class:`dispatch.Remote`."""
+        answer = self.entry.links.call(vm, call, timeout)
+        return answer if isinstance(answer, messages.LendSlots) else None
+
+    def can_call(self, vm: str, now: float) -> bool:
+        """See :class:`dispatch.Remote`."""
+        return self.entry.links.can_call(vm, now)
--- /dev/null
+++ b/src/agaterudder/upkeep.py
@@ -0,0 +1,341 @@
+"""The periodic work of an entry process.
+
+Each method is one turn of a loop; what it decides from is an argument or
+belongs to the entry process.
+"""
+
+import logging
+import time
+import typing as t
+
+import gevent
+
+from agaterudder import decisions
+from agaterudder import exceptions
+from agaterudder import execution
+from agaterudder import grants
+from agaterudder import membership
+from agaterudder import platform
+from agaterudder import resources
+from agaterudder import settings
+from agaterudder import slots
+from agaterudder import store
+
+if t.TYPE_CHECKING:
+    from agaterudder import entry as entries
+
+LOG = logging.getLogger(__name__)
+
+TURN_SECONDS = 0.25
+GRANTS_TURN_SECONDS = 0.2
+REGISTRY_SECONDS = 2.0
+ADOPTION_SECONDS = 2.0
+SLOTS_SECONDS = 1.0
+MAINTENANCE_SECONDS = 1.0
+SLOTS_PREFIX = "slots/"
+
+
+class Upkeep:
+    """Loops of one entry process."""
+
+    __slots__ = ("_entry", "_idle_since", "_reservations_end", "_loops")
+
+    def __init__(self, entry: "entries.Entry") -> None:
+        self._entry = entry
+        self._idle_since: dict[str, float] = {}
+        self._reservations_end = 0.0
+        self._loops: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Start the loops."""
+        poll = self._entry.settings.platform.poll_seconds
+        periodic: list[tuple[t.Callable[[], None], float]] = [
+            (self.turn, TURN_SECONDS),
+            (self.read_list, poll),
+            (self.read_registry, REGISTRY_SECONDS),
+            (self.read_head, poll),
+            (self.tend_grants, GRANTS_TURN_SECONDS),
+            (self.divide_slots, SLOTS_SECONDS),
+            (self.adopt, ADOPTION_SECONDS),
+            (self.maintain, MAINTENANCE_SECONDS),
+        ]
+        self._loops = [
+            gevent.spawn(self._repeat, action, seconds)
+            for action, seconds in periodic
+        ]
+
+    def stop(self) -> None:
+        """End the loops."""
+        gevent.killall(self._loops, block=True, timeout=2.0)
+
+    def _repeat(self, action: t.Callable[[], None], seconds: float) -> None:
+        while True:
+            try:
+                action()
+            except exceptions.StoreUnavailable as error:
+                LOG.info(
+                    "platform away",
+                    extra={"during": action.__name__, "why": error},
+                )
+            except Exception:
+                LOG.exception("loop failed", extra={"during": action.__name__})
+            gevent.sleep(seconds)
+
+    # Loops
+
+    def turn(self) -> None:
+        """Note a turn; after a pause read the head before anything else."""
+        if self._entry.freshness.turn(time.monotonic()):
+            LOG.warning("resumed after a pause")
+            gevent.spawn(self._repeat_once, self.read_head)
+
+    def _repeat_once(self, action: t.Callable[[], None]) -> None:
+        try:
+            action()
+        except exceptions.StoreUnavailable as error:
+            LOG.info("platform away", extra={"why": error})
+
+    def read_list(self) -> None:
+        """Read the platform's list of VMs."""
+        listing = self._entry.platform.list_vms()
+        now = time.monotonic()
+        self._entry.vms = listing.vms
+        for vm in listing.vms:
+            if vm.state is platform.VmState.GONE:
+                self._entry.gone_at.setdefault(vm.vm, now)
+        self._entry.roster.listed(
+            vm for vm in listing.vms if vm.role == "entry"
+        )
+        here = [
+            vm
+            for vm in listing.vms
+            if vm.data_centre == self._entry.data_centre
+        ]
+        self._entry.dispatcher.listed(
+            [vm for vm in here if vm.role == "backend"]
+        )
+        self._entry.fleet.listed(vm for vm in here if vm.role == "worker")
+
+    def read_registry(self) -> None:
+        """Register if need be, and read who else is registered."""
+        if not self._entry.incarnation:
+            self._register()
+        rows = self._entry.store.scan(membership.PREFIX, membership.Member)
+        members = [row.value for row in rows if row.value is not None]
+        self._entry.roster.registered(members)
+        for row in rows:
+            if (
+                row.value is not None
+                and row.value.vm in self._entry.roster.gone
+            ):
+                self._entry.store.transact([store.replace(row, None)])
+                self._entry.freshness.forget_peer(row.value.vm)
+        addresses = {
+            vm: member.stream
+            for vm, member in self._entry.roster.members.items()
+            if vm != self._entry.vm
+        }
+        self._entry.links.want(
+            {**by_address(self._entry.settings.entry.seeds), **addresses}
+            if not addresses
+            else addresses
+        )
+
+    def _register(self) -> None:
+        key = membership.PREFIX + self._entry.vm
+        row = self._entry.store.read(key, membership.Member)
+        incarnation = (row.value.incarnation if row.value else 0) + 1
+        member = membership.Member(
+            self._entry.vm,
+            incarnation,
+            self._entry.data_centre,
+            self._entry.settings.entry.stream,
+        )
+        outcome = self._entry.store.transact([store.replace(row, member)])
+        if not isinstance(outcome, store.Committed):
+            raise exceptions.StoreUnavailable("not registered")
+        self._entry.incarnation = incarnation
+        self._entry.execution.owned.incarnation = incarnation
+        self._reservations_end = time.monotonic() + execution.lapse_seconds(
+            self._entry.settings.timing
+        )
+        LOG.info("registered", extra={"incarnation": incarnation})
+
+    def read_head(self) -> None:
+        """Read the configuration head; record tightening changes."""
+        if not self._entry.incarnation:
+            # A joining process registers first and reads the head after.
+            return
+        if self._entry.control.refresh() and self._entry.in_force.tightenings:
+            self._entry.control.record_tightenings()
+
+    def tend_grants(self) -> None:
+        """Ask for grants that tasks need; hand back idle ones."""
+        if not self._entry.incarnation:
+            return
+        held = self._entry.execution.held_grants
+        if not held.restored and not held.restore():
+            return
+        now = time.monotonic()
+        if now >= self._reservations_end:
+            held.end_reservations()
+        for team, amount in list(self._entry.execution.needs.items()):
+            del self._entry.execution.needs[team]
+            self._enlarge(team, amount, now)
+        self._hand_back_idle(now)
+
+    def _enlarge(
+        self, team: str, amount: resources.Vector, now: float
+    ) -> None:
+        held = self._entry.execution.held_grants
+        refused = held.enlarge(team, amount, self._entry.execution.limit(team))
+        if refused is None:
+            self._idle_since.pop(team, None)
+            return
+        self._entry.decisions.record(
+            "team",
+            team,
+            decisions.Decision(
+                time.time(),
+                f"no further start: {refused.reason}",
+                f"grant {held.holding(team).grant.values()}",
+                self._entry.in_force.assurances.source("team", team),
+            ),
+        )
+
+    def _hand_back_idle(self, now: float) -> None:
+        """Hand back what is idle, and what is above a lowered limit."""
+        waiting = self._entry.execution.waiting.teams()
+        for team in self._entry.execution.held_grants.held_teams():
+            holding = self._entry.execution.held_grants.holding(team)
+            free = holding.free.larger(resources.ZERO)
+            if not any(value > resources.TOLERANCE for value in free.values()):
+                self._idle_since.pop(team, None)
+                continue
+            since = self._idle_since.setdefault(team, now)
+            patience = (
+                grants.STARVED_SECONDS
+                if team in waiting
+                else grants.IDLE_SECONDS
+            )
+            if now - since >= patience:
+                self._idle_since.pop(team, None)
+                self._entry.execution.held_grants.hand_back(
+                    team, free, self._entry.execution.limit(team)
+                )
+
+    def hand_back_all(self) -> None:
+        """Hand back every grant that is not spent."""
+        for team in self._entry.execution.held_grants.held_teams():
+            holding = self._entry.execution.held_grants.holding(team)
+            free = holding.free.larger(resources.ZERO)
+            if any(free.values()):
+                self._entry.execution.held_grants.hand_back(
+                    team, free, self._entry.execution.limit(team)
+                )
+
+    def divide_slots(self) -> None:
+        """Move towards the fair part of the backend servers' slots."""
+        if not self._entry.incarnation:
+            return
+        members = self._entry.roster.in_data_centre(self._entry.data_centre)
+        for service in self._entry.dispatcher.services():
+            self._divide_service(service, members)
+
+    def _divide_service(
+        self, service: settings.Service, members: list[str]
+    ) -> None:
+        key = f"{SLOTS_PREFIX}{self._entry.data_centre}/{service.name}"
+        row = self._entry.store.read(key, slots.Division)
+        division = row.value or slots.Division(service.slots)
+        settled = frozenset(
+            vm
+            for vm, at in self._entry.gone_at.items()
+            if time.monotonic() - at > service.timeout_seconds
+        )
+        cleaned = slots.without(division, settled)
+        after = slots.claimed(cleaned, members, self._entry.vm)
+        holder = self._entry.dispatcher.slots(service.name)
+        wanted = after.held.get(self._entry.vm, 0)
+        # Slots are given up here before the row says so.
+        holder.held = min(holder.held, wanted)
+        if after == division and row.version:
+            holder.held = wanted
+            return
+        outcome = self._entry.store.transact([store.replace(row, after)])
+        if isinstance(outcome, store.Committed):
+            holder.held = wanted
+
+    def adopt(self) -> None:
+        """Take over batches and grants of VMs that are gone.
+
+        In a data centre that was taken out, give the own ones away.
+        """
+        if not self._entry.incarnation or self._entry.leaving:
+            return
+        if self._entry.may_take(self._entry.vm, time.monotonic()) is not None:
+            return
+        if self._entry.data_centre in self._entry.in_force.data_centres_out:
+            self._entry.execution.release_batches()
+            return
+        self._entry.adopter.scan()
+        lapse = execution.lapse_seconds(self._entry.settings.timing)
+        entries = {
+            vm: at
+            for vm, at in self._entry.gone_at.items()
+            if vm != self._entry.vm
+        }
+        if entries:
+            self._entry.execution.held_grants.reclaim(
+                entries, lapse, time.monotonic()
+            )
+
+    def maintain(self) -> None:
+        """Advance maintenance and moves; empty what drains."""
+        if not self._entry.incarnation or self._entry.leaving:
+            return
+        if self._entry.may_take(self._entry.vm, time.monotonic()) is not None:
+            return
+        self._entry.maintenance.turn(
+            self._entry.vms,
+            self._entry.in_force.assurances,
+            self._entry.in_force.data_centres_out,
+            self._drives(time.monotonic()),
+            time.time(),
+        )
+        self._entry.fleet.hold_back(self._entry.maintenance.held_back())
+        for vm in self._entry.maintenance.held_back():
+            self._entry.execution.evacuate(vm)
+
+    def _drives(self, now: float) -> bool:
+        """Return whether this VM acts for its data centre.
+
+        Of the VMs that hear each other the first by name acts; when two
+        act at once, the rows decide between them.
+        """
+        alive = [
+            vm
+            for vm, link in self._entry.links.alive(now).items()
+            if link.last is not None
+            and link.last.data_centre == self._entry.data_centre
+            and not link.last.leaving
+        ]
+        return self._entry.vm <= min(alive, default=self._entry.vm)
+
+    def leave_registry(self) -> None:
+        """Give up slots and the registration; the process leaves."""
+        for service in self._entry.dispatcher.services():
+            key = f"{SLOTS_PREFIX}{self._entry.data_centre}/{service.name}"
+            row = self._entry.store.read(key, slots.Division)
+            if row.value is not None:
+                after = slots.without(row.value, {self._entry.vm})
+                self._entry.store.transact([store.replace(row, after)])
+        key = membership.PREFIX + self._entry.vm
+        own = self._entry.store.read(key, membership.Member)
+        if own.value and own.value.incarnation == self._entry.incarnation:
+            self._entry.store.transact([store.replace(own, None)])
+
+
+def by_address(addresses: t.Iterable[str]) -> dict[str, str]:
+    """Return stream addresses of entry VMs whose names are not known."""
+    return {f"seed {address}": address for address in addresses}
