Hold team limits through lowering, replacement and restarts of tasks

(1) A task whose lease lapsed was started again under the same identifier, so that the worker, idempotent by it, answered for the old run: starts now carry epoch and run. (2) After a limit was lowered 6 tasks of 2 went on: a holder asked for resources it did not lack, and each commit forgot that the pot was above its limit. Ruled out: the order of schedule and upkeep (the ceiling is now applied at both). Change: a need names the least that starts something; each holder keeps the same fraction of its grant under a lowered limit, with or without the store.

--- a/src/agaterudder/escrow.py
+++ b/src/agaterudder/escrow.py
@@ -48,22 +48,31 @@
     return msgspec.structs.replace(pot, limit=limit, version=version)
 
 
-def enlarged(
-    pot: Pot, holder: str, wanted: resources.Vector
-) -> Pot | codes.Refused:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What a holder asks for beyond its grant.
+
+    :ivar least: amount without which nothing could start.
+    :ivar wanted: amount that the next tasks would use.
+    """
+
+    least: resources.Vector
+    wanted: resources.Vector
+
+
+def enlarged(pot: Pot, holder: str, need: Need) -> Pot | codes.Refused:
     """Return the pot with more granted to a holder.
 
-    :param wanted: amount beyond the present grant; less is given when
-        less is free, and no resource more than is free.
+    Less than wanted is given when less is free, and nothing when the
+    least is not.
     """
-    given = wanted.smaller(pot.free)
-    if not any(given.values()):
+    given = need.wanted.larger(need.least).smaller(pot.free)
+    if not need.least.fits_in(given):
         return codes.Refused(
             codes.Result.TEAM_LIMIT, "the whole limit is granted"
         )
-    return _with_grant(
-        pot, holder, pot.grants.get(holder) or resources.ZERO, given
-    )
+    present = pot.grants.get(holder) or resources.ZERO
+    return _with_grant(pot, holder, present, given)
 
 
 def handed_back(pot: Pot, holder: str, amount: resources.Vector) -> Pot:
@@ -140,12 +149,13 @@
     :ivar reserved: part that a former incarnation may still be using.
     """
 
-    __slots__ = ("grant", "reserved", "_spent", "idle_since")
+    __slots__ = ("grant", "reserved", "_base", "_ceiling", "_spent")
 
     def __init__(self) -> None:
         self.grant = resources.ZERO
         self.reserved = resources.ZERO
-        self.idle_since = 0.0
+        self._base = resources.ZERO
+        self._ceiling = resources.UNLIMITED
         self._spent: dict[str, resources.Vector] = {}
 
     @property
@@ -156,7 +166,40 @@
     @property
     def free(self) -> resources.Vector:
         """What further tasks may use."""
-        return self.grant - self.reserved - self.spent
+        usable = self.grant.smaller(self._ceiling)
+        return usable - self.reserved - self.spent
+
+    @property
+    def excess(self) -> resources.Vector:
+        """What neither tasks nor a lowered limit leave to this VM."""
+        kept = self._ceiling.larger(self.spent + self.reserved)
+        return (self.grant - kept).larger(resources.ZERO)
+
+    def took(self, pot: Pot, holder: str) -> None:
+        """Take what the row now holds for this VM."""
+        self.grant = pot.grants.get(holder) or resources.ZERO
+        self._base = pot.limit.larger(pot.granted)
+        self._ceiling = resources.UNLIMITED
+
+    def limit_is(self, limit: resources.Vector) -> None:
+        """Use no more than this VM's part of a lowered limit.
+
+        Each holder keeps the same fraction of its grant, so that the sum
+        of what may be used stays within the lowered limit at once, also
+        while the table service is away.
+        """
+        self._base = self._base.larger(limit)
+        if self._base.fits_in(limit):
+            self._ceiling = resources.UNLIMITED
+            return
+        self._ceiling = resources.Vector(
+            *(
+                have * now / before if before > 0 else 0.0
+                for have, now, before in zip(
+                    self.grant.values(), limit.values(), self._base.values()
+                )
+            )
+        )
 
     def spend(
         self, task: str, amount: resources.Vector
--- a/src/agaterudder/execution.py
+++ b/src/agaterudder/execution.py
@@ -18,6 +18,7 @@
 from agaterudder import codes
 from agaterudder import configuration
 from agaterudder import decisions
+from agaterudder import escrow
 from agaterudder import exceptions
 from agaterudder import fleet
 from agaterudder import grants
@@ -38,6 +39,8 @@
 STARTS_AT_ONCE = 64
 STEPS_PER_TURN = 200
 MOST_AVOIDED = 10
+SAMPLE_TASKS = 20
+GRANT_FRACTION = 0.25
 UNKNOWN_SECONDS = 300.0
 DRAIN_PATIENCE_SECONDS = 10.0
 
@@ -138,7 +141,7 @@
         self._sizes = sizes.Sizes()
         self._wake = gevent.event.Event()
         self._starts = gevent.pool.Pool(STARTS_AT_ONCE)
-        self._needs: dict[str, resources.Vector] = {}
+        self._needs: dict[str, escrow.Need] = {}
         self._deferred: dict[str, float] = {}
         self._avoided: dict[str, list[str]] = {}
         self._forget: dict[str, list[str]] = {}
@@ -167,7 +170,7 @@
         return self._placements
 
     @property
-    def needs(self) -> dict[str, resources.Vector]:
+    def needs(self) -> dict[str, escrow.Need]:
         """Amounts that teams need beyond their grants."""
         return self._needs
 
@@ -218,7 +221,7 @@
                         started += 1
                     case scheduling.NeedGrant(team=team, amount=amount):
                         blocked.add(team)
-                        self._needs[team] = self._wanted(team, amount)
+                        self._needs[team] = self._need(team, amount)
                     case scheduling.NeedRoom():
                         self._make_room(step, now)
                         break
@@ -246,7 +249,7 @@
             self._waiting,
             self._fleet,
             self._sizes,
-            self._grants.holding,
+            self._holding,
             full,
             lambda task: self._avoided.get(task, ()),
             now,
@@ -255,6 +258,11 @@
         self._note_deferred(teams, step, now)
         return step
 
+    def _holding(self, team: str) -> escrow.Holding:
+        holding = self._grants.holding(team)
+        holding.limit_is(self.limit(team).limit)
+        return holding
+
     def _note_deferred(
         self, teams: set[str], step: scheduling.Step, now: float
     ) -> None:
@@ -264,17 +272,21 @@
         for team in teams:
             self._deferred.setdefault(team, now)
 
-    def _wanted(self, team: str, amount: resources.Vector) -> resources.Vector:
+    def _need(self, team: str, amount: resources.Vector) -> escrow.Need:
         """Return how much to ask for: the next tasks, within reason."""
-        sample = self._waiting.sample(team, 20)
+        free = self._grants.holding(team).free
+        least = (amount - free).larger(resources.ZERO)
+        sample = self._waiting.sample(team, SAMPLE_TASKS)
         asked = resources.total(task.size for task in sample)
-        quarter = self.limit(team).limit.scaled(0.25)
-        return asked.smaller(quarter).larger(amount)
+        quarter = self.limit(team).limit.scaled(GRANT_FRACTION)
+        wanted = (asked - free).larger(resources.ZERO).smaller(quarter)
+        return escrow.Need(least, wanted)
 
     def _launch(self, step: scheduling.Launch, now: float) -> None:
         task = step.task
         self._waiting.remove(task.task)
         task.state = tasks.State.STARTING
+        task.starts += 1
         place = Placement(task, step.worker, step.amount, False, now)
         self._placements[task.task] = place
         self._fleet.views[step.worker].started(step.amount)
@@ -296,6 +308,7 @@
                 place.task.task,
                 held.batch.batch,
                 held.batch.epoch,
+                place.task.starts,
                 self._settings.timing.task_lease_seconds,
                 place.amount,
                 place.task.run_seconds,
@@ -476,11 +489,23 @@
             return
         if time.monotonic() - place.since < workers.TIMEOUT_SECONDS:
             return
+        reports = self._stop_run(client, place)
+        if reports is not None:
+            self._take_reports(place.worker, reports)
+
+    def _stop_run(
+        self, client: workers.Worker, place: Placement
+    ) -> workers.Reports | None:
+        held = self._held(place.task)
+        if held is None:
+            return None
         try:
-            reports = client.stop(place.task.task)
-        except exceptions.StoreUnavailable:
-            return
-        self._take_reports(place.worker, reports)
+            return client.stop(
+                place.task.task, held.batch.epoch, place.task.starts
+            )
+        except exceptions.StoreUnavailable as error:
+            LOG.info("stop unanswered", extra={"why": error})
+            return None
 
     def _failed(self, place: Placement, now: float) -> None:
         task = place.task
@@ -629,12 +654,8 @@
 
     def _stop(self, place: Placement) -> None:
         client = self._around.worker(place.worker)
-        if client is None:
-            return
-        try:
-            reports = client.stop(place.task.task)
-        except exceptions.StoreUnavailable as error:
-            LOG.info("stop unanswered", extra={"why": error})
+        reports = self._stop_run(client, place) if client else None
+        if reports is None:
             return
         for report in reports.tasks:
             if report.state == "refused":
--- a/src/agaterudder/grants.py
+++ b/src/agaterudder/grants.py
@@ -86,7 +86,7 @@
                 continue
             holding = self.holding(row.key.removeprefix(PREFIX))
             if not self._restored:
-                holding.grant = pot.grants[self._vm]
+                holding.took(pot, self._vm)
                 holding.reserved = pot.grants[self._vm]
         self._restored = complete
         return complete
@@ -97,12 +97,12 @@
             holding.reserved = resources.ZERO
 
     def enlarge(
-        self, team: str, wanted: resources.Vector, limit: TeamLimit
+        self, team: str, need: escrow.Need, limit: TeamLimit
     ) -> codes.Refused | None:
         """Ask the pot for more."""
 
         def more(pot: escrow.Pot) -> escrow.Pot | codes.Refused:
-            return escrow.enlarged(pot, self._vm, wanted)
+            return escrow.enlarged(pot, self._vm, need)
 
         return self._change(team, limit, more)
 
@@ -188,8 +188,7 @@
             case store.Committed():
                 # This write made every earlier one of ours that was still
                 # under way fail, so that the row is what this VM holds.
-                held = after.grants.get(self._vm) or resources.ZERO
-                self.holding(team).grant = held
+                self.holding(team).took(after, self._vm)
                 return None
             case store.Conflicted():
                 return codes.Refused(
--- a/src/agaterudder/tasks.py
+++ b/src/agaterudder/tasks.py
@@ -52,6 +52,7 @@
     :ivar run_seconds: declared run time.
     :ivar submitted_at: wall-clock time in seconds since the epoch.
     :ivar attempts: starts that ended without an outcome.
+    :ivar starts: starts under the present epoch.
     :ivar reason: why the task is in its state.
     """
 
@@ -68,6 +69,7 @@
     request: str = ""
     state: State = State.WAITING
     attempts: int = 0
+    starts: int = 0
     checkpoint: str = ""
     reason: str = ""
 
--- a/src/agaterudder/upkeep.py
+++ b/src/agaterudder/upkeep.py
@@ -11,6 +11,7 @@
 import gevent
 
 from agaterudder import decisions
+from agaterudder import escrow
 from agaterudder import exceptions
 from agaterudder import execution
 from agaterudder import grants
@@ -179,16 +180,14 @@
         now = time.monotonic()
         if now >= self._reservations_end:
             held.end_reservations()
-        for team, amount in list(self._entry.execution.needs.items()):
+        for team, need in list(self._entry.execution.needs.items()):
             del self._entry.execution.needs[team]
-            self._enlarge(team, amount, now)
+            self._enlarge(team, need, now)
         self._hand_back_idle(now)
 
-    def _enlarge(
-        self, team: str, amount: resources.Vector, now: float
-    ) -> None:
+    def _enlarge(self, team: str, need: escrow.Need, now: float) -> None:
         held = self._entry.execution.held_grants
-        refused = held.enlarge(team, amount, self._entry.execution.limit(team))
+        refused = held.enlarge(team, need, self._entry.execution.limit(team))
         if refused is None:
             self._idle_since.pop(team, None)
             return
@@ -208,6 +207,16 @@
         waiting = self._entry.execution.waiting.teams()
         for team in self._entry.execution.held_grants.held_teams():
             holding = self._entry.execution.held_grants.holding(team)
+            limit = self._entry.execution.limit(team)
+            holding.limit_is(limit.limit)
+            if any(
+                value > resources.TOLERANCE
+                for value in holding.excess.values()
+            ):
+                self._entry.execution.held_grants.hand_back(
+                    team, holding.excess, limit
+                )
+                continue
             free = holding.free.larger(resources.ZERO)
             if not any(value > resources.TOLERANCE for value in free.values()):
                 self._idle_since.pop(team, None)
--- a/src/agaterudder/workers.py
+++ b/src/agaterudder/workers.py
@@ -17,11 +17,17 @@
 
 
 class Start(msgspec.Struct, frozen=True):
-    """Start of a task on a worker."""
+    """Start of a task on a worker.
+
+    :ivar run: number of the start under this epoch. A worker that ended an
+        earlier run of the task starts it again only for a higher epoch or
+        run; a start that repeats an earlier one changes nothing.
+    """
 
     task: str
     batch: str
     epoch: int
+    run: int
     lease_seconds: float
     size: resources.Vector
     run_seconds: float
@@ -58,6 +64,11 @@
     lease_seconds: float
 
 
+class _Stop(msgspec.Struct):
+    epoch: int
+    run: int
+
+
 class _Fence(msgspec.Struct):
     batches: dict[str, int]
 
@@ -128,12 +139,13 @@
         """
         return self._reports("/fence", msgspec.json.encode(_Fence(batches)))
 
-    def stop(self, task: str) -> Reports:
-        """Stop a task; one that never started will not start any more.
+    def stop(self, task: str, epoch: int, run: int) -> Reports:
+        """Stop a run of a task; one that never started will not start.
 
         :raises StoreUnavailable: when no answer came.
         """
-        return self._reports(f"/tasks/{task}/stop", b"{}")
+        body = msgspec.json.encode(_Stop(epoch, run))
+        return self._reports(f"/tasks/{task}/stop", body)
 
     def checkpoint(self, task: str) -> Reports:
         """Save a task's progress and stop it.
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -23,6 +23,7 @@
     def __init__(self, start: dict[str, t.Any], now: float) -> None:
         self.batch = start["batch"]
         self.size: list[float] = start["size"]
+        self.run = (start["epoch"], start["run"])
         self.state = "running"
         self.lease_until = now + start["lease_seconds"]
         done = float(start["checkpoint"] or 0.0)
@@ -44,7 +45,7 @@
         self.usage_ratio = usage_ratio
         self.tasks: dict[str, _Running] = {}
         self.fences: dict[str, int] = {}
-        self.never: set[str] = set()
+        self.never: dict[str, tuple[int, int]] = {}
         self.executed: collections.Counter[str] = collections.Counter()
         self.fault = ""
         self.started_at: dict[str, float] = {}
@@ -92,15 +93,19 @@
         if path == "/fence":
             return 200, self._fence(content)
         _, _, task, verb = path.split("/")
-        return 200, self._change(task, verb, now)
+        return 200, self._change(task, verb, content, now)
 
     def _start(self, start: dict[str, t.Any], now: float) -> int:
         name = start["task"]
         if start["epoch"] < self.fences.get(start["batch"], 0):
             return 409
-        if name in self.tasks and self.tasks[name].state != "checkpointed":
+        run = (start["epoch"], start["run"])
+        known = self.tasks.get(name)
+        if known is not None and (
+            run <= known.run or known.state in ("running", "done")
+        ):
             return 200
-        if name in self.never:
+        if run <= self.never.get(name, (0, 0)):
             return 410
         free = self._free()
         if any(a > b + 1e-6 for a, b in zip(start["size"][:3], free[:3])):
@@ -113,8 +118,10 @@
 
     def _renew(self, body: dict[str, t.Any], now: float) -> t.Any:
         for name in body["forget"]:
-            if self.tasks.pop(name, None) is not None:
-                self.never.add(name)
+            task = self.tasks.get(name)
+            if task is not None and task.state != "running":
+                del self.tasks[name]
+                self.never[name] = task.run
         for name in body["tasks"]:
             task = self.tasks.get(name)
             if task is not None and task.state == "running":
@@ -131,11 +138,13 @@
         ]
         return self._reports(known)
 
-    def _change(self, name: str, verb: str, now: float) -> t.Any:
+    def _change(
+        self, name: str, verb: str, body: dict[str, t.Any], now: float
+    ) -> t.Any:
         task = self.tasks.get(name)
         if task is None:
             if verb == "stop":
-                self.never.add(name)
+                self.never[name] = (body["epoch"], body["run"])
                 return self._reports([name], "refused")
             return self._reports([name])
         if task.state == "running":
--- /dev/null
+++ b/tests/cell.py
@@ -0,0 +1,240 @@
+"""A few entry processes in one process, on fakes, stepped by hand.
+
+Nothing runs by itself: a test calls the turns it wants, in the order it
+wants, so that races are chosen and not left to timing.
+"""
+
+import time
+import typing as t
+
+import gevent
+import msgspec
+
+from agaterudder import configuration
+from agaterudder import entry as entries
+from agaterudder import keys
+from agaterudder import membership
+from agaterudder import messages
+from agaterudder import settings
+from agaterudder import store
+from agaterudder import tasks
+from standins import platform
+from standins import worker
+from tests import builders
+from tests import fakes
+
+PLATFORM = "127.0.0.1:1"
+LEASE_SECONDS = 30.0
+
+
+class Cell:
+    """Entry processes, one platform and some workers.
+
+    :ivar clock_offset: added to the workers' clock, to let leases lapse.
+    """
+
+    def __init__(
+        self,
+        entry_vms: dict[str, str],
+        workers: dict[str, str],
+        assurances: str = builders.ASSURANCES,
+        size: tuple[float, ...] = (16.0, 32_000.0, 0.0, 1_000.0),
+    ) -> None:
+        self.clock_offset = 0.0
+        self.workers = {name: worker.Worker(list(size)) for name in workers}
+        self.worker_transports: dict[str, list[fakes.WorkerTransport]] = {}
+        self.transports: dict[str, fakes.PlatformTransport] = {}
+        self.cut_workers: set[tuple[str, str]] = set()
+        self.platform = platform.Platform(
+            self._listed(entry_vms, workers, size), 0.0
+        )
+        self._centres = entry_vms
+        self.entries: dict[str, entries.Entry] = {}
+        self.write_assurances(assurances)
+        for vm in entry_vms:
+            self.start(vm)
+
+    def _listed(
+        self,
+        entry_vms: dict[str, str],
+        workers: dict[str, str],
+        size: tuple[float, ...],
+    ) -> list[dict[str, t.Any]]:
+        listed = [
+            _line(name, "entry", centre) for name, centre in entry_vms.items()
+        ]
+        for number, (name, centre) in enumerate(workers.items()):
+            line = _line(name, "worker", centre)
+            line.update(
+                pool="count", size=list(size), rack=f"rack-{number // 2}"
+            )
+            listed.append(line)
+        return listed
+
+    def write_assurances(self, text: str) -> None:
+        """Write a first version of the configuration."""
+        first = configuration.Configuration(1, text)
+        table = store.Store(fakes.PlatformTransport(self.platform))
+        table.put_object("first", msgspec.json.encode(first))
+        table.transact(
+            [
+                store.Write(
+                    "configuration/head", 0, configuration.Head(1, "first")
+                )
+            ]
+        )
+
+    def start(self, vm: str) -> entries.Entry:
+        """Start a process on a VM, as after a replacement."""
+        checked = settings.Settings(
+            settings.Entry(
+                vm, self._centres[vm], "127.0.0.1:1", "127.0.0.1:0"
+            ),
+            settings.Platform(PLATFORM),
+            timing=settings.Timing(task_lease_seconds=LEASE_SECONDS),
+        )
+        transport = fakes.PlatformTransport(self.platform)
+        self.transports[vm] = transport
+        made = entries.Entry(
+            checked,
+            lambda address, _: self._connect(vm, address, transport),
+        )
+        made.store = store.Store(transport, backoff_seconds=0.0)
+        self._use_store(made)
+        self.entries[vm] = made
+        self.turn(vm)
+        return made
+
+    def _use_store(self, made: entries.Entry) -> None:
+        """Let every part use a store that does not wait between tries."""
+        for part in (
+            made.control,
+            made.execution.owned,
+            made.execution.held_grants,
+            made.adopter,
+            made.maintenance,
+        ):
+            part._store = made.store
+
+    def _connect(
+        self, vm: str, address: str, transport: fakes.PlatformTransport
+    ) -> store.Transport:
+        if address == PLATFORM:
+            return transport
+        made = fakes.WorkerTransport(
+            self.workers[address],
+            lambda: time.monotonic() + self.clock_offset,
+        )
+        self.worker_transports.setdefault(address, []).append(made)
+        return made
+
+    def turn(self, vm: str) -> None:
+        """Let the readings of one process happen."""
+        upkeep = self.entries[vm].upkeep
+        upkeep.turn()
+        upkeep.read_list()
+        upkeep.read_registry()
+        upkeep.read_head()
+        upkeep.tend_grants()
+
+    def gossip(self) -> None:
+        """Let every process hear every other once."""
+        for vm, speaker in self.entries.items():
+            digest = speaker.digest()
+            for name, hearer in self.entries.items():
+                if name == vm:
+                    continue
+                if digest.version > hearer.in_force.version:
+                    hearer.control.take(speaker.in_force.configuration)
+                for member, known in digest.versions.items():
+                    hearer.roster.acknowledged(member, known)
+                hearer.control.hear(digest)
+
+    def submit(self, vm: str, count: int, **fields: t.Any) -> list[str]:
+        """Submit tasks to a process; return their identifiers."""
+        owned = self.entries[vm].execution.owned
+        group = [builders.task("", **fields) for _ in range(count)]
+        calls = [gevent.spawn(owned.submit, task) for task in group]
+        gevent.sleep(0)
+        pending = []
+        while not owned._pending.empty():
+            pending.append(owned._pending.get_nowait())
+        owned._commit(pending)
+        gevent.joinall(calls)
+        return [getattr(call.value, "task", "") for call in calls]
+
+    def run_tasks(self, vm: str, turns: int = 3) -> None:
+        """Let a process get grants, start tasks and take reports."""
+        entry = self.entries[vm]
+        for _ in range(turns):
+            entry.execution.schedule(time.monotonic(), time.time())
+            entry.execution._starts.join()
+            entry.upkeep.tend_grants()
+            for name in entry.execution._workers_to_ask():
+                entry.execution.renew(name)
+            gevent.sleep(0)
+
+    def task(self, name: str) -> tasks.Task:
+        """Return a task as its owner has it."""
+        for entry in self.entries.values():
+            found = entry.execution.owned.find(name)
+            if found is not None:
+                return found
+        raise AssertionError(f"no owner of {name}")
+
+    def running(self) -> int:
+        """Return the number of tasks that run on the workers."""
+        now = time.monotonic() + self.clock_offset
+        for each in self.workers.values():
+            each.turn(now)
+        return sum(
+            task.state == "running"
+            for each in self.workers.values()
+            for task in each.tasks.values()
+        )
+
+    def executions(self, task: str) -> int:
+        """Return how often a task was started on any worker."""
+        return sum(each.executed[task] for each in self.workers.values())
+
+    def end(self, vm: str) -> None:
+        """Let a process vanish without a word."""
+        del self.entries[vm]
+
+    def gone(self, vm: str) -> None:
+        """Let the platform say that a VM is gone."""
+        self.platform.vms[vm]["state"] = "gone"
+        for name in self.entries:
+            self.entries[name].upkeep.read_list()
+
+    def key(self, team: str) -> str:
+        """Grant a key through the first process; return it."""
+        made = keys.create(team)
+        first = next(iter(self.entries.values()))
+        first.control.change(
+            configuration.GrantKey(made.record), "ane", time.time(), 0.0
+        )
+        self.gossip()
+        return made.presented
+
+    def member(self, vm: str) -> messages.MemberVersion | None:
+        """Return what the first process knows of a member."""
+        first = next(iter(self.entries.values()))
+        return first.roster.versions.get(vm)
+
+    def registered(self) -> list[str]:
+        """Return the VMs of the registry."""
+        table = store.Store(fakes.PlatformTransport(self.platform))
+        rows = table.scan(membership.PREFIX, membership.Member)
+        return [row.value.vm for row in rows if row.value]
+
+
+def _line(name: str, role: str, centre: str) -> dict[str, t.Any]:
+    return {
+        "vm": name,
+        "role": role,
+        "data_centre": centre,
+        "rack": "rack-0",
+        "address": name,
+        "state": "live",
+    }
--- /dev/null
+++ b/tests/features/steps/cell_steps.py
@@ -0,0 +1,138 @@
+"""Steps on a few entry processes that are stepped by hand."""
+
+import random
+import re
+import time
+import typing as t
+
+import behave
+import gevent
+
+from agaterudder import configuration
+from tests import cell
+from tests import fakes
+
+Context = t.Any
+SEED = 20261204
+
+
+def _assurances(tasks: int) -> str:
+    return (
+        f"team.tally = {{ share = 1, tasks = {tasks} }}  # Ane\n"
+        "team.grants = { share = 1, tasks = 50 }  # Ane\n"
+        "pool.count = { out = 1 }  # Bo\n"
+        'queue.open-counts = { pool = "count", open = true }  # Bo\n'
+    )
+
+
+@behave.given('entry VMs {names} in "{centre}" with {count:d} workers')
+def step_cell(context: Context, names: str, centre: str, count: int) -> None:
+    vms = re.findall(r'"([\w-]+)"', names)
+    context.cell = cell.Cell(
+        dict.fromkeys(vms, centre),
+        {f"w{n}": centre for n in range(count)},
+        _assurances(50),
+    )
+    context.generator = random.Random(SEED)
+
+
+@behave.given('entry VMs in data centres "{centres}" with a worker each')
+def step_centres(context: Context, centres: str) -> None:
+    names = centres.split(",")
+    context.cell = cell.Cell(
+        {f"entry-{name}": name for name in names},
+        {f"worker-{name}": name for name in names},
+        _assurances(50),
+    )
+
+
+@behave.given('team "{team}" may run {count:d} tasks')
+@behave.when('an operator lowers the limit of "{team}" to {count:d} tasks')
+def step_limit(context: Context, team: str, count: int) -> None:
+    first = next(iter(context.cell.entries.values()))
+    edit = configuration.ReplaceAssurances(
+        _assurances(count), first.in_force.version
+    )
+    first.control.change(edit, "ane", time.time(), 0.0)
+    context.cell.gossip()
+
+
+@behave.when("{count:d} tasks of {seconds:g} seconds are submitted to {names}")
+def step_submit(
+    context: Context, count: int, seconds: float, names: str
+) -> None:
+    context.tasks = []
+    for vm in re.findall(r'"([\w-]+)"', names):
+        context.tasks += context.cell.submit(
+            vm, count, run_seconds=seconds, repeatable=True
+        )
+
+
+@behave.when("both have had {turns:d} turns")
+def step_turns(context: Context, turns: int) -> None:
+    for _ in range(turns):
+        for vm in context.cell.entries:
+            context.cell.run_tasks(vm, 1)
+        context.cell.gossip()
+        assert context.cell.running() <= 6
+
+
+@behave.when('"{vm}" has had {turns:d} turns of everything')
+def step_turns_of(context: Context, vm: str, turns: int) -> None:
+    for _ in range(turns):
+        context.cell.turn(vm)
+        context.cell.entries[vm].upkeep.adopt()
+        gevent.sleep(0.01)
+        context.cell.run_tasks(vm, 1)
+
+
+@behave.when('the table service is down for "{vm}"')
+def step_down(context: Context, vm: str) -> None:
+    context.cell.transports[vm].cut = True
+
+
+@behave.when("answers of the table service are lost at random")
+def step_lost(context: Context) -> None:
+    for transport in context.cell.transports.values():
+        transport.faults = fakes.random_faults(context.generator, 300, 0.3)
+
+
+@behave.when("starts on the workers get no answer at random")
+def step_starts_lost(context: Context) -> None:
+    for transports in context.cell.worker_transports.values():
+        for transport in transports:
+            transport.faults = fakes.random_faults(context.generator, 300, 0.3)
+
+
+@behave.when('the process on "{vm}" is killed and starts again')
+def step_restart(context: Context, vm: str) -> None:
+    context.cell.end(vm)
+    context.cell.start(vm)
+
+
+@behave.when('"{vm}" is killed and the platform says it is gone')
+def step_gone(context: Context, vm: str) -> None:
+    context.cell.end(vm)
+    context.cell.gone(vm)
+
+
+@behave.when('the workers\' leases of "{vm}" lapse')
+def step_lapse(context: Context, vm: str) -> None:
+    context.cell.clock_offset += cell.LEASE_SECONDS + 1
+    context.cell.running()
+    for entry in context.cell.entries.values():
+        entry.gone_at[vm] -= 2 * cell.LEASE_SECONDS
+
+
+@behave.when("running tasks end")
+def step_end(context: Context) -> None:
+    gevent.sleep(0.1)
+    for vm in context.cell.entries:
+        for name in context.cell.workers:
+            context.cell.entries[vm].execution.renew(name)
+
+
+@behave.then("at most {most:d} tasks are running and at least {least:d} are")
+def step_running(context: Context, most: int, least: int) -> None:
+    running = context.cell.running()
+    assert least <= running <= most, running
--- a/tests/features/steps/request_steps.py
+++ b/tests/features/steps/request_steps.py
@@ -10,7 +10,6 @@
 from agaterudder import dispatch
 from agaterudder import messages
 from agaterudder import metrics
-from agaterudder import platform
 from agaterudder import requests
 from agaterudder import settings
 from standins import backend
