Keep room for urgent work and prove tasks under faults

Cause: an urgent task of 8 cores waited for ever behind long ones: the room of the first checkpointed task was given to the next long task. Also aging let long work pass urgent work, and the learnt size grew with itself, because the worker's stand-in reported the reserved size as used. Ruled out: the grant. Change: a worker is kept free for the urgent task for 4 s; only urgent work holds the first rank; a start carries the declared size too.

--- a/src/agaterudder/execution.py
+++ b/src/agaterudder/execution.py
@@ -39,6 +39,7 @@
 STARTS_AT_ONCE = 64
 STEPS_PER_TURN = 200
 MOST_AVOIDED = 10
+KEEP_SECONDS = 4.0
 SAMPLE_TASKS = 20
 GRANT_FRACTION = 0.25
 UNKNOWN_SECONDS = 300.0
@@ -106,7 +107,7 @@
         "_deferred",
         "_avoided",
         "_forget",
-        "_making_room",
+        "_kept_free",
         "_draining",
         "stopping",
     )
@@ -145,7 +146,7 @@
         self._deferred: dict[str, float] = {}
         self._avoided: dict[str, list[str]] = {}
         self._forget: dict[str, list[str]] = {}
-        self._making_room: set[str] = set()
+        self._kept_free: dict[str, str] = {}
         self._draining: dict[str, float] = {}
         self.stopping = False
 
@@ -251,13 +252,22 @@
             self._sizes,
             self._holding,
             full,
-            lambda task: self._avoided.get(task, ()),
+            self._workers_to_avoid,
             now,
             wall,
         )
         self._note_deferred(teams, step, now)
         return step
 
+    def _workers_to_avoid(self, task: str) -> list[str]:
+        """Return workers that failed a task or are kept for another."""
+        kept = [
+            worker
+            for worker, urgent in self._kept_free.items()
+            if urgent != task
+        ]
+        return [*self._avoided.get(task, ()), *kept]
+
     def _holding(self, team: str) -> escrow.Holding:
         holding = self._grants.holding(team)
         holding.limit_is(self.limit(team).limit)
@@ -285,6 +295,7 @@
     def _launch(self, step: scheduling.Launch, now: float) -> None:
         task = step.task
         self._waiting.remove(task.task)
+        self._keep_no_more(task.task)
         task.state = tasks.State.STARTING
         task.starts += 1
         place = Placement(task, step.worker, step.amount, False, now)
@@ -311,6 +322,7 @@
                 place.task.starts,
                 self._settings.timing.task_lease_seconds,
                 place.amount,
+                place.task.size,
                 place.task.run_seconds,
                 place.task.checkpoint,
             )
@@ -356,7 +368,7 @@
         self._explain(place.task, "wait again", reason)
 
     def _make_room(self, step: scheduling.NeedRoom, now: float) -> None:
-        if step.task.task in self._making_room:
+        if step.task.task in self._kept_free.values():
             return
         running = [
             (place.task, place.worker, place.amount)
@@ -366,9 +378,18 @@
         chosen = scheduling.victims(step.amount, running, self._fleet, now)
         if not chosen:
             return
-        self._making_room.add(step.task.task)
+        self._kept_free[chosen[0][1]] = step.task.task
+        gevent.spawn_later(KEEP_SECONDS, self._keep_no_more, step.task.task)
         gevent.spawn(self._checkpoint, step.task, chosen)
 
+    def _keep_no_more(self, urgent: str) -> None:
+        """Let other tasks use the room that was made for one."""
+        self._kept_free = {
+            worker: task
+            for worker, task in self._kept_free.items()
+            if task != urgent
+        }
+
     def _checkpoint(
         self, urgent: tasks.Task | None, chosen: list[tuple[tasks.Task, str]]
     ) -> None:
@@ -383,8 +404,6 @@
         except exceptions.StoreUnavailable as error:
             LOG.info("checkpoint unanswered", extra={"why": error})
         finally:
-            if urgent is not None:
-                self._making_room.discard(urgent.task)
             self._wake.set()
 
     def evacuate(self, worker: str) -> None:
--- a/src/agaterudder/waiting.py
+++ b/src/agaterudder/waiting.py
@@ -7,6 +7,7 @@
 from agaterudder import tasks
 
 AGING_SECONDS = 60.0
+QUICK_RANK = requests.RANKS[requests.Priority.QUICK]
 
 
 class WaitingTasks:
@@ -89,7 +90,5 @@
 
 def _rank(task: tasks.Task, now: float) -> tuple[int, float]:
     gained = int(max(0.0, now - task.submitted_at) / AGING_SECONDS)
-    return (
-        max(0, requests.RANKS[task.priority] - gained),
-        task.submitted_at,
-    )
+    rank = requests.RANKS[task.priority]
+    return (max(min(rank, QUICK_RANK), rank - gained), task.submitted_at)
--- a/src/agaterudder/workers.py
+++ b/src/agaterudder/workers.py
@@ -19,6 +19,8 @@
 class Start(msgspec.Struct, frozen=True):
     """Start of a task on a worker.
 
+    :ivar size: what is reserved for the task, corrected by experience.
+    :ivar declared: what its team declared.
     :ivar run: number of the start under this epoch. A worker that ended an
         earlier run of the task starts it again only for a higher epoch or
         run; a start that repeats an earlier one changes nothing.
@@ -30,6 +32,7 @@
     run: int
     lease_seconds: float
     size: resources.Vector
+    declared: resources.Vector
     run_seconds: float
     checkpoint: str
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -23,6 +23,7 @@
     def __init__(self, start: dict[str, t.Any], now: float) -> None:
         self.batch = start["batch"]
         self.size: list[float] = start["size"]
+        self.declared: list[float] = start["declared"]
         self.run = (start["epoch"], start["run"])
         self.state = "running"
         self.lease_until = now + start["lease_seconds"]
@@ -173,11 +174,11 @@
 
     def _report(self, name: str) -> dict[str, t.Any]:
         task = self.tasks[name]
-        used = [value * self.usage_ratio for value in task.size[:2]]
+        used = [value * self.usage_ratio for value in task.declared[:2]]
         return {
             "task": name,
             "state": task.state,
-            "used": [*used, *task.size[2:]],
+            "used": [*used, *task.declared[2:]],
             "checkpoint": task.checkpoint,
         }
 
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -153,6 +153,7 @@
     def submit(self, vm: str, count: int, **fields: t.Any) -> list[str]:
         """Submit tasks to a process; return their identifiers."""
         owned = self.entries[vm].execution.owned
+        fields.setdefault("submitted_at", time.time())
         group = [builders.task("", **fields) for _ in range(count)]
         calls = [gevent.spawn(owned.submit, task) for task in group]
         gevent.sleep(0)
--- /dev/null
+++ b/tests/features/tasks.feature
@@ -0,0 +1,58 @@
+Feature: Tasks are neither lost nor doubled
+  A task that may not be repeated runs at most once, whatever happens to
+  entry VMs, workers and answers; a recorded task is not lost.
+
+  Background:
+    Given entry VMs "a" and "b" in "north" with 4 workers
+
+  Scenario Outline: <trouble>, tasks <repeat> be repeated
+    When 10 tasks of 0.05 seconds that <repeat> be repeated are submitted to "a"
+    And <trouble>
+    And the survivors have had 40 turns of everything
+    Then no task that may not be repeated was started twice
+    And every task is settled or waits, and at least <done> are done
+
+    Examples: troubles of entry VMs and workers
+      | trouble                                        | repeat  | done |
+      | nothing happens                                | may not | 10   |
+      | "a" is killed before any start                 | may not | 10   |
+      | "a" is killed while tasks run                  | may not | 10   |
+      | "a" is killed while tasks run                  | may     | 10   |
+      | "a" restarts while tasks run                   | may not | 10   |
+      | starts get no answer at random                 | may not | 10   |
+      | starts get no answer at random                 | may     | 10   |
+      | "a" releases its batches                       | may not | 10   |
+      | one worker is cut off while tasks run          | may not | 5    |
+      | one worker is cut off until its leases lapse   | may     | 10   |
+      | "a" is taken over by "b" while paused          | may not | 10   |
+      | answers of the table are lost at random        | may not | 10   |
+
+  Scenario: A worker that fails everything is ejected
+    When the first worker fails everything
+    And 30 tasks of 0.01 seconds that may be repeated are submitted to "a"
+    And the survivors have had 40 turns of everything
+    Then every task is settled or waits, and at least 25 are done
+
+  Scenario: A submission repeated with its request id is recorded once
+    When the same request id is submitted to "a" and to "b"
+    Then both answers name the same task
+
+  Scenario: Submissions are refused truly while the table service is away
+    When the table service is down for "a"
+    And a task is submitted to "a"
+    Then it is refused as not run and no row was written
+
+  Scenario: A cancellation wins over a start that has not happened
+    When 40 tasks of 60 seconds that may not be repeated are submitted to "a"
+    And the survivors have had 2 turns of everything
+    And every task of "a" is cancelled
+    And the survivors have had 10 turns of everything
+    Then every task has ended
+    And 1 to 4 writes to the table settled them
+
+  Scenario: Urgent work checkpoints long work
+    When 40 long tasks that fill every worker are submitted to "a"
+    And the survivors have had 10 turns of everything
+    And an urgent task is submitted to "a"
+    And the survivors have had 25 turns of everything
+    Then the urgent task is running and no long task is lost
