Prove acceptance, withdrawal and taking out in the cell

Cause: the accepting process did not count its own acknowledgement until its next heartbeat (named itself as missing). Change: it is noted with each announcement.

--- a/src/agaterudder/entry.py
+++ b/src/agaterudder/entry.py
@@ -245,8 +245,7 @@
 
     def digest(self) -> messages.Digest:
         """Return what this process tells its peers."""
-        own = messages.MemberVersion(self.incarnation, self.in_force.version)
-        self.roster.acknowledged(self.vm, own)
+        self._acknowledge_own()
         return messages.Digest(
             self.vm,
             self.incarnation,
@@ -259,7 +258,12 @@
             sorted(self.execution.waiting.teams()),
         )
 
+    def _acknowledge_own(self) -> None:
+        own = messages.MemberVersion(self.incarnation, self.in_force.version)
+        self.roster.acknowledged(self.vm, own)
+
     def _announce(self) -> None:
+        self._acknowledge_own()
         self.links.broadcast(time.monotonic())
 
     def around(self) -> maintenance.Surroundings:
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -53,6 +53,8 @@
         self.write_assurances(assurances)
         for vm in entry_vms:
             self.start(vm)
+        for vm in entry_vms:
+            self.turn(vm)
 
     def _listed(
         self,
@@ -94,6 +96,7 @@
             timing=settings.Timing(task_lease_seconds=LEASE_SECONDS),
         )
         transport = fakes.PlatformTransport(self.platform)
+        transport.cut = vm in self.transports and self.transports[vm].cut
         self.transports[vm] = transport
         made = entries.Entry(
             checked,
--- /dev/null
+++ b/tests/features/configuration.feature
@@ -0,0 +1,89 @@
+Feature: An accepted configuration is in force everywhere and never reverts
+  Keys are granted and withdrawn, data centres taken out and put back, at any
+  time and at any entry VM; what tightens takes effect where it arrives.
+
+  Background:
+    Given entry VMs in data centres "north,middle,south" with a worker each
+
+  Scenario: A change is accepted when every entry VM has it
+    When an operator at "entry-north" replaces the assurances
+    Then the change is pending and names "entry-middle,entry-south"
+    When the entry VMs hear each other
+    Then version 2 is in force everywhere
+
+  Scenario: Of two racing operators one wins and one is told so
+    When operators at "entry-north" and "entry-south" replace version 1
+    Then one change is recorded and the other refused with "CONFLICT"
+
+  Scenario Outline: A key is withdrawn while <trouble>
+    Given a key of team "tally" that works everywhere
+    When <trouble>
+    And an operator at "entry-north" withdraws the key
+    And the entry VMs that can hear each other do
+    Then the key is refused at "<refused>"
+    And the outcome says "<outcome>"
+    When everything is healed and a turn passes
+    Then the key is refused at "entry-north,entry-middle,entry-south"
+    And no entry VM went back to a lower version
+
+    Examples: troubles
+      | trouble                            | refused                             | outcome  |
+      | nothing is wrong                   | entry-north,entry-middle,entry-south | pending |
+      | the table service is down for all  | entry-north,entry-middle,entry-south | pending |
+      | "entry-south" is cut off from all  | entry-north,entry-middle            | pending  |
+      | the answer of the write is lost    | entry-north,entry-middle,entry-south | pending |
+
+  Scenario: A withdrawal at a cut-off entry VM is kept until it is recorded
+    Given a key of team "tally" that works everywhere
+    When "entry-south" is cut off from all
+    And an operator at "entry-south" withdraws the key
+    Then the key is refused at "entry-south"
+    When everything is healed and a turn passes
+    Then the key is refused at "entry-north,entry-middle,entry-south"
+
+  Scenario: A process that starts in an outage takes no keyed work
+    Given a key of team "tally" that works everywhere
+    When the table service is down for all
+    And the process on "entry-south" starts again
+    Then work of team "tally" is refused at "entry-south" with "STALE"
+
+  Scenario Outline: After <seconds> seconds of isolation keyed work is <answer>
+    When "entry-south" has had no contact for <seconds> seconds
+    Then work of team "tally" at "entry-south" is "<answer>"
+    And work on open queues at "entry-south" is "taken"
+
+    Examples:
+      | seconds | answer   |
+      | 5       | taken    |
+      | 299     | taken    |
+      | 302     | ISOLATED |
+
+  Scenario Outline: A process that was paused <contact>
+    When "entry-south" was paused for 10 seconds
+    And "entry-south" <contact>
+    Then work of team "tally" at "entry-south" is "<answer>"
+
+    Examples:
+      | contact                                       | answer |
+      | has had no contact since                      | STALE  |
+      | got an answer to a call made before the pause | STALE  |
+      | got an answer to a call made after the pause  | taken  |
+
+  Scenario: No task starts in a data centre that was taken out
+    Given a key of team "tally" that works everywhere
+    When an operator at "entry-north" takes "south" out
+    And the entry VMs hear each other
+    And 5 tasks are submitted at "entry-south" and turns pass
+    Then no task was started in "south" and the others run them
+    When an operator at "entry-north" puts "south" back
+    And the entry VMs hear each other
+    And 5 tasks are submitted at "entry-south" and turns pass
+    Then tasks were started in "south"
+
+  Scenario: A data centre is taken out in an outage of the table service
+    When the table service is down for all
+    And an operator at "entry-north" takes "south" out
+    And the entry VMs that can hear each other do
+    Then "south" is out at "entry-north,entry-middle,entry-south"
+    When everything is healed and a turn passes
+    Then "south" is out at "entry-north,entry-middle,entry-south"
