--- /dev/null
+++ b/tests/features/maintenance.feature
@@ -0,0 +1,82 @@
+Feature: Every availability budget holds and a VM is in exactly one pool
+  Maintenance and moves take VMs out of service under the budget of their
+  pool, through races of drivers, lost answers, failures and take-outs.
+
+  Scenario Outline: <down> down, <leaving> leaving, <missing> missing, budget <budget>
+    Given a pool of 6 VMs in 3 racks of 2
+    And <down> are down, <leaving> are leaving and <missing> are missing
+    When a step wants one more VM of rack "<rack>" under "<budget>"
+    Then the answer is "<answer>"
+
+    Examples: what counts as out of service
+      | down | leaving | missing | rack | budget                            | answer                |
+      | 0    | 0       | 0       | r2   | out = 1                           | allowed               |
+      | 1    | 0       | 0       | r2   | out = 1                           | out                   |
+      | 0    | 1       | 0       | r2   | out = 1                           | out                   |
+      | 0    | 0       | 1       | r2   | out = 1                           | out                   |
+      | 1    | 0       | 0       | r2   | out = 2                           | allowed               |
+      | 1    | 0       | 0       | r0   | out = 2, out_per_rack = 1         | out_per_rack          |
+      | 1    | 0       | 0       | r2   | out = 2, out_per_rack = 1         | allowed               |
+      | 1    | 0       | 0       | r2   | out = 2, out_per_data_centre = 1  | out_per_data_centre   |
+      | 0    | 0       | 0       | r2   | out = 2, survive_rack = true      | out                   |
+      | 0    | 0       | 0       | r2   | out = 3, survive_rack = true      | allowed               |
+      | 1    | 0       | 0       | r2   | out = 3, survive_rack = true      | out                   |
+      | 0    | 0       | 0       | r2   | out = 6, spare = 6                | spare                 |
+      | 0    | 0       | 0       | r2   | out = 6, spare = 5                | allowed               |
+
+  Scenario Outline: A roll-out while <trouble>
+    Given entry VMs "a" and "b" in "north" with 6 workers
+    And pool "count" allows <out> out
+    When a roll-out of pool "count" is begun
+    And <trouble>
+    And both drive up to 400 turns
+    Then the budget held at every turn
+    And every VM was rebooted at least once and serves again
+    And the wave is "done"
+
+    Examples: troubles
+      | trouble                                         | out |
+      | nothing happens                                 | 1   |
+      | nothing happens                                 | 2   |
+      | answers of the platform are lost at random      | 2   |
+      | the first driver is killed after 5 turns        | 2   |
+      | the table service is away for 20 turns          | 2   |
+
+  Scenario: A wave stops when failures rise within it and goes on after a probe
+    Given entry VMs "a" and "b" in "north" with 6 workers
+    And pool "count" allows 2 out
+    When a roll-out of pool "count" is begun
+    And VMs fail after their reboot
+    And both drive up to 100 turns
+    Then the wave is "paused"
+    And at most 3 VMs were rebooted
+    When the failed VMs come back and the pause has passed
+    And both drive up to 400 turns
+    Then the wave is "done"
+
+  Scenario: A drain ends when failures exceed the budget
+    Given entry VMs "a" and "b" in "north" with 6 workers
+    And pool "count" allows 1 out
+    When a step drains "w0" while it still runs a task
+    And "w5" fails
+    And both drive up to 20 turns
+    Then "w0" serves again without a reboot
+
+  Scenario: A VM is moved and half of the move is done by another driver
+    Given entry VMs "a" and "b" in "north" with 6 workers
+    And pool "count" allows 2 out
+    When operators at "a" and "b" move "w0" to "report" and to "spare"
+    Then one move is begun and the other refused with "CONFLICT"
+    When "a" is killed at a random turn of the move
+    And both drive up to 60 turns
+    Then "w0" is in exactly one pool, "report", and serves
+
+  Scenario: A late assignment of a paused process is undone
+    Given entry VMs "a" and "b" in "north" with 6 workers
+    And pool "count" allows 2 out
+    When operators at "a" and "b" move "w0" to "report" and to "spare"
+    And both drive up to 60 turns
+    And the platform assigns "w0" to "spare" by a late call
+    Then no process gives "w0" work
+    When both drive up to 10 turns
+    Then "w0" is in exactly one pool, "report", and serves
--- /dev/null
+++ b/tests/features/steps/maintenance_steps.py
@@ -0,0 +1,290 @@
+"""Steps on budgets, waves and moves."""
+
+import itertools
+import time
+import typing as t
+
+import behave
+import gevent
+
+from agaterudder import assurances
+from agaterudder import budgets
+from agaterudder import codes
+from agaterudder import configuration
+from agaterudder import exceptions
+from agaterudder import maintenance
+from agaterudder import platform
+from agaterudder import waves
+from tests import builders
+from tests import fakes
+
+Context = t.Any
+POOLS = (
+    "pool.report = {{ out = 2 }}  # Bo\npool.spare = {{ out = 2 }}  # Bo\n"
+    "pool.count = {{ {budget} }}  # Bo\n"
+    "team.tally = {{ share = 1 }}  # Ane\n"
+)
+
+
+@behave.given("a pool of 6 VMs in 3 racks of 2")
+def step_pool(context: Context) -> None:
+    context.vms = [builders.vm(f"w{n}", rack=f"r{n // 2}") for n in range(6)]
+
+
+@behave.given(
+    "{down:d} are down, {leaving:d} are leaving and {missing:d} are missing"
+)
+def step_states(
+    context: Context, down: int, leaving: int, missing: int
+) -> None:
+    states = [
+        *itertools.repeat(platform.VmState.DOWN, down + missing),
+        *itertools.repeat(platform.VmState.LEAVING, leaving),
+    ]
+    for place, state in enumerate(states):
+        context.vms[place] = builders.vm(
+            f"w{place}", rack=f"r{place // 2}", state=state
+        )
+
+
+@behave.when('a step wants one more VM of rack "{rack}" under "{budget}"')
+def step_want(context: Context, rack: str, budget: str) -> None:
+    text = POOLS.format(budget=budget)
+    parsed = assurances.parse(text)
+    assert not parsed.faults, parsed.faults
+    view = budgets.view(context.vms, budgets.Budget(), frozenset())
+    candidate = [vm for vm in context.vms if vm.rack == rack][-1]
+    context.answer = budgets.decide(parsed.pools["count"], view, candidate)
+
+
+@behave.then('the answer is "{answer}"')
+def step_answer(context: Context, answer: str) -> None:
+    if answer == "allowed":
+        assert isinstance(context.answer, budgets.Allowed), context.answer
+        return
+    assert isinstance(context.answer, codes.Refused), context.answer
+    assert context.answer.reason.startswith(f"{answer}:"), context.answer
+
+
+@behave.given('pool "count" allows {out:d} out')
+def step_allows(context: Context, out: int) -> None:
+    first = context.cell.entries["a"]
+    edit = configuration.ReplaceAssurances(
+        POOLS.format(budget=f"out = {out}"), first.in_force.version
+    )
+    first.control.change(edit, "ane", time.time(), 0.0)
+    context.cell.gossip()
+    context.out = out
+    context.most_out = 0
+    context.own_faults = 0
+    context.wall = time.time()
+    context.platform = context.cell.platform
+    for _ in range(2):
+        _drive_once(context)
+
+
+def _out_now(context: Context) -> int:
+    """Return how many VMs of the pool really are out of service."""
+    return sum(
+        vm["state"] != "live"
+        for vm in context.platform.vms.values()
+        if vm["role"] == "worker" and vm["pool"] == "count"
+    )
+
+
+def _drive_once(context: Context) -> None:
+    for vm, entry in list(context.cell.entries.items()):
+        try:
+            entry.upkeep.read_list()
+            entry.maintenance.turn(
+                entry.vms,
+                entry.in_force.assurances,
+                entry.in_force.data_centres_out,
+                True,
+                context.wall,
+            )
+        except exceptions.StoreUnavailable:
+            pass
+        gevent.sleep(0)
+        context.most_out = max(context.most_out, _out_now(context))
+    after_reboot = getattr(context, "after_reboot", None)
+    if after_reboot:
+        after_reboot()
+
+
+@behave.when('a roll-out of pool "count" is begun')
+def step_roll_out(context: Context) -> None:
+    entry = context.cell.entries["a"]
+    wave = entry.maintenance.roll_out("count", "ane", entry.around())
+    assert isinstance(wave, waves.Wave), wave
+    context.wave = wave.wave
+
+
+def _wave(context: Context) -> waves.Wave:
+    entry = next(iter(context.cell.entries.values()))
+    return entry.maintenance.read_wave(context.wave)
+
+
+@behave.when("both drive up to {turns:d} turns")
+def step_drive(context: Context, turns: int) -> None:
+    for _ in range(turns):
+        _drive_once(context)
+        if hasattr(context, "wave") and _wave(context).state == "done":
+            return
+
+
+@behave.when("answers of the platform are lost at random")
+def step_lost(context: Context) -> None:
+    for transport in context.cell.transports.values():
+        transport.faults = fakes.random_faults(context.generator, 300, 0.2)
+
+
+@behave.when("the first driver is killed after {turns:d} turns")
+def step_killed(context: Context, turns: int) -> None:
+    for _ in range(turns):
+        _drive_once(context)
+    context.cell.end("a")
+
+
+@behave.when("the table service is away for {turns:d} turns")
+def step_away(context: Context, turns: int) -> None:
+    for _ in range(3):
+        _drive_once(context)
+    context.platform.faults.down = True
+    for _ in range(turns):
+        _drive_once(context)
+    context.platform.faults.down = False
+    for entry in context.cell.entries.values():
+        entry.store._away_until = 0.0
+
+
+@behave.then("the budget held at every turn")
+def step_held(context: Context) -> None:
+    assert context.most_out <= context.out, context.most_out
+    assert context.most_out >= 1, "nothing was taken out"
+
+
+@behave.then("every VM was rebooted at least once and serves again")
+def step_rebooted(context: Context) -> None:
+    for vm in context.platform.vms.values():
+        if vm["role"] == "worker":
+            assert vm.get("reboots", 0) >= 1, vm
+            assert vm["state"] == "live", vm
+
+
+@behave.then('the wave is "{state}"')
+def step_wave(context: Context, state: str) -> None:
+    wave = _wave(context)
+    assert wave.state == state, wave
+
+
+@behave.when("VMs fail after their reboot")
+def step_fail_after(context: Context) -> None:
+    def fail() -> None:
+        for vm in context.platform.vms.values():
+            if vm.get("reboots") and vm["state"] == "live":
+                vm["state"] = "down"
+
+    context.after_reboot = fail
+
+
+@behave.then("at most {count:d} VMs were rebooted")
+def step_few(context: Context, count: int) -> None:
+    rebooted = [
+        vm for vm in context.platform.vms.values() if vm.get("reboots")
+    ]
+    assert 1 <= len(rebooted) <= count, len(rebooted)
+
+
+@behave.when("the failed VMs come back and the pause has passed")
+def step_come_back(context: Context) -> None:
+    context.after_reboot = None
+    for vm in context.platform.vms.values():
+        vm["state"] = "live"
+    context.wall += waves.PAUSE_SECONDS + 1
+
+
+@behave.when('a step drains "{vm}" while it still runs a task')
+def step_drain(context: Context, vm: str) -> None:
+    entry = context.cell.entries["a"]
+    for name in context.cell.entries:
+        context.cell.entries[name].maintenance._empty = lambda _: False
+    refused = entry.maintenance.begin(
+        vm, maintenance.MAINTAIN, "", "", entry.around()
+    )
+    assert refused is None, refused
+    _drive_once(context)
+    assert context.platform.vms[vm]["state"] == "leaving"
+
+
+@behave.when('"{vm}" fails')
+def step_fails(context: Context, vm: str) -> None:
+    context.platform.vms[vm]["state"] = "down"
+
+
+@behave.then('"{vm}" serves again without a reboot')
+def step_serves(context: Context, vm: str) -> None:
+    listed = context.platform.vms[vm]
+    assert listed["state"] == "live", listed
+    assert not listed.get("reboots"), listed
+
+
+@behave.when('operators at "a" and "b" move "w0" to "report" and to "spare"')
+def step_moves(context: Context) -> None:
+    context.moves = []
+    for vm, pool in (("a", "report"), ("b", "spare")):
+        entry = context.cell.entries[vm]
+        context.moves.append(
+            entry.maintenance.begin(
+                "w0", maintenance.MOVE, pool, "", entry.around()
+            )
+        )
+
+
+@behave.then('one move is begun and the other refused with "{code}"')
+def step_one_move(context: Context, code: str) -> None:
+    first, second = context.moves
+    assert first is None, first
+    assert isinstance(second, codes.Refused) and second.code.name == code
+
+
+@behave.when('"a" is killed at a random turn of the move')
+def step_killed_at(context: Context) -> None:
+    for _ in range(context.generator.randrange(1, 4)):
+        _drive_once(context)
+    context.cell.end("a")
+
+
+@behave.then('"{vm}" is in exactly one pool, "{pool}", and serves')
+def step_one_pool(context: Context, vm: str, pool: str) -> None:
+    listed = context.platform.vms[vm]
+    assert listed["pool"] == pool and listed["state"] == "live", listed
+    entry = next(iter(context.cell.entries.values()))
+    record = entry.maintenance.read_record("north", vm)
+    assert record is not None
+    assert record.pool == pool and record.state == "serving", record
+
+
+@behave.when('the platform assigns "{vm}" to "{pool}" by a late call')
+def step_late(context: Context, vm: str, pool: str) -> None:
+    context.platform.vms[vm]["pool"] = pool
+
+
+@behave.then('no process gives "{vm}" work')
+def step_no_work(context: Context, vm: str) -> None:
+    for entry in context.cell.entries.values():
+        entry.upkeep.read_list()
+        entry.maintenance.turn(
+            entry.vms,
+            entry.in_force.assurances,
+            frozenset(),
+            False,
+            context.wall,
+        )
+        entry.fleet.hold_back(entry.maintenance.held_back())
+        usable = [
+            view.vm.vm
+            for pool in ("count", "report", "spare")
+            for view in entry.fleet.usable(pool, time.monotonic())
+        ]
+        assert vm not in usable, usable
