Sharpen the tests that a removed guard did not fail

Cause: of twelve guards taken out one at a time, five were not noticed by the features: reclaim before the leases lapse, the reservation after a restart, an offer of a lower version, the release of a grant, and one of two equal checks of freshness. Change: tables and scenarios for the first four; the doubled check of freshness went.

--- a/src/agaterudder/freshness.py
+++ b/src/agaterudder/freshness.py
@@ -53,13 +53,11 @@
 
     def store_contact(self, asked_at: float) -> None:
         """Note a reading of the configuration head, by when it was asked."""
-        if asked_at >= self._resumed_at:
-            self._store_at = asked_at
+        self._store_at = asked_at
 
     def peer_contact(self, vm: str, data_centre: str, asked_at: float) -> None:
         """Note that a peer answered something sent at ``asked_at``."""
-        if asked_at >= self._resumed_at:
-            self._peers[vm] = (data_centre, asked_at)
+        self._peers[vm] = (data_centre, asked_at)
 
     def forget_peer(self, vm: str) -> None:
         """Forget a peer that is gone."""
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -11,6 +11,17 @@
     When the entry VMs hear each other
     Then version 2 is in force everywhere
 
+  Scenario Outline: A process at version 2 is offered version <offered>
+    When an operator at "entry-north" replaces the assurances
+    And "entry-north" is offered version <offered>
+    Then "entry-north" has version <version>
+
+    Examples: versions only rise
+      | offered | version |
+      | 1       | 2       |
+      | 2       | 2       |
+      | 3       | 3       |
+
   Scenario: Of two racing operators one wins and one is told so
     When operators at "entry-north" and "entry-south" replace version 1
     Then one change is recorded and the other refused with "CONFLICT"
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -41,7 +41,24 @@
     And an operator lowers the limit of "tally" to 2 tasks
     And running tasks end
     And both have had 20 turns
+    And running tasks end
+    And both have had 20 turns
+    And running tasks end
+    And both have had 20 turns
     Then at most 2 tasks are running and at least 0 are
+    And at least 12 tasks were started in all
+
+  Scenario Outline: The grant of "a" after <lapsed> of the leases' time
+    Given "a" holds a grant and the list says that it is <listed>
+    When <lapsed> of the time in which its leases lapse has passed
+    Then reclaiming the grant is <answer>
+
+    Examples: when a grant may be reclaimed
+      | listed  | lapsed | answer  |
+      | gone    | 0 %    | refused |
+      | gone    | 99 %   | refused |
+      | gone    | 100 %  | allowed |
+      | leaving | 100 %  | refused |
 
   Scenario: An entry VM that is frozen strands little
     When 20 tasks of 60 seconds are submitted to "b"
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -9,6 +9,8 @@
 import gevent
 
 from agaterudder import configuration
+from agaterudder import escrow
+from agaterudder import resources
 from tests import cell
 from tests import fakes
 
@@ -108,6 +110,7 @@
 def step_restart(context: Context, vm: str) -> None:
     context.cell.end(vm)
     context.cell.start(vm)
+    context.cell.submit(vm, 10, run_seconds=60.0, repeatable=True)
 
 
 @behave.when('"{vm}" is killed and the platform says it is gone')
@@ -132,6 +135,36 @@
             context.cell.entries[vm].execution.renew(name)
 
 
+@behave.given('"a" holds a grant and the list says that it is {listed}')
+def step_holds(context: Context, listed: str) -> None:
+    amount = resources.Vector(0.0, 0.0, 0.0, 2.0)
+    context.pot = escrow.Pot(resources.UNLIMITED, 1, {"a": amount})
+    context.gone_at = 100.0 if listed == "gone" else None
+
+
+@behave.when("{percent:d} % of the time in which its leases lapse has passed")
+def step_passed(context: Context, percent: int) -> None:
+    seconds = cell.LEASE_SECONDS * percent / 100
+    context.after = escrow.reclaimed(
+        context.pot, "a", context.gone_at, cell.LEASE_SECONDS, 100.0 + seconds
+    )
+
+
+@behave.then("reclaiming the grant is {answer}")
+def step_reclaiming(context: Context, answer: str) -> None:
+    allowed = isinstance(context.after, escrow.Pot)
+    assert allowed == (answer == "allowed"), context.after
+    if isinstance(context.after, escrow.Pot):
+        assert "a" not in context.after.grants
+
+
+@behave.then("at least {count:d} tasks were started in all")
+def step_started_in_all(context: Context, count: int) -> None:
+    workers = context.cell.workers.values()
+    started = sum(sum(each.executed.values()) for each in workers)
+    assert started >= count, started
+
+
 @behave.then("at most {most:d} tasks are running and at least {least:d} are")
 def step_running(context: Context, most: int, least: int) -> None:
     running = context.cell.running()
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -72,6 +72,17 @@
         assert isinstance(decision, membership.InForceEverywhere), decision
 
 
+@behave.when('"{vm}" is offered version {version:d}')
+def step_offered(context: Context, vm: str, version: int) -> None:
+    offered = configuration.Configuration(version, builders.ASSURANCES)
+    context.cell.entries[vm].control.take(offered)
+
+
+@behave.then('"{vm}" has version {version:d}')
+def step_has(context: Context, vm: str, version: int) -> None:
+    assert context.cell.entries[vm].in_force.version == version
+
+
 @behave.when('operators at "{one}" and "{two}" replace version {base:d}')
 def step_race(context: Context, one: str, two: str, base: int) -> None:
     edit = configuration.ReplaceAssurances(builders.ASSURANCES, base)
