--- a/tests/builders.py
+++ b/tests/builders.py
@@ -15,6 +15,11 @@
 queue.open-counts = { pool = "count", open = true }  # Bo, 2026-11
 class.urgent = { start_seconds = 4.4 }  # Bo, 2026-11
 """
+ONE_POOL = "".join(
+    line
+    for line in ASSURANCES.splitlines(keepends=True)
+    if not line.startswith("pool.report")
+)
 CORES_16 = resources.Vector(16.0, 32_000.0, 0.0, 1_000.0)
 
 
