Demo of the main job; carry out several parts of a step in a turn

Cause: a move took 7.2 s and a wave over five VMs more than 25 s with a reboot of 0.5 s, because each of five parts waited for a turn of 1 s and a list that was up to 0.5 s old. Ruled out: the drain (nothing ran). Change: up to three parts a turn, and while a step is under way the driver turns every 0.25 s on a fresh list.

--- /dev/null
+++ b/demo/demo.py
@@ -0,0 +1,321 @@
+"""The main job on one machine: ``make demo``, about half a minute.
+
+Starts stand-ins and six entry processes on loopback, and shows the whole
+path step by step. Exits non-zero when a step is not as promised.
+"""
+
+import dataclasses
+import itertools
+import json
+import sys
+import time
+import typing as t
+
+from standins import launcher
+
+ASSURANCES = """\
+team.tally = { share = 2, cores = 96, tasks = 12 }  # Ane, for the herders
+team.grants = { share = 1, cores = 96, tasks = 12 }  # Bo, for the donors
+pool.count = { out = 1 }  # Ane, the count must go on
+pool.report = { out = 1, buffer = true }  # Bo
+queue.open-counts = { pool = "count", open = true }  # Ane
+class.urgent = { start_seconds = 4.4 }  # Ane
+"""
+PATIENCE_SECONDS = 25.0
+
+
+class NotAsPromised(Exception):
+    """A step of the demo was not as promised."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Team:
+    """A team with its key."""
+
+    name: str
+    key: str
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Headers that open the team's work."""
+        return {"Agaterudder-Team": self.name, "Agaterudder-Key": self.key}
+
+
+def expect(condition: bool, what: t.Any) -> None:
+    """Fail the step unless the condition holds."""
+    if not condition:
+        raise NotAsPromised(str(what))
+
+
+def wait(condition: t.Callable[[], bool], what: str) -> float:
+    """Wait for a condition; return the seconds that it took."""
+    started_at = time.monotonic()
+    while not condition():
+        if time.monotonic() - started_at > PATIENCE_SECONDS:
+            raise NotAsPromised(f"not in time: {what}")
+        time.sleep(0.05)
+    return time.monotonic() - started_at
+
+
+class Demo:
+    """Steps on one deployment."""
+
+    def __init__(self, deployment: launcher.Deployment) -> None:
+        self.deployment = deployment
+        self.teams: dict[str, Team] = {}
+
+    def change(self, verb: str, content: dict[str, t.Any]) -> t.Any:
+        """Make an operator's change and expect it in force."""
+        answer = self.deployment.operate("POST", verb, content)
+        expect(answer.status == 200, answer)
+        return answer.body
+
+    def ask(
+        self,
+        vm: str,
+        path: str,
+        headers: dict[str, str],
+        method: str = "GET",
+        body: bytes = b"",
+    ) -> launcher.Answer:
+        """Send a caller's request to one entry VM."""
+        address = self.deployment.entries[vm]
+        return launcher.call(address, method, path, body, headers)
+
+    def submit(self, vm: str, headers: dict[str, str], **task: t.Any) -> str:
+        """Submit a task; return its identifier."""
+        content = {"queue": "count", "cores": 2, "run_seconds": 0.3, **task}
+        answer = self.ask(
+            vm, "/v1/tasks", headers, "POST", json.dumps(content).encode()
+        )
+        expect(answer.status == 200, answer)
+        return str(answer.body["task"])
+
+    def state(self, vm: str, task: str, headers: dict[str, str]) -> str:
+        """Return the state of a task."""
+        answer = self.ask(vm, f"/v1/tasks/{task}", headers)
+        return str(answer.body.get("state", answer.body))
+
+    # Steps: each returns outcome and seconds
+
+    def apply(self) -> tuple[str, float]:
+        """An operator brings the assurances into force."""
+        body = self.change("apply", {"assurances": ASSURANCES})
+        return f"version {body['version']} {body['state']}", body["seconds"]
+
+    def grant(self) -> tuple[str, float]:
+        """Operators grant a key to each of two teams."""
+        seconds = 0.0
+        for name in ("tally", "grants"):
+            body = self.change("grant", {"name": name})
+            self.teams[name] = Team(name, body["key"])
+            seconds = max(seconds, body["seconds"])
+        return "two keys accepted", seconds
+
+    def requests(self) -> tuple[str, float]:
+        """Both teams send requests to every entry VM."""
+        started_at = time.monotonic()
+        count = 0
+        for team, vm in itertools.product(
+            self.teams.values(), self.deployment.entries
+        ):
+            named = {**team.headers, "Agaterudder-Request-Id": f"d{count}"}
+            answer = self.ask(vm, "/v1/services/tally/herds", named)
+            expect(answer.status == 200, answer)
+            expect(answer.body["id"] == f"d{count}", answer)
+            count += 1
+        return f"{count} whole answers", time.monotonic() - started_at
+
+    def wrong_key(self) -> tuple[str, float]:
+        """A team shows the key of another."""
+        mixed = {
+            "Agaterudder-Team": "grants",
+            "Agaterudder-Key": self.teams["tally"].key,
+        }
+        answer = self.ask("entry-north-0", "/v1/services/tally/herds", mixed)
+        expect(answer.code == 301, answer)
+        return f"refused with {answer.code}, not run", 0.0
+
+    def run_tasks(self) -> tuple[str, float]:
+        """Both teams submit tasks and look them up elsewhere."""
+        made = [
+            (team, self.submit(vm, team.headers))
+            for team in self.teams.values()
+            for vm in self.deployment.entries
+        ]
+
+        def done() -> bool:
+            states = [
+                self.state("entry-south-1", task, team.headers)
+                for team, task in made
+            ]
+            return set(states) == {"done"}
+
+        return f"{len(made)} tasks done", wait(done, "tasks done")
+
+    def withdraw(self) -> tuple[str, float]:
+        """An operator withdraws the key of team grants."""
+        team = self.teams["grants"]
+        body = self.change("withdraw", {"name": team.key})
+        for vm in self.deployment.entries:
+            answer = self.ask(vm, "/v1/services/tally/herds", team.headers)
+            expect(answer.code == 301, answer)
+        return "refused at all six entry VMs", body["seconds"]
+
+    def take_out(self) -> tuple[str, float]:
+        """An operator takes data centre south out."""
+        body = self.change("take-out", {"name": "south"})
+        team = self.teams["tally"]
+        task = self.submit("entry-south-0", team.headers)
+        wait(
+            lambda: self.state("entry-north-0", task, team.headers) == "done",
+            "task submitted in south done elsewhere",
+        )
+        expect(self.starts("south", since=time.time() - 1.0) == 0, "a start")
+        answer = self.ask(
+            "entry-south-0", "/v1/services/tally/herds", team.headers
+        )
+        expect(answer.status == 200, answer)
+        return "no start there, its callers served elsewhere", body["seconds"]
+
+    def starts(self, centre: str, since: float) -> int:
+        """Return the starts on the workers of a data centre."""
+        count = 0
+        for name, address in self.deployment.workers.items():
+            if f"-{centre}-" in name:
+                counts = launcher.call(address, "GET", "/counts").body
+                times = counts["started_at"].values()
+                count += sum(at >= since for at in times)
+        return count
+
+    def put_back(self) -> tuple[str, float]:
+        """An operator puts data centre south back."""
+        body = self.change("put-back", {"name": "south"})
+        began = time.time()
+        team = self.teams["tally"]
+        self.submit("entry-south-0", team.headers)
+        wait(lambda: self.starts("south", began) > 0, "a start in south")
+        return "tasks start there again", body["seconds"]
+
+    def kill(self) -> tuple[str, float]:
+        """An entry process that owns tasks is killed and starts again."""
+        team = self.teams["tally"]
+        task = self.submit("entry-middle-0", team.headers, run_seconds=2.0)
+        self.deployment.kill("entry-middle-0")
+        answer = self.ask(
+            "entry-middle-1", "/v1/services/tally/herds", team.headers
+        )
+        expect(answer.status == 200, answer)
+        self.deployment.start_entry("entry-middle-0")
+        seconds = wait(
+            lambda: self.state("entry-middle-1", task, team.headers) == "done",
+            "the task of the killed process is done",
+        )
+        counts = sum(
+            launcher.call(address, "GET", "/counts")
+            .body["executed"]
+            .get(task, 0)
+            for address in self.deployment.workers.values()
+        )
+        expect(counts == 1, f"{counts} executions")
+        return "its task was started once and is done", seconds
+
+    def move(self) -> tuple[str, float]:
+        """An operator moves a VM from pool count to pool report."""
+        vm = "worker-count-north-1"
+        self.change("move", {"vm": vm, "pool": "report"})
+
+        def moved() -> bool:
+            record = self.deployment.operate("GET", f"vms/{vm}").body
+            return (record["state"], record["pool"]) == ("serving", "report")
+
+        return "drained, moved, serving", wait(moved, "the VM moved")
+
+    def roll_out(self) -> tuple[str, float]:
+        """A maintenance wave goes over pool count."""
+        wave = self.change("roll-out", {"name": "count"})["wave"]
+        most = 0
+
+        def done() -> bool:
+            nonlocal most
+            listed = launcher.call(self.deployment.platform, "GET", "/vms")
+            out = [
+                vm
+                for vm in listed.body["vms"]
+                if vm.get("pool") == "count" and vm["state"] != "live"
+            ]
+            most = max(most, len(out))
+            state = self.deployment.operate("GET", f"waves/{wave}").body
+            return bool(state["state"] == "done")
+
+        seconds = wait(done, "the wave is done")
+        expect(most == 1, f"{most} were out at once")
+        return "every VM rebooted, never more than 1 out", seconds
+
+    def explain(self) -> tuple[str, float]:
+        """An operator asks why."""
+        lines = self.deployment.operate(
+            "GET", "explain/vm/worker-count-north-0"
+        ).body
+        expect(any("Ane" in line for line in lines), lines)
+        return f"{len(lines)} decisions, each with its assurance", 0.0
+
+    def leave(self) -> tuple[str, float]:
+        """An entry process is asked to leave."""
+        started_at = time.monotonic()
+        status = self.deployment.end("entry-north-1")
+        expect(status == 0, f"status {status}")
+        return "it left with status 0", time.monotonic() - started_at
+
+
+STEPS = (
+    ("apply", "an accepted configuration is in force everywhere"),
+    ("grant", "keys are granted at any time"),
+    ("requests", "a caller gets the whole answer to its own request"),
+    ("wrong_key", "work is taken only for the team whose key came with it"),
+    ("run_tasks", "no request is lost or doubled"),
+    ("withdraw", "a withdrawn key stops working within seconds"),
+    ("take_out", "no task starts in a data centre that was taken out"),
+    ("put_back", "the data centre works again"),
+    ("kill", "a task that may not be repeated runs at most once"),
+    ("move", "a VM is in exactly one pool"),
+    ("roll_out", "every availability budget holds"),
+    ("explain", "the fleet explains what it did"),
+    ("leave", "a graceful shutdown cuts no request"),
+)
+
+
+def run(demo: Demo) -> int:
+    """Run every step; return the number that was not as promised."""
+    failed = 0
+    for name, promise in STEPS:
+        try:
+            outcome, seconds = getattr(demo, name)()
+        except (NotAsPromised, OSError, KeyError, TypeError) as error:
+            failed += 1
+            print(f"FAILED {name}: {error}", flush=True)
+            continue
+        print(
+            f"{name:10} {outcome:46} {seconds:6.2f} s  {promise}", flush=True
+        )
+    return failed
+
+
+def main() -> int:
+    """Start a deployment, run the steps, and leave no process behind."""
+    deployment = launcher.Deployment(launcher.Plan())
+    failed = 1
+    processes: list[int] = []
+    try:
+        deployment.start()
+        processes = deployment.processes()
+        failed = run(Demo(deployment))
+    finally:
+        deployment.stop()
+    left = launcher.leftovers(processes)
+    print(f"{len(STEPS)} steps, {failed} failed, {len(left)} processes left")
+    return 1 if failed or left else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/agaterudder/maintenance.py
+++ b/src/agaterudder/maintenance.py
@@ -29,6 +29,7 @@
 MAINTAIN = "maintain"
 MOVE = "move"
 STEPS_PER_TURN = 20
+PARTS_PER_TURN = 3
 
 
 class VmRecord(msgspec.Struct, frozen=True):
@@ -124,6 +125,14 @@
             )
         ]
 
+    @property
+    def under_way(self) -> bool:
+        """Whether a step is under way in this data centre."""
+        return any(
+            row.value is not None and row.value.state != "serving"
+            for row in self._records.values()
+        )
+
     def records(self) -> dict[str, VmRecord]:
         """Return the records of this data centre, as last read."""
         return {
@@ -305,23 +314,29 @@
     def _advance(
         self, row: Record, record: VmRecord, around: Surroundings
     ) -> None:
-        """Carry out the next part of a step; each part may be repeated."""
+        """Carry out the next parts of a step; each may be repeated."""
         vm = around.listed.get(record.vm)
         if vm is None:
             return
-        try:
-            event = self._carry_out(record, vm, around)
-        except exceptions.StoreUnavailable as error:
-            LOG.info(
-                "step not carried out",
-                extra={"step_vm": record.vm, "why": error},
-            )
-            return
-        if event == "admitted":
-            self._admit(row, record, around)
-        elif event:
-            after = self._after(record, event)
-            self._store.transact([store.replace(row, after)])
+        for _ in range(PARTS_PER_TURN):
+            try:
+                event = self._carry_out(record, vm, around)
+            except exceptions.StoreUnavailable as error:
+                LOG.info(
+                    "step not carried out",
+                    extra={"step_vm": record.vm, "why": error},
+                )
+                return
+            if event == "admitted":
+                self._admit(row, record, around)
+            if event in ("", "admitted"):
+                return
+            record = self._after(record, event)
+            outcome = self._store.transact([store.replace(row, record)])
+            if not isinstance(outcome, store.Committed):
+                return
+            version = outcome.versions[row.key]
+            row = store.Row(row.key, version, record, row.operations)
 
     def _carry_out(
         self, record: VmRecord, vm: platform.Vm, around: Surroundings
--- a/src/agaterudder/upkeep.py
+++ b/src/agaterudder/upkeep.py
@@ -33,8 +33,12 @@
 ADOPTION_SECONDS = 2.0
 SLOTS_SECONDS = 1.0
 MAINTENANCE_SECONDS = 1.0
+UNDER_WAY_SECONDS = 0.25
 SLOTS_PREFIX = "slots/"
 
+# Returns the delay until its next turn, None for the usual one.
+Action = t.Callable[[], float | None]
+
 
 class Upkeep:
     """Loops of one entry process."""
@@ -50,7 +54,7 @@
     def start(self) -> None:
         """Start the loops."""
         poll = self._entry.settings.platform.poll_seconds
-        periodic: list[tuple[t.Callable[[], None], float]] = [
+        periodic: list[tuple[Action, float]] = [
             (self.turn, TURN_SECONDS),
             (self.read_list, poll),
             (self.read_registry, REGISTRY_SECONDS),
@@ -69,10 +73,11 @@
         """End the loops."""
         gevent.killall(self._loops, block=True, timeout=2.0)
 
-    def _repeat(self, action: t.Callable[[], None], seconds: float) -> None:
+    def _repeat(self, action: Action, seconds: float) -> None:
         while True:
+            delay = None
             try:
-                action()
+                delay = action()
             except exceptions.StoreUnavailable as error:
                 LOG.info(
                     "platform away",
@@ -80,7 +85,7 @@
                 )
             except Exception:
                 LOG.exception("loop failed", extra={"during": action.__name__})
-            gevent.sleep(seconds)
+            gevent.sleep(seconds if delay is None else delay)
 
     # Loops
 
@@ -299,22 +304,30 @@
                 entries, lapse, time.monotonic()
             )
 
-    def maintain(self) -> None:
-        """Advance maintenance and moves; empty what drains."""
+    def maintain(self) -> float | None:
+        """Advance maintenance and moves; empty what drains.
+
+        Returns a shorter delay while a step is under way.
+        """
         if not self._entry.incarnation or self._entry.leaving:
-            return
+            return None
         if self._entry.may_take(self._entry.vm, time.monotonic()) is not None:
-            return
+            return None
+        drives = self._drives(time.monotonic())
+        if drives and self._entry.maintenance.under_way:
+            self.read_list()
         self._entry.maintenance.turn(
             self._entry.vms,
             self._entry.in_force.assurances,
             self._entry.in_force.data_centres_out,
-            self._drives(time.monotonic()),
+            drives,
             time.time(),
         )
         self._entry.fleet.hold_back(self._entry.maintenance.held_back())
         for vm in self._entry.maintenance.held_back():
             self._entry.execution.evacuate(vm)
+        busy = drives and self._entry.maintenance.under_way
+        return UNDER_WAY_SECONDS if busy else None
 
     def _drives(self, now: float) -> bool:
         """Return whether this VM acts for its data centre.
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -288,6 +288,10 @@
         """Return the identifier of a process."""
         return self._processes[name].pid
 
+    def processes(self) -> list[int]:
+        """Return the identifiers of the running processes."""
+        return [process.pid for process in self._processes.values()]
+
     def stop(self) -> None:
         """End every process that was started here."""
         for process in self._processes.values():
