--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -264,6 +264,10 @@
             time.sleep(0.05)
         raise TimeoutError(f"{address}{path}")
 
+    def settings_text(self, vm: str) -> str:
+        """Return the settings file of an entry VM."""
+        return (self._path / f"{vm}.toml").read_text()
+
     def log(self, name: str) -> str:
         """Return what a process has written."""
         return (self._path / f"{name}.log").read_text()
--- a/tests/run.py
+++ b/tests/run.py
@@ -94,7 +94,7 @@
 def _scenario(feature: str, scenario: dict) -> Outcome:  # type: ignore
     steps = scenario.get("steps", ())
     messages = [
-        f"{step['keyword']} {step['name']}: "
+        f"{step['keyword']} {step['name']}: {step['result']['status']} "
         + _text(step["result"].get("error_message", ""))
         for step in steps
         if step.get("result", {}).get("status") not in ("passed", None)
