Lend VMs from a buffer pool and pay them back; split maintenance

Change: rebalance decides with hysteresis (a need of 30 s, a surplus of 120 s), moves go through the same steps and budgets; steps of single VMs are in vmsteps, waves and moves in maintenance.

--- a/models/budget.py
+++ b/models/budget.py
@@ -33,7 +33,7 @@
 
 
 GUARDS = {
-    "one transaction over the budget's row": "maintenance.Maintenance._take",
+    "one transaction over the budget's row": "vmsteps.Steps._take",
     "count the next rack": "budgets._broken",
     "count what the list shows": "budgets.view",
 }
--- a/models/pool.py
+++ b/models/pool.py
@@ -36,9 +36,9 @@
 
 
 GUARDS = {
-    "row is compared": "maintenance.Maintenance._advance",
-    "drained before it joins": "maintenance.Maintenance._carry_out",
-    "work only where row and list agree": "entry.Entry._maintain",
+    "row is compared": "vmsteps.Steps.advance",
+    "drained before it joins": "vmsteps.Steps._carry_out",
+    "work only where row and list agree": "maintenance.Maintenance.held_back",
 }
 MOST_VERSION = 7
 
--- a/src/agaterudder/entry.py
+++ b/src/agaterudder/entry.py
@@ -31,6 +31,7 @@
 from agaterudder import settings
 from agaterudder import store
 from agaterudder import upkeep
+from agaterudder import vmsteps
 from agaterudder import workers
 
 LOG = logging.getLogger(__name__)
@@ -256,6 +257,7 @@
             list(self.in_force.tightenings),
             self.execution.held_grants.usage(),
             sorted(self.execution.waiting.teams()),
+            self.execution.waiting.pressure(),
         )
 
     def _acknowledge_own(self) -> None:
@@ -266,14 +268,42 @@
         self._acknowledge_own()
         self.links.broadcast(time.monotonic())
 
-    def around(self) -> maintenance.Surroundings:
+    def load(self) -> dict[str, float]:
+        """Return the busy fraction of each worker of this data centre."""
+        return {
+            name: 1.0 - view.free.cores / view.vm.size.cores
+            for name, view in self.fleet.views.items()
+            if view.vm.size.cores
+        }
+
+    def demands(self, now: float) -> dict[str, float]:
+        """Return running and waiting work of each pool here, in VMs.
+
+        Waiting work counts for this data centre's entry VMs only.
+        """
+        pressures = [self.execution.waiting.pressure()]
+        for link in self.links.alive(now).values():
+            if link.last and link.last.data_centre == self.data_centre:
+                pressures.append(link.last.pressure)
+        found: dict[str, float] = {}
+        for name, busy in self.load().items():
+            view = self.fleet.views[name]
+            found[view.vm.pool] = found.get(view.vm.pool, 0.0) + busy
+            for pressure in pressures:
+                waiting = pressure.get(view.vm.pool, 0.0)
+                members = self.fleet.members(view.vm.pool)
+                part = waiting / view.vm.size.cores / members
+                found[view.vm.pool] += part
+        return found
+
+    def around(self) -> vmsteps.Surroundings:
         """Return what maintenance decisions are made from."""
         listed = {
             vm.vm: vm
             for vm in self.vms
             if vm.role == "worker" and vm.state is not platform.VmState.GONE
         }
-        return maintenance.Surroundings(
+        return vmsteps.Surroundings(
             listed,
             self.in_force.assurances,
             self.in_force.data_centres_out,
--- a/src/agaterudder/fleet.py
+++ b/src/agaterudder/fleet.py
@@ -80,13 +80,9 @@
             and self._health.usable(name, now)
         ]
 
-    def largest(self, pool: str) -> list[resources.Vector]:
-        """Return the sizes of a pool's workers."""
-        return [
-            view.vm.size
-            for view in self._views.values()
-            if view.vm.pool == pool
-        ]
+    def members(self, pool: str) -> int:
+        """Return the number of a pool's workers."""
+        return sum(view.vm.pool == pool for view in self._views.values())
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agaterudder/maintenance.py
+++ b/src/agaterudder/maintenance.py
@@ -1,10 +1,5 @@
-"""Drives maintenance and moves of worker VMs.
+"""Drives maintenance, waves and moves in one data centre."""
 
-Each step is recorded before it is carried out, and carrying it out again
-does no harm, so that whoever finds a half-done step finishes it.
-"""
-
-import dataclasses
 import itertools
 import logging
 import time
@@ -13,67 +8,19 @@
 import msgspec
 
 from agaterudder import assurances
-from agaterudder import budgets
 from agaterudder import codes
 from agaterudder import decisions
-from agaterudder import exceptions
 from agaterudder import lifecycles
 from agaterudder import platform
+from agaterudder import rebalance
 from agaterudder import store
 from agaterudder import utils
+from agaterudder import vmsteps
 from agaterudder import waves
 
 LOG = logging.getLogger(__name__)
 
-PREFIX = "vms/"
-MAINTAIN = "maintain"
-MOVE = "move"
 STEPS_PER_TURN = 20
-PARTS_PER_TURN = 3
-
-
-class VmRecord(msgspec.Struct, frozen=True):
-    """Row that says in which pool a VM is, and what is done with it.
-
-    :ivar state: state of the chart ``charts/vm.yaml``.
-    :ivar intent: maintain or move, empty while serving.
-    :ivar operation: identifier given to the platform's operations.
-    :ivar target: pool that a move leads to.
-    :ivar budget: pool whose budget counts the VM as out.
-    :ivar reboots: number of reboots before the step.
-    :ivar maintained_at: wall-clock time of the last maintenance.
-    """
-
-    vm: str
-    data_centre: str
-    pool: str
-    state: str = "serving"
-    intent: str = ""
-    operation: str = ""
-    target: str = ""
-    wave: str = ""
-    budget: str = ""
-    reboots: int = 0
-    maintained_at: float = 0.0
-    why: str = ""
-
-    @property
-    def key(self) -> str:
-        """Key of the row."""
-        return f"{PREFIX}{self.data_centre}/{self.vm}"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Surroundings:
-    """What the decisions of one turn are made from."""
-
-    listed: dict[str, platform.Vm]
-    assurances: assurances.Assurances
-    data_centres_out: frozenset[str]
-    wall: float
-
-
-Record = store.Row[VmRecord]
 
 
 class Maintenance:
@@ -85,9 +32,10 @@
         "_store",
         "_platform",
         "_decisions",
-        "_empty",
+        "_steps",
         "_records",
         "_listed_pools",
+        "_balance",
     )
 
     def __init__(
@@ -104,9 +52,15 @@
         self._store = table
         self._platform = services
         self._decisions = log
-        self._empty = empty
-        self._records: dict[str, Record] = {}
+        self._steps = vmsteps.Steps(table, services, log, empty)
+        self._records: dict[str, vmsteps.Record] = {}
         self._listed_pools: dict[str, str] = {}
+        self._balance = rebalance.Rebalance()
+
+    @property
+    def steps(self) -> vmsteps.Steps:
+        """Steps of single VMs."""
+        return self._steps
 
     def held_back(self) -> list[str]:
         """Return the VMs that should get no new work.
@@ -133,7 +87,7 @@
             for row in self._records.values()
         )
 
-    def records(self) -> dict[str, VmRecord]:
+    def records(self) -> dict[str, vmsteps.VmRecord]:
         """Return the records of this data centre, as last read."""
         return {
             name: row.value
@@ -155,7 +109,9 @@
             acts; several acting at once is safe but wasteful.
         :raises StoreUnavailable: when the platform is away.
         """
-        rows = self._store.scan(f"{PREFIX}{self._data_centre}/", VmRecord)
+        rows = self._store.scan(
+            f"{vmsteps.PREFIX}{self._data_centre}/", vmsteps.VmRecord
+        )
         self._records = {
             row.value.vm: row for row in rows if row.value is not None
         }
@@ -167,23 +123,23 @@
             for vm in vms
             if vm.role == "worker" and vm.state is not platform.VmState.GONE
         }
-        around = Surroundings(listed, known, data_centres_out, wall)
+        around = vmsteps.Surroundings(listed, known, data_centres_out, wall)
         self._enrol(around)
         self._forget_gone(vms)
         for row in list(self._records.values()):
             if row.value is not None and row.value.state != "serving":
-                self._advance(row, row.value, around)
+                self._steps.advance(row, row.value, around)
         self._repair_pools()
         for wave in self._store.scan(waves.PREFIX, waves.Wave):
             if wave.value is not None and waves.unfinished(wave.value):
                 self._drive(wave, wave.value, around)
 
-    def _enrol(self, around: Surroundings) -> None:
+    def _enrol(self, around: vmsteps.Surroundings) -> None:
         """Write a record for each worker that has none."""
         for vm in around.listed.values():
             if vm.data_centre != self._data_centre or vm.vm in self._records:
                 continue
-            record = VmRecord(vm.vm, vm.data_centre, vm.pool)
+            record = vmsteps.VmRecord(vm.vm, vm.data_centre, vm.pool)
             self._store.transact([store.Write(record.key, 0, record)])
 
     def _forget_gone(self, vms: t.Sequence[platform.Vm]) -> None:
@@ -194,7 +150,7 @@
                 continue
             writes = [store.replace(row, None)]
             if row.value is not None and row.value.budget:
-                writes.append(self._without(row.value.budget, vm.vm))
+                writes.append(self._steps.without(row.value.budget, vm.vm))
             self._store.transact(writes)
 
     def _repair_pools(self) -> None:
@@ -207,231 +163,76 @@
                 operation = f"repair-{utils.new_identifier()}"
                 self._platform.assign_pool(name, record.pool, operation)
 
-    def _without(self, pool: str, vm: str) -> store.Write:
-        """Return the write that takes a VM out of a budget's row."""
-        budget = self._store.read(budgets.PREFIX + pool, budgets.Budget)
-        present = budget.value or budgets.Budget()
-        out = {k: why for k, why in present.out.items() if k != vm}
-        return store.replace(budget, budgets.Budget(out))
-
-    # Steps
-
-    def begin(
+    def balance(
         self,
-        vm: str,
-        intent: str,
-        target: str,
-        wave: str,
-        around: Surroundings,
+        demands: t.Mapping[str, float],
+        load: t.Mapping[str, float],
+        around: vmsteps.Surroundings,
+        now: float,
     ) -> codes.Refused | None:
-        """Take a VM out of service, when the budget allows.
+        """Move one VM between pools if a need outlasts a move.
 
-        The budget's row and the VM's row change in one transaction.
+        :param demands: running and waiting work of each pool, in VMs.
+        :param load: running work of each VM.
+        :param now: monotonic time in seconds.
         """
-        listed = around.listed.get(vm)
-        if listed is None:
-            return codes.Refused(codes.Result.NOT_FOUND, f"no worker {vm}")
-        row = self._store.read(f"{PREFIX}{listed.data_centre}/{vm}", VmRecord)
-        record = row.value
-        if record is None:
-            return codes.Refused(
-                codes.Result.CONFLICT, f"{vm} has no record yet"
-            )
-        if record.state != "serving":
-            return codes.Refused(
-                codes.Result.CONFLICT, f"{vm} is {record.state}"
+        buffers = [
+            name
+            for name, pool in around.assurances.pools.items()
+            if pool.buffer
+        ]
+        if not buffers:
+            return None
+        serving = [
+            record
+            for record in self.records().values()
+            if record.state == "serving"
+        ]
+        pools = [
+            rebalance.PoolDemand(
+                name,
+                sum(record.pool == name for record in serving),
+                demands.get(name, 0.0),
+                1,
+                sum(
+                    record.pool == name and record.home == buffers[0]
+                    for record in serving
+                ),
             )
-        if target and target not in around.assurances.pools:
-            return codes.Refused(codes.Result.NOT_FOUND, f"no pool {target}")
-        return self._take(row, record, listed, intent, target, wave, around)
+            for name in around.assurances.pools
+        ]
+        present = [pool for pool in pools if pool.size]
+        shift = self._balance.decide(present, buffers[0], now)
+        if shift is None:
+            return None
+        return self._shift(shift, buffers[0], serving, load, around)
 
-    def _take(
+    def _shift(
         self,
-        row: Record,
-        record: VmRecord,
-        listed: platform.Vm,
-        intent: str,
-        target: str,
-        wave: str,
-        around: Surroundings,
+        shift: rebalance.Shift,
+        buffer: str,
+        serving: t.Sequence[vmsteps.VmRecord],
+        load: t.Mapping[str, float],
+        around: vmsteps.Surroundings,
     ) -> codes.Refused | None:
-        budget = self._store.read(budgets.PREFIX + record.pool, budgets.Budget)
-        present = budget.value or budgets.Budget()
-        assurance = around.assurances.pools.get(
-            record.pool, assurances.PoolAssurance()
-        )
-        pool = budgets.view(
-            self._members(record.pool, around),
-            present,
-            around.data_centres_out,
-        )
-        allowed = budgets.decide(assurance, pool, listed)
-        source = around.assurances.source("pool", record.pool)
-        if isinstance(allowed, codes.Refused):
-            self._explain(record.vm, f"not taken: {allowed.reason}", source)
-            return allowed
-        after = msgspec.structs.replace(
-            record,
-            state=lifecycles.load("vm").next_state(record.state, "drain"),
-            intent=intent,
-            operation=utils.new_identifier(),
-            target=target,
-            wave=wave,
-            budget=record.pool,
-            reboots=listed.reboots,
-            why=f"{intent}: {allowed.out} out by {source}",
-        )
-        taken = budgets.Budget({**present.out, record.vm: intent})
-        outcome = self._store.transact(
-            [store.replace(row, after), store.replace(budget, taken)]
-        )
-        match outcome:
-            case store.Committed():
-                self._explain(record.vm, f"taken to {intent}", source)
-                self._records[record.vm] = store.Row(
-                    row.key, row.version + 1, after, row.operations
-                )
-                return None
-            case store.Conflicted(key=key):
-                return codes.Refused(
-                    codes.Result.CONFLICT, f"{key} changed meanwhile"
-                )
-            case codes.Refused():
-                return outcome
-
-    def _members(self, pool: str, around: Surroundings) -> list[platform.Vm]:
-        """Return the VMs whose records say that they are in a pool.
-
-        A VM with a record that the list does not name counts as down.
-        """
-        rows = self._store.scan(PREFIX, VmRecord)
-        return [
-            around.listed.get(row.value.vm) or _missing(row.value)
-            for row in rows
-            if row.value is not None and row.value.pool == pool
+        candidates = [
+            record.vm
+            for record in serving
+            if record.pool == shift.source
+            and (shift.source == buffer or record.home == buffer)
         ]
-
-    def _advance(
-        self, row: Record, record: VmRecord, around: Surroundings
-    ) -> None:
-        """Carry out the next parts of a step; each may be repeated."""
-        vm = around.listed.get(record.vm)
-        if vm is None:
-            return
-        for _ in range(PARTS_PER_TURN):
-            try:
-                event = self._carry_out(record, vm, around)
-            except exceptions.StoreUnavailable as error:
-                LOG.info(
-                    "step not carried out",
-                    extra={"step_vm": record.vm, "why": error},
-                )
-                return
-            if event == "admitted":
-                self._admit(row, record, around)
-            if event in ("", "admitted"):
-                return
-            record = self._after(record, event)
-            outcome = self._store.transact([store.replace(row, record)])
-            if not isinstance(outcome, store.Committed):
-                return
-            version = outcome.versions[row.key]
-            row = store.Row(row.key, version, record, row.operations)
-
-    def _carry_out(
-        self, record: VmRecord, vm: platform.Vm, around: Surroundings
-    ) -> str:
-        """Call the platform; return the event that has happened, if any."""
-        operation = f"{record.operation}-{record.state}"
-        match record.state:
-            case "draining":
-                if self._must_abandon(record, around):
-                    return "abandon"
-                self._platform.drain(vm.vm, operation)
-                emptied = vm.state is not platform.VmState.LIVE
-                if emptied and self._empty(vm.vm):
-                    return "emptied"
-            case "empty":
-                return "reboot" if record.intent == MAINTAIN else "join"
-            case "rebooting":
-                self._platform.reboot(vm.vm, operation)
-                back = vm.state is not platform.VmState.DOWN
-                if vm.reboots > record.reboots and back:
-                    return "rebooted"
-            case "joining":
-                self._platform.assign_pool(vm.vm, record.pool, operation)
-                if vm.pool == record.pool:
-                    return "joined"
-            case "returning":
-                self._platform.undrain(vm.vm, operation)
-                if vm.state is platform.VmState.LIVE:
-                    return "admitted"
-        return ""
-
-    def _must_abandon(self, record: VmRecord, around: Surroundings) -> bool:
-        """Return whether failures exceeded the budget during the drain."""
-        assurance = around.assurances.pools.get(record.pool)
-        if assurance is None:
-            return False
-        budget = self._store.read(budgets.PREFIX + record.pool, budgets.Budget)
-        pool = budgets.view(
-            self._members(record.pool, around),
-            budget.value or budgets.Budget(),
-            around.data_centres_out,
-        )
-        if record.data_centre in around.data_centres_out:
-            return False
-        return budgets.exceeded(assurance, pool) is not None
-
-    def _after(self, record: VmRecord, event: str) -> VmRecord:
-        state = lifecycles.load("vm").next_state(record.state, event)
-        pool = record.target if event == "join" else record.pool
-        maintained = (
-            time.time() if event == "rebooted" else (record.maintained_at)
-        )
-        intent = "" if event == "abandon" else record.intent
-        return msgspec.structs.replace(
-            record,
-            state=state,
-            pool=pool,
-            maintained_at=maintained,
-            intent=intent,
-        )
-
-    def _admit(
-        self, row: Record, record: VmRecord, around: Surroundings
-    ) -> None:
-        """Let a VM serve again and give its place in the budget back."""
-        after = msgspec.structs.replace(
-            record,
-            state=lifecycles.load("vm").next_state(record.state, "admitted"),
-            intent="",
-            operation="",
-            target="",
-            wave="",
-            budget="",
-        )
-        writes = [store.replace(row, after)]
-        if record.budget:
-            writes.append(self._without(record.budget, record.vm))
-        wave = self._store.read(waves.PREFIX + record.wave, waves.Wave)
-        if record.wave and wave.value is not None:
-            finished = record.intent == MAINTAIN
-            writes.append(
-                store.replace(
-                    wave, _wave_after(wave.value, record.vm, finished, around)
-                )
-            )
-        self._store.transact(writes)
-        self._explain(record.vm, "serves again", record.why)
-
-    # Waves
+        if not candidates:
+            return None
+        vm = min(candidates, key=lambda name: (load.get(name, 0.0), name))
+        self._steps.explain(vm, f"move to {shift.target}", shift.reason)
+        mark = vmsteps.LENT if shift.source == buffer else ""
+        return self._steps.begin(vm, vmsteps.MOVE, shift.target, mark, around)
 
     def _drive(
         self,
         row: store.Row[waves.Wave],
         wave: waves.Wave,
-        around: Surroundings,
+        around: vmsteps.Surroundings,
     ) -> None:
         states = {name: vm.state for name, vm in around.listed.items()}
         checked = waves.checked(wave, states, around.wall)
@@ -454,7 +255,7 @@
         self,
         row: store.Row[waves.Wave],
         wave: waves.Wave,
-        around: Surroundings,
+        around: vmsteps.Surroundings,
     ) -> None:
         here = {
             name: vm
@@ -469,7 +270,9 @@
         for take in itertools.islice(choice, most):
             if present.value is None:
                 return
-            refused = self.begin(take.vm, MAINTAIN, "", wave.wave, around)
+            refused = self._steps.begin(
+                take.vm, vmsteps.MAINTAIN, "", wave.wave, around
+            )
             if refused is not None:
                 if refused.code is codes.Result.BUDGET:
                     return
@@ -479,12 +282,12 @@
             present = self._store.read(row.key, waves.Wave)
 
     def roll_out(
-        self, pool: str, author: str, around: Surroundings
+        self, pool: str, author: str, around: vmsteps.Surroundings
     ) -> waves.Wave | codes.Refused:
         """Begin a wave over every VM of a pool."""
         if pool not in around.assurances.pools:
             return codes.Refused(codes.Result.NOT_FOUND, f"no pool {pool}")
-        members = [vm.vm for vm in self._members(pool, around)]
+        members = [vm.vm for vm in self._steps.members(pool, around)]
         wave = waves.Wave(
             utils.new_identifier(),
             pool,
@@ -511,19 +314,6 @@
             return codes.Refused(codes.Result.NOT_FOUND, f"no wave {name}")
         return row.value
 
-    def read_record(self, data_centre: str, vm: str) -> VmRecord | None:
-        """Return the record of a VM as its row says."""
-        return self._store.read(f"{PREFIX}{data_centre}/{vm}", VmRecord).value
-
-    def _explain(self, vm: str, what: str, source: str) -> None:
-        self._decisions.record(
-            "vm",
-            vm,
-            decisions.Decision(
-                time.time(), what, "the list and its row", source
-            ),
-        )
-
     def _explain_wave(self, wave: waves.Wave) -> None:
         inputs = (
             f"{len(wave.done)} done, {len(wave.under_way)} under way, "
@@ -536,26 +326,3 @@
                 time.time(), f"{wave.state} {wave.why}".strip(), inputs
             ),
         )
-
-
-def _wave_after(
-    wave: waves.Wave, vm: str, finished: bool, around: Surroundings
-) -> waves.Wave:
-    if finished:
-        return waves.returned(wave, vm, around.wall)
-    under_way = {k: v for k, v in wave.under_way.items() if k != vm}
-    return msgspec.structs.replace(
-        wave, under_way=under_way, waiting=[*wave.waiting, vm]
-    )
-
-
-def _missing(record: VmRecord) -> platform.Vm:
-    return platform.Vm(
-        record.vm,
-        "worker",
-        record.data_centre,
-        "",
-        "",
-        platform.VmState.DOWN,
-        record.pool,
-    )
--- a/src/agaterudder/messages.py
+++ b/src/agaterudder/messages.py
@@ -19,6 +19,7 @@
     :ivar versions: highest version known of each member, by VM.
     :ivar usage: resources of the running tasks of each team.
     :ivar waiting: teams with waiting tasks.
+    :ivar pressure: cores that waiting tasks want, by pool.
     """
 
     vm: str
@@ -30,6 +31,7 @@
     tightenings: list[configuration.Tightening]
     usage: dict[str, resources.Vector]
     waiting: list[str]
+    pressure: dict[str, float] = {}
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
--- a/src/agaterudder/operators.py
+++ b/src/agaterudder/operators.py
@@ -18,10 +18,10 @@
 from agaterudder import http
 from agaterudder import keys
 from agaterudder import logs
-from agaterudder import maintenance
 from agaterudder import messages
 from agaterudder import resources
 from agaterudder import utils
+from agaterudder import vmsteps
 from agaterudder import waves
 
 LOG = logging.getLogger(__name__)
@@ -175,9 +175,9 @@
             case ("POST", "roll-out"):
                 return self._roll_out(_target(body), author)
             case ("POST", "move"):
-                return self._move(_decode(body, Move), maintenance.MOVE)
+                return self._move(_decode(body, Move), vmsteps.MOVE)
             case ("POST", "drain"):
-                return self._move(_decode(body, Move), maintenance.MAINTAIN)
+                return self._move(_decode(body, Move), vmsteps.MAINTAIN)
             case ("POST", verb):
                 return self._change(verb, author, body)
         return http.refusal(
@@ -295,7 +295,7 @@
         )
 
     def _move(self, move: Move, intent: str) -> http.Reply:
-        refused = self._entry.maintenance.begin(
+        refused = self._entry.maintenance.steps.begin(
             move.vm, intent, move.pool, "", self._entry.around()
         )
         if refused is not None:
@@ -363,7 +363,7 @@
     def _vm(self, name: str) -> http.Reply:
         listed = next((vm for vm in self._entry.vms if vm.vm == name), None)
         record = (
-            self._entry.maintenance.read_record(listed.data_centre, name)
+            self._entry.maintenance.steps.read_record(listed.data_centre, name)
             if listed
             else None
         )
@@ -391,7 +391,7 @@
 
 
 def _found(
-    value: waves.Wave | maintenance.VmRecord | escrow.Pot | codes.Refused,
+    value: waves.Wave | vmsteps.VmRecord | escrow.Pot | codes.Refused,
 ) -> http.Reply:
     if isinstance(value, codes.Refused):
         return http.refusal(value)
--- a/src/agaterudder/upkeep.py
+++ b/src/agaterudder/upkeep.py
@@ -326,6 +326,13 @@
         self._entry.fleet.hold_back(self._entry.maintenance.held_back())
         for vm in self._entry.maintenance.held_back():
             self._entry.execution.evacuate(vm)
+        if drives:
+            self._entry.maintenance.balance(
+                self._entry.demands(time.monotonic()),
+                self._entry.load(),
+                self._entry.around(),
+                time.monotonic(),
+            )
         busy = drives and self._entry.maintenance.under_way
         return UNDER_WAY_SECONDS if busy else None
 
--- /dev/null
+++ b/src/agaterudder/vmsteps.py
@@ -0,0 +1,359 @@
+"""Steps that take one worker VM out of service and bring it back.
+
+Each part of a step is recorded before it is carried out, and carrying it
+out again does no harm, so that whoever finds a half-done step finishes it.
+"""
+
+import dataclasses
+import logging
+import time
+import typing as t
+
+import msgspec
+
+from agaterudder import assurances
+from agaterudder import budgets
+from agaterudder import codes
+from agaterudder import decisions
+from agaterudder import exceptions
+from agaterudder import lifecycles
+from agaterudder import platform
+from agaterudder import store
+from agaterudder import utils
+from agaterudder import waves
+
+LOG = logging.getLogger(__name__)
+
+PREFIX = "vms/"
+MAINTAIN = "maintain"
+MOVE = "move"
+LENT = "lent"
+PARTS_PER_TURN = 3
+
+
+class VmRecord(msgspec.Struct, frozen=True):
+    """Row that says in which pool a VM is, and what is done with it.
+
+    :ivar state: state of the chart ``charts/vm.yaml``.
+    :ivar intent: maintain or move, empty while serving.
+    :ivar operation: identifier given to the platform's operations.
+    :ivar target: pool that a move leads to.
+    :ivar budget: pool whose budget counts the VM as out.
+    :ivar reboots: number of reboots before the step.
+    :ivar maintained_at: wall-clock time of the last maintenance.
+    :ivar home: buffer pool that lent the VM, empty for others.
+    """
+
+    vm: str
+    data_centre: str
+    pool: str
+    state: str = "serving"
+    intent: str = ""
+    operation: str = ""
+    target: str = ""
+    wave: str = ""
+    budget: str = ""
+    reboots: int = 0
+    maintained_at: float = 0.0
+    why: str = ""
+    home: str = ""
+
+    @property
+    def key(self) -> str:
+        """Key of the row."""
+        return f"{PREFIX}{self.data_centre}/{self.vm}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What the decisions of one turn are made from."""
+
+    listed: dict[str, platform.Vm]
+    assurances: assurances.Assurances
+    data_centres_out: frozenset[str]
+    wall: float
+
+
+Record = store.Row[VmRecord]
+
+
+class Steps:
+    """Steps of the VMs; any entry VM may carry out any part.
+
+    :param empty: whether nothing runs on a worker any more.
+    """
+
+    __slots__ = ("_store", "_platform", "_decisions", "_empty")
+
+    def __init__(
+        self,
+        table: store.Store,
+        services: platform.Platform,
+        log: decisions.Decisions,
+        empty: t.Callable[[str], bool],
+    ) -> None:
+        self._store = table
+        self._platform = services
+        self._decisions = log
+        self._empty = empty
+
+    def without(self, pool: str, vm: str) -> store.Write:
+        """Return the write that takes a VM out of a budget's row."""
+        budget = self._store.read(budgets.PREFIX + pool, budgets.Budget)
+        present = budget.value or budgets.Budget()
+        out = {k: why for k, why in present.out.items() if k != vm}
+        return store.replace(budget, budgets.Budget(out))
+
+    # Steps
+
+    def begin(
+        self,
+        vm: str,
+        intent: str,
+        target: str,
+        wave: str,
+        around: Surroundings,
+    ) -> codes.Refused | None:
+        """Take a VM out of service, when the budget allows.
+
+        The budget's row and the VM's row change in one transaction.
+        """
+        listed = around.listed.get(vm)
+        if listed is None:
+            return codes.Refused(codes.Result.NOT_FOUND, f"no worker {vm}")
+        row = self._store.read(f"{PREFIX}{listed.data_centre}/{vm}", VmRecord)
+        record = row.value
+        if record is None:
+            return codes.Refused(
+                codes.Result.CONFLICT, f"{vm} has no record yet"
+            )
+        if record.state != "serving":
+            return codes.Refused(
+                codes.Result.CONFLICT, f"{vm} is {record.state}"
+            )
+        if target and target not in around.assurances.pools:
+            return codes.Refused(codes.Result.NOT_FOUND, f"no pool {target}")
+        return self._take(row, record, listed, intent, target, wave, around)
+
+    def _take(
+        self,
+        row: Record,
+        record: VmRecord,
+        listed: platform.Vm,
+        intent: str,
+        target: str,
+        wave: str,
+        around: Surroundings,
+    ) -> codes.Refused | None:
+        budget = self._store.read(budgets.PREFIX + record.pool, budgets.Budget)
+        present = budget.value or budgets.Budget()
+        assurance = around.assurances.pools.get(
+            record.pool, assurances.PoolAssurance()
+        )
+        pool = budgets.view(
+            self.members(record.pool, around),
+            present,
+            around.data_centres_out,
+        )
+        allowed = budgets.decide(assurance, pool, listed)
+        source = around.assurances.source("pool", record.pool)
+        if isinstance(allowed, codes.Refused):
+            self.explain(record.vm, f"not taken: {allowed.reason}", source)
+            return allowed
+        after = msgspec.structs.replace(
+            record,
+            state=lifecycles.load("vm").next_state(record.state, "drain"),
+            intent=intent,
+            operation=utils.new_identifier(),
+            target=target,
+            wave=wave,
+            budget=record.pool,
+            reboots=listed.reboots,
+            why=f"{intent}: {allowed.out} out by {source}",
+        )
+        taken = budgets.Budget({**present.out, record.vm: intent})
+        outcome = self._store.transact(
+            [store.replace(row, after), store.replace(budget, taken)]
+        )
+        match outcome:
+            case store.Committed():
+                self.explain(record.vm, f"taken to {intent}", source)
+                return None
+            case store.Conflicted(key=key):
+                return codes.Refused(
+                    codes.Result.CONFLICT, f"{key} changed meanwhile"
+                )
+            case codes.Refused():
+                return outcome
+
+    def members(self, pool: str, around: Surroundings) -> list[platform.Vm]:
+        """Return the VMs whose records say that they are in a pool.
+
+        A VM with a record that the list does not name counts as down.
+        """
+        rows = self._store.scan(PREFIX, VmRecord)
+        return [
+            around.listed.get(row.value.vm) or _missing(row.value)
+            for row in rows
+            if row.value is not None and row.value.pool == pool
+        ]
+
+    def advance(
+        self, row: Record, record: VmRecord, around: Surroundings
+    ) -> None:
+        """Carry out the next parts of a step; each may be repeated."""
+        vm = around.listed.get(record.vm)
+        if vm is None:
+            return
+        for _ in range(PARTS_PER_TURN):
+            try:
+                event = self._carry_out(record, vm, around)
+            except exceptions.StoreUnavailable as error:
+                LOG.info(
+                    "step not carried out",
+                    extra={"step_vm": record.vm, "why": error},
+                )
+                return
+            if event == "admitted":
+                self._admit(row, record, around)
+            if event in ("", "admitted"):
+                return
+            record = self._after(record, event)
+            outcome = self._store.transact([store.replace(row, record)])
+            if not isinstance(outcome, store.Committed):
+                return
+            version = outcome.versions[row.key]
+            row = store.Row(row.key, version, record, row.operations)
+
+    def _carry_out(
+        self, record: VmRecord, vm: platform.Vm, around: Surroundings
+    ) -> str:
+        """Call the platform; return the event that has happened, if any."""
+        operation = f"{record.operation}-{record.state}"
+        match record.state:
+            case "draining":
+                if self._must_abandon(record, around):
+                    return "abandon"
+                self._platform.drain(vm.vm, operation)
+                emptied = vm.state is not platform.VmState.LIVE
+                if emptied and self._empty(vm.vm):
+                    return "emptied"
+            case "empty":
+                return "reboot" if record.intent == MAINTAIN else "join"
+            case "rebooting":
+                self._platform.reboot(vm.vm, operation)
+                back = vm.state is not platform.VmState.DOWN
+                if vm.reboots > record.reboots and back:
+                    return "rebooted"
+            case "joining":
+                self._platform.assign_pool(vm.vm, record.pool, operation)
+                if vm.pool == record.pool:
+                    return "joined"
+            case "returning":
+                self._platform.undrain(vm.vm, operation)
+                if vm.state is platform.VmState.LIVE:
+                    return "admitted"
+        return ""
+
+    def _must_abandon(self, record: VmRecord, around: Surroundings) -> bool:
+        """Return whether failures exceeded the budget during the drain."""
+        assurance = around.assurances.pools.get(record.pool)
+        if assurance is None:
+            return False
+        budget = self._store.read(budgets.PREFIX + record.pool, budgets.Budget)
+        pool = budgets.view(
+            self.members(record.pool, around),
+            budget.value or budgets.Budget(),
+            around.data_centres_out,
+        )
+        if record.data_centre in around.data_centres_out:
+            return False
+        return budgets.exceeded(assurance, pool) is not None
+
+    def _after(self, record: VmRecord, event: str) -> VmRecord:
+        state = lifecycles.load("vm").next_state(record.state, event)
+        pool = record.target if event == "join" else record.pool
+        home = self._home(record) if event == "join" else record.home
+        maintained = (
+            time.time() if event == "rebooted" else (record.maintained_at)
+        )
+        intent = "" if event == "abandon" else record.intent
+        return msgspec.structs.replace(
+            record,
+            state=state,
+            pool=pool,
+            maintained_at=maintained,
+            intent=intent,
+            home=home,
+        )
+
+    def _home(self, record: VmRecord) -> str:
+        """Return the buffer pool that a moved VM is owed to."""
+        if record.wave == LENT:
+            return record.pool
+        return "" if record.target == record.home else record.home
+
+    def _admit(
+        self, row: Record, record: VmRecord, around: Surroundings
+    ) -> None:
+        """Let a VM serve again and give its place in the budget back."""
+        after = msgspec.structs.replace(
+            record,
+            state=lifecycles.load("vm").next_state(record.state, "admitted"),
+            intent="",
+            operation="",
+            target="",
+            wave="",
+            budget="",
+        )
+        writes = [store.replace(row, after)]
+        if record.budget:
+            writes.append(self.without(record.budget, record.vm))
+        wave = self._store.read(waves.PREFIX + record.wave, waves.Wave)
+        if wave.value is not None:
+            finished = record.intent == MAINTAIN
+            writes.append(
+                store.replace(
+                    wave, _wave_after(wave.value, record.vm, finished, around)
+                )
+            )
+        self._store.transact(writes)
+        self.explain(record.vm, "serves again", record.why)
+
+    # Waves
+
+    def read_record(self, data_centre: str, vm: str) -> VmRecord | None:
+        """Return the record of a VM as its row says."""
+        return self._store.read(f"{PREFIX}{data_centre}/{vm}", VmRecord).value
+
+    def explain(self, vm: str, what: str, source: str) -> None:
+        self._decisions.record(
+            "vm",
+            vm,
+            decisions.Decision(
+                time.time(), what, "the list and its row", source
+            ),
+        )
+
+
+def _wave_after(
+    wave: waves.Wave, vm: str, finished: bool, around: Surroundings
+) -> waves.Wave:
+    if finished:
+        return waves.returned(wave, vm, around.wall)
+    under_way = {k: v for k, v in wave.under_way.items() if k != vm}
+    return msgspec.structs.replace(
+        wave, under_way=under_way, waiting=[*wave.waiting, vm]
+    )
+
+
+def _missing(record: VmRecord) -> platform.Vm:
+    return platform.Vm(
+        record.vm,
+        "worker",
+        record.data_centre,
+        "",
+        "",
+        platform.VmState.DOWN,
+        record.pool,
+    )
--- a/src/agaterudder/waiting.py
+++ b/src/agaterudder/waiting.py
@@ -76,6 +76,14 @@
         ]
         return iter(sorted(firsts, key=lambda task: _rank(task, now)))
 
+    def pressure(self) -> dict[str, float]:
+        """Return the cores that waiting tasks want, by pool."""
+        found: dict[str, float] = {}
+        for (pool, _, _), lane in self._lanes.items():
+            cores = sum(task.size.cores for task in lane.values())
+            found[pool] = found.get(pool, 0.0) + cores
+        return found
+
     def sample(self, team: str, most: int) -> list[tasks.Task]:
         """Return some waiting tasks of a team."""
         found: list[tasks.Task] = []
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -116,6 +116,7 @@
             made.execution.held_grants,
             made.adopter,
             made.maintenance,
+            made.maintenance.steps,
         ):
             part._store = made.store
 
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -80,3 +80,24 @@
     Then no process gives "w0" work
     When both drive up to 10 turns
     Then "w0" is in exactly one pool, "report", and serves
+
+  Scenario: A pool in need is lent VMs and pays them back
+    Given entry VMs "a" and "b" in "north" with 6 workers
+    And pool "count" allows 2 out and "spare", with 2 of the VMs, is the buffer
+    When pool "count" wants 5.5 VMs for 80 seconds
+    Then pool "count" has 6 VMs and "spare" has 0
+    When pool "count" wants 1.0 VMs for 400 seconds
+    Then pool "count" has 4 VMs and "spare" has 2
+    And 4 moves were made in all
+
+  Scenario Outline: A need of <seconds> seconds causes <moves> moves
+    Given entry VMs "a" and "b" in "north" with 6 workers
+    And pool "count" allows 2 out and "spare", with 2 of the VMs, is the buffer
+    When pool "count" wants 5.0 VMs for <seconds> seconds
+    Then <moves> moves were made in all
+
+    Examples: only a need that outlasts the cost of a move
+      | seconds | moves |
+      | 5       | 0     |
+      | 29      | 0     |
+      | 40      | 1     |
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -12,8 +12,8 @@
 from agaterudder import codes
 from agaterudder import configuration
 from agaterudder import exceptions
-from agaterudder import maintenance
 from agaterudder import platform
+from agaterudder import vmsteps
 from agaterudder import waves
 from tests import builders
 from tests import fakes
@@ -208,9 +208,9 @@
 def step_drain(context: Context, vm: str) -> None:
     entry = context.cell.entries["a"]
     for name in context.cell.entries:
-        context.cell.entries[name].maintenance._empty = lambda _: False
-    refused = entry.maintenance.begin(
-        vm, maintenance.MAINTAIN, "", "", entry.around()
+        context.cell.entries[name].maintenance.steps._empty = lambda _: False
+    refused = entry.maintenance.steps.begin(
+        vm, vmsteps.MAINTAIN, "", "", entry.around()
     )
     assert refused is None, refused
     _drive_once(context)
@@ -235,8 +235,8 @@
     for vm, pool in (("a", "report"), ("b", "spare")):
         entry = context.cell.entries[vm]
         context.moves.append(
-            entry.maintenance.begin(
-                "w0", maintenance.MOVE, pool, "", entry.around()
+            entry.maintenance.steps.begin(
+                "w0", vmsteps.MOVE, pool, "", entry.around()
             )
         )
 
@@ -260,7 +260,7 @@
     listed = context.platform.vms[vm]
     assert listed["pool"] == pool and listed["state"] == "live", listed
     entry = next(iter(context.cell.entries.values()))
-    record = entry.maintenance.read_record("north", vm)
+    record = entry.maintenance.steps.read_record("north", vm)
     assert record is not None
     assert record.pool == pool and record.state == "serving", record
 
@@ -288,3 +288,62 @@
             for view in entry.fleet.usable(pool, time.monotonic())
         ]
         assert vm not in usable, usable
+
+
+@behave.given(
+    'pool "count" allows 2 out and "spare", with 2 of the VMs, is the buffer'
+)
+def step_buffer(context: Context) -> None:
+    for vm in ("w4", "w5"):
+        context.cell.platform.vms[vm]["pool"] = "spare"
+    step_allows(context, 2)
+    first = context.cell.entries["a"]
+    text = first.in_force.configuration.assurances.replace(
+        "pool.spare = { out = 2 }", "pool.spare = { out = 2, buffer = true }"
+    )
+    edit = configuration.ReplaceAssurances(text, first.in_force.version)
+    first.control.change(edit, "ane", time.time(), 0.0)
+    context.cell.gossip()
+    context.now = 0.0
+    context.pool_changes = 0
+    context.listed_pools = _pools(context)
+
+
+def _pools(context: Context) -> dict[str, str]:
+    return {
+        vm["vm"]: vm["pool"]
+        for vm in context.cell.platform.vms.values()
+        if vm["role"] == "worker"
+    }
+
+
+@behave.when('pool "{pool}" wants {wanted:g} VMs for {seconds:d} seconds')
+def step_wants(
+    context: Context, pool: str, wanted: float, seconds: int
+) -> None:
+    entry = context.cell.entries["a"]
+    until = context.now + seconds
+    while context.now < until:
+        context.now += 1.0
+        _drive_once(context)
+        entry.maintenance.balance(
+            {pool: wanted}, {}, entry.around(), context.now
+        )
+        found = _pools(context)
+        context.pool_changes += sum(
+            found[vm] != was for vm, was in context.listed_pools.items()
+        )
+        context.listed_pools = found
+
+
+@behave.then('pool "{one}" has {count:d} VMs and "{two}" has {rest:d}')
+def step_sizes(
+    context: Context, one: str, count: int, two: str, rest: int
+) -> None:
+    pools = list(_pools(context).values())
+    assert (pools.count(one), pools.count(two)) == (count, rest), pools
+
+
+@behave.then("{count:d} moves were made in all")
+def step_moves_made(context: Context, count: int) -> None:
+    assert context.pool_changes == count, context.pool_changes
