--- a/src/agaterudder/configuration.py
+++ b/src/agaterudder/configuration.py
@@ -251,13 +251,19 @@
     that contains it.
     """
 
-    __slots__ = ("_present", "_tightenings", "_parsed", "_keys")
+    __slots__ = ("_present", "_tightenings", "_parsed", "_keys", "_shares")
 
     def __init__(self) -> None:
         self._present = Configuration()
         self._tightenings: dict[str, Tightening] = {}
         self._parsed = assurances.parse("")
         self._keys: dict[str, keys.KeyRecord] = {}
+        self._shares: dict[str, float] = {}
+
+    @property
+    def shares(self) -> dict[str, float]:
+        """Share of each team."""
+        return self._shares
 
     @property
     def configuration(self) -> Configuration:
@@ -299,6 +305,9 @@
         self._present = offered
         self._parsed = assurances.parse(offered.assurances)
         self._keys = {record.key_id: record for record in offered.key_records}
+        self._shares = {
+            name: team.share for name, team in self._parsed.teams.items()
+        }
         for identifier in offered.absorbed:
             self._tightenings.pop(identifier, None)
         return True
--- a/src/agaterudder/dispatch.py
+++ b/src/agaterudder/dispatch.py
@@ -421,7 +421,7 @@
         request.repeatable,
         request.method,
         request.path,
-        request.content_type,
+        request.headers,
         request.body,
         left,
     )
@@ -438,4 +438,4 @@
         return codes.Refused(
             codes.Result.SHORT_ANSWER, f"the answer through {vm} was cut"
         )
-    return requests.Answer(answer.status, answer.content_type, answer.body)
+    return requests.Answer(answer.status, answer.headers, answer.body)
--- a/src/agaterudder/entry.py
+++ b/src/agaterudder/entry.py
@@ -110,7 +110,7 @@
         self.dispatcher = dispatch.Dispatcher(
             checked,
             peering.RemoteEntries(self),
-            self.shares,
+            lambda: self.in_force.shares,
             lambda: self.data_centre in self.in_force.data_centres_out,
             self.metrics,
         )
@@ -164,13 +164,6 @@
             )
         return self.may_take(team, now)
 
-    def shares(self) -> dict[str, float]:
-        """Return the share of each team."""
-        return {
-            name: team.share
-            for name, team in self.in_force.assurances.teams.items()
-        }
-
     def usage(self) -> dict[str, resources.Vector]:
         """Return what each team uses in the whole fleet, as far as known."""
         used = dict(self.execution.held_grants.usage())
--- a/src/agaterudder/forwarding.py
+++ b/src/agaterudder/forwarding.py
@@ -67,11 +67,10 @@
     ) -> geventhttpclient.response.HTTPSocketPoolResponse:
         """Send the request and read the head of the answer."""
         headers = {
+            **dict(request.headers),
             "Agaterudder-Request-Id": request.identifier,
             "Agaterudder-Team": request.team,
         }
-        if request.content_type:
-            headers["Content-Type"] = request.content_type
         return self._client.request(
             request.method, request.path, body=request.body, headers=headers
         )
@@ -192,5 +191,5 @@
             return codes.Refused(codes.Result.LEAVING, "it is leaving")
         if not_run:
             return codes.Refused(codes.Result.SERVER_REFUSED, "it is full")
-        kind = response.get("content-type", "application/octet-stream")
-        return requests.Answer(response.status_code, str(kind), body)
+        headers = requests.end_to_end(response.headers)
+        return requests.Answer(response.status_code, headers, body)
--- a/src/agaterudder/gateway.py
+++ b/src/agaterudder/gateway.py
@@ -296,13 +296,24 @@
         repeatable == "yes",
         method,
         path,
-        environ.get("CONTENT_TYPE", ""),
+        _passed_headers(environ),
         body,
         now + timeout,
         now,
     )
 
 
+def _passed_headers(environ: http.Environ) -> tuple[tuple[str, str], ...]:
+    named = [
+        (name.removeprefix("HTTP_").replace("_", "-").title(), str(value))
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    ]
+    if environ.get("CONTENT_TYPE"):
+        named.append(("Content-Type", environ["CONTENT_TYPE"]))
+    return requests.end_to_end(named)
+
+
 def _rest_of_path(environ: http.Environ, name: str) -> str | codes.Refused:
     decoded = environ["PATH_INFO"].removeprefix(f"/v1/services/{name}")
     path = urllib.parse.quote(decoded or "/", safe="/:@!$&'()*+,;=~-._")
@@ -318,12 +329,16 @@
 ) -> http.Reply:
     identity = ("Agaterudder-Request-Id", request.identifier)
     match outcome:
-        case requests.Answer(status=status, content_type=kind, body=body):
+        case requests.Answer(status=status, headers=headers, body=body):
+            passed = [
+                item for item in headers if item[0].lower() != "content-type"
+            ]
+            kinds = [v for k, v in headers if k.lower() == "content-type"]
             return http.Reply(
                 status,
                 body,
-                kind,
-                (("Agaterudder-Code", "0"), identity),
+                kinds[0] if kinds else "application/octet-stream",
+                (*passed, ("Agaterudder-Code", "0"), identity),
             )
         case codes.Refused():
             refused = http.refusal(outcome)
--- a/src/agaterudder/http.py
+++ b/src/agaterudder/http.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import socket
 import typing as t
 
 import gevent.pool
@@ -65,6 +66,10 @@
 class _Handler(pywsgi.WSGIHandler):
     """Refuses heads that two readers could understand differently."""
 
+    def handle(self) -> None:
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
     def read_requestline(self) -> str:
         with utils.silent_timeout(IDLE_SECONDS):
             return t.cast(str, super().read_requestline())
--- a/src/agaterudder/maintenance.py
+++ b/src/agaterudder/maintenance.py
@@ -193,7 +193,7 @@
                 name,
                 sum(record.pool == name for record in serving),
                 demands.get(name, 0.0),
-                1,
+                around.assurances.pools[name].spare,
                 sum(
                     record.pool == name and record.home == buffers[0]
                     for record in serving
@@ -201,7 +201,9 @@
             )
             for name in around.assurances.pools
         ]
-        present = [pool for pool in pools if pool.size]
+        present = [
+            pool for pool in pools if pool.size or pool.pool == buffers[0]
+        ]
         shift = self._balance.decide(present, buffers[0], now)
         if shift is None:
             return None
--- a/src/agaterudder/membership.py
+++ b/src/agaterudder/membership.py
@@ -45,12 +45,13 @@
     passed on by any member in any order.
     """
 
-    __slots__ = ("_members", "_versions", "_gone")
+    __slots__ = ("_members", "_versions", "_gone", "_data_centres")
 
     def __init__(self) -> None:
         self._members: dict[str, Member] = {}
         self._versions: dict[str, messages.MemberVersion] = {}
         self._gone: frozenset[str] = frozenset()
+        self._data_centres: frozenset[str] = frozenset()
 
     @property
     def members(self) -> dict[str, Member]:
@@ -74,9 +75,7 @@
     @property
     def data_centres(self) -> frozenset[str]:
         """Data centres with registered members."""
-        return frozenset(
-            member.data_centre for member in self.members.values()
-        )
+        return self._data_centres
 
     def in_data_centre(self, data_centre: str) -> list[str]:
         """Return the members of a data centre, sorted."""
@@ -94,12 +93,12 @@
             for vm, known in self._versions.items()
             if vm in self._members
         }
+        self._count_data_centres()
 
-    def introduce(self, member: Member) -> None:
-        """Take a member that said hello before the registry was read."""
-        known = self._members.get(member.vm)
-        if known is None or known.incarnation < member.incarnation:
-            self._members[member.vm] = member
+    def _count_data_centres(self) -> None:
+        self._data_centres = frozenset(
+            member.data_centre for member in self.members.values()
+        )
 
     def listed(self, vms: t.Iterable[platform.Vm]) -> None:
         """Take a reading of the platform's list.
@@ -109,6 +108,7 @@
         """
         gone = {vm.vm for vm in vms if vm.state is platform.VmState.GONE}
         self._gone |= gone
+        self._count_data_centres()
 
     def acknowledged(self, vm: str, known: messages.MemberVersion) -> None:
         """Note a version that a member has, heard from any member."""
--- a/src/agaterudder/messages.py
+++ b/src/agaterudder/messages.py
@@ -75,7 +75,7 @@
     repeatable: bool
     method: str
     path: str
-    content_type: str
+    headers: tuple[tuple[str, str], ...]
     body: bytes
     timeout_seconds: float
 
@@ -93,7 +93,7 @@
     code: int
     reason: str
     status: int
-    content_type: str
+    headers: tuple[tuple[str, str], ...]
     body: bytes
     length: int
 
--- a/src/agaterudder/peering.py
+++ b/src/agaterudder/peering.py
@@ -95,16 +95,16 @@
         match outcome:
             case codes.Refused(code=code, reason=reason):
                 return messages.ForwardAnswer(
-                    call.call, call.request, code.value, reason, 0, "", b"", 0
+                    call.call, call.request, code.value, reason, 0, (), b"", 0
                 )
-            case requests.Answer(status=status, content_type=kind, body=body):
+            case requests.Answer(status=status, headers=headers, body=body):
                 return messages.ForwardAnswer(
                     call.call,
                     call.request,
                     0,
                     "",
                     status,
-                    kind,
+                    headers,
                     body,
                     len(body),
                 )
@@ -129,7 +129,7 @@
         call.repeatable,
         call.method,
         call.path,
-        call.content_type,
+        call.headers,
         call.body,
         now + call.timeout_seconds,
         now,
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -40,6 +40,7 @@
 
     def handle(self) -> None:
         backend = self.backend
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         backend.connections += 1
         backend.most_connections = max(
             backend.most_connections, backend.connections
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -67,7 +67,7 @@
         "repeatable": True,
         "method": "GET",
         "path": "/",
-        "content_type": "",
+        "headers": (),
         "body": b"",
         "deadline": 10.0,
         "arrived_at": 0.0,
