Shares when all is full: look past a task that finds no room; scale a step

At 730 teams a scheduling step took 71 ms, because each team's look walked every lane and weights were built anew.

--- a/src/agaterudder/assurances.py
+++ b/src/agaterudder/assurances.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import functools
 import re
 import typing as t
 
@@ -21,6 +22,8 @@
 NotNegative = t.Annotated[float, msgspec.Meta(ge=0)]
 Whole = t.Annotated[int, msgspec.Meta(ge=0)]
 
+REMEMBERED_TEXTS = 4
+
 _LINE = re.compile(
     r"^(?P<kind>[a-z-]+)(\.(?P<name>[a-z0-9-]+))?\s*=\s*(?P<value>\{.*)$"
 )
@@ -143,8 +146,13 @@
     source: Source
 
 
+@functools.lru_cache(maxsize=REMEMBERED_TEXTS)
 def parse(text: str) -> Assurances:
-    """Read a file; faults are collected, not raised."""
+    """Read a file; faults are collected, not raised.
+
+    The last texts are remembered, because most versions of the
+    configuration change a key and leave the file as it was.
+    """
     faults: list[Fault] = []
     entries: dict[str, dict[str, t.Any]] = {kind: {} for kind in _KINDS}
     sources: dict[str, Source] = {}
--- a/src/agaterudder/entry.py
+++ b/src/agaterudder/entry.py
@@ -194,7 +194,7 @@
         )
         return scheduling.View(
             self.vm,
-            self.in_force.assurances,
+            self.in_force.shares,
             self.usage(),
             elsewhere,
             self.capacity(),
--- a/src/agaterudder/execution.py
+++ b/src/agaterudder/execution.py
@@ -5,6 +5,7 @@
 beside it and reports back to its methods.
 """
 
+import collections
 import dataclasses
 import logging
 import time
@@ -109,6 +110,7 @@
         "_forget",
         "_kept_free",
         "_draining",
+        "_started",
         "stopping",
     )
 
@@ -148,6 +150,7 @@
         self._forget: dict[str, list[str]] = {}
         self._kept_free: dict[str, str] = {}
         self._draining: dict[str, float] = {}
+        self._started: dict[str, resources.Vector] = {}
         self.stopping = False
 
     @property
@@ -210,15 +213,20 @@
         if self.stopping:
             return 0
         started = 0
+        view = self._around.view()
+        self._started = {}
         for pool in self._waiting.pools():
-            blocked: set[str] = set()
+            blocked = self._refused_teams(pool, now)
             for _ in range(STEPS_PER_TURN):
                 if self._starts.free_count() == 0:
                     return started
-                step = self._next_step(pool, blocked, now, wall)
+                step = self._next_step(pool, view, blocked, now, wall)
                 match step:
                     case scheduling.Launch():
                         self._launch(step, now)
+                        team = step.task.team
+                        before = self._usage(view).get(team, resources.ZERO)
+                        self._started[team] = before + step.amount
                         started += 1
                     case scheduling.NeedGrant(team=team, amount=amount):
                         blocked.add(team)
@@ -230,19 +238,26 @@
                         break
         return started
 
-    def _next_step(
-        self, pool: str, blocked: set[str], now: float, wall: float
-    ) -> scheduling.Step:
-        view = self._around.view()
-        teams = self._waiting.teams(pool)
-        refused = {
+    def _refused_teams(self, pool: str, now: float) -> set[str]:
+        """Return the waiting teams whose tasks may not start now."""
+        return {
             team
-            for team in teams
+            for team in self._waiting.teams(pool)
             if self._around.may_start(team, now) is not None
         }
+
+    def _next_step(
+        self,
+        pool: str,
+        view: scheduling.View,
+        blocked: set[str],
+        now: float,
+        wall: float,
+    ) -> scheduling.Step:
         full = dataclasses.replace(
             view,
-            blocked=frozenset(blocked | refused),
+            usage=self._usage(view),
+            blocked=frozenset(blocked),
             deferred_since=self._deferred,
         )
         step = scheduling.next_step(
@@ -256,9 +271,15 @@
             now,
             wall,
         )
-        self._note_deferred(teams, step, now)
+        self._note_deferred(pool, step, now)
         return step
 
+    def _usage(
+        self, view: scheduling.View
+    ) -> collections.ChainMap[str, resources.Vector]:
+        """Return the usage in the fleet with what started this turn."""
+        return collections.ChainMap(self._started, t.cast(t.Any, view.usage))
+
     def _workers_to_avoid(self, task: str) -> list[str]:
         """Return workers that failed a task or are kept for another."""
         kept = [
@@ -274,12 +295,12 @@
         return holding
 
     def _note_deferred(
-        self, teams: set[str], step: scheduling.Step, now: float
+        self, pool: str, step: scheduling.Step, now: float
     ) -> None:
         if isinstance(step, scheduling.Launch):
             self._deferred.pop(step.task.team, None)
             return
-        for team in teams:
+        for team in self._waiting.teams(pool):
             self._deferred.setdefault(team, now)
 
     def _need(self, team: str, amount: resources.Vector) -> escrow.Need:
--- a/src/agaterudder/maintenance.py
+++ b/src/agaterudder/maintenance.py
@@ -198,6 +198,10 @@
                     record.pool == name and record.home == buffers[0]
                     for record in serving
                 ),
+                sum(
+                    record.target == name and record.state != "serving"
+                    for record in self.records().values()
+                ),
             )
             for name in around.assurances.pools
         ]
--- a/src/agaterudder/rebalance.py
+++ b/src/agaterudder/rebalance.py
@@ -10,7 +10,7 @@
 import math
 import typing as t
 
-NEED_SECONDS = 30.0
+NEED_SECONDS = 15.0
 SURPLUS_SECONDS = 120.0
 NEED_FRACTION = 0.25
 SURPLUS_VMS = 1.0
@@ -24,6 +24,7 @@
     :ivar wanted: running and waiting work, in VMs of the pool.
     :ivar least: VMs that the pool must keep.
     :ivar lent: VMs that the pool has from the buffer.
+    :ivar coming: VMs that are on their way into the pool.
     """
 
     pool: str
@@ -31,6 +32,7 @@
     wanted: float
     least: int
     lent: int = 0
+    coming: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,7 +72,7 @@
         )
 
     def _note(self, pool: PoolDemand, now: float) -> None:
-        short = pool.wanted - pool.size
+        short = pool.wanted - pool.size - pool.coming
         if short > NEED_FRACTION:
             self._need_since.setdefault(pool.pool, now)
         else:
@@ -95,7 +97,6 @@
         if idle < 1 or not needy:
             return None
         neediest = max(needy, key=lambda pool: pool.wanted / pool.size)
-        self._need_since[neediest.pool] = now
         reason = f"wants {neediest.wanted:.1f} VMs, has {neediest.size}"
         return Shift(lending.pool, neediest.pool, reason)
 
@@ -109,6 +110,7 @@
             pool
             for pool in others
             if pool.lent
+            and pool.size - pool.wanted >= SURPLUS_VMS
             and pool.size > pool.least
             and now - self._surplus_since.get(pool.pool, now)
             >= SURPLUS_SECONDS
@@ -116,6 +118,5 @@
         if not rich:
             return None
         richest = max(rich, key=lambda pool: pool.size - pool.wanted)
-        self._surplus_since[richest.pool] = now
         reason = f"wants {richest.wanted:.1f} VMs, has {richest.size}"
         return Shift(richest.pool, lending.pool, reason)
--- a/src/agaterudder/scheduling.py
+++ b/src/agaterudder/scheduling.py
@@ -3,7 +3,6 @@
 import dataclasses
 import typing as t
 
-from agaterudder import assurances
 from agaterudder import escrow
 from agaterudder import fleet
 from agaterudder import requests
@@ -51,6 +50,7 @@
 class View:
     """What a scheduling decision is made from.
 
+    :ivar weights: share of each team.
     :ivar usage: running resources of each team in the whole fleet.
     :ivar waiting_elsewhere: teams that wait at other entry VMs.
     :ivar capacity: capacity of the whole fleet.
@@ -60,20 +60,13 @@
     """
 
     vm: str
-    assurances: assurances.Assurances
+    weights: t.Mapping[str, float]
     usage: t.Mapping[str, resources.Vector]
     waiting_elsewhere: frozenset[str]
     capacity: resources.Vector
     blocked: frozenset[str]
     deferred_since: t.Mapping[str, float]
 
-    @property
-    def weights(self) -> dict[str, float]:
-        """Share of each team."""
-        return {
-            name: team.share for name, team in self.assurances.teams.items()
-        }
-
 
 def next_step(
     pool: str,
@@ -95,7 +88,7 @@
     ordered = sharing.order(teams, view.usage, view.weights, view.capacity)
     usable = workers.usable(pool, now)
     need: Step = Nothing()
-    for team in _urgent_first(ordered, pool, waiting_tasks, view, wall):
+    for team in _urgent_first(ordered, pool, waiting_tasks, view):
         if _defers(team, view, now):
             continue
         for task in waiting_tasks.in_order(pool, team, wall):
@@ -123,7 +116,6 @@
     pool: str,
     waiting_tasks: waiting.WaitingTasks,
     view: View,
-    wall: float,
 ) -> list[str]:
     """Move teams below their share with urgent work to the front."""
     whole = sum(view.weights.values()) or 1.0
@@ -132,8 +124,9 @@
         used = view.usage.get(team, resources.ZERO)
         weight = view.weights.get(team, 1.0) / whole
         below = sharing.weighted_share(used, view.capacity, weight) < 1.0
-        first = next(waiting_tasks.in_order(pool, team, wall))
-        return below and _is_urgent(first)
+        return below and waiting_tasks.has(
+            pool, team, requests.Priority.URGENT
+        )
 
     return sorted(ordered, key=lambda team: not goes_first(team))
 
