--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -27,8 +27,11 @@
 from agaterudder import tasks
 from agaterudder import vmsteps
 from agaterudder import waiting
+from bench import requests as measured
+from standins import launcher
 
 REPEATS = 20
+IDLE_SECONDS = 8.0
 
 
 def seconds_of(action: t.Callable[[], t.Any]) -> float:
@@ -245,8 +248,51 @@
     show("vm_record_bytes", 1, record_bytes, "B")
 
 
+def measure_processes() -> None:
+    """Measure idle entry processes: time, memory and bytes by their number.
+
+    Bytes are counted at the stand-in of the platform and, for the streams,
+    taken from the kernel's counters of loopback, without other load.
+    """
+    for count in (3, 6, 9):
+        deployment = launcher.Deployment(
+            launcher.Plan(entries=count // 3, services=(("tally", 1),))
+        )
+        try:
+            deployment.start()
+            time.sleep(2.0)
+            process = deployment.process("entry-north-0")
+            time_before = measured.cpu_seconds(process)
+            bytes_before = _loopback_bytes()
+            asked_before = deployment.fault(deployment.platform)
+            time.sleep(IDLE_SECONDS)
+            used = measured.cpu_seconds(process) - time_before
+            sent = _loopback_bytes() - bytes_before
+            asked = deployment.fault(deployment.platform)
+            show("idle_core", count, used / IDLE_SECONDS * 100, "percent")
+            memory = measured.memory_bytes(process) / 1_048_576
+            show("idle_memory", count, memory, "MB")
+            rate = sent / IDLE_SECONDS / count / 1024
+            show("idle_bytes_each", count, rate, "KB/s")
+            for kind in ("reads", "writes"):
+                each = (asked[kind] - asked_before[kind]) / count
+                show(f"idle_{kind}_each", count, each / IDLE_SECONDS, "1/s")
+        finally:
+            deployment.stop()
+
+
+def _loopback_bytes() -> int:
+    """Return the bytes that loopback has carried."""
+    with open("/proc/net/dev") as stream:
+        line = next(x for x in stream if x.strip().startswith("lo:"))
+    return int(line.split()[1])
+
+
 def main() -> int:
     """Measure everything."""
+    if "--processes" in sys.argv:
+        measure_processes()
+        return 0
     measure_configuration()
     measure_digest()
     measure_list()
