Lend from one pool to the next; ask idle workers less often

An idle entry process woke 20 times a second to schedule nothing and asked each worker twice a second. Change: a pool with a lent VM to spare for 15 s passes it on; the scheduler sleeps 1 s with nothing waiting; workers without tasks of this VM are asked every 2 s.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -256,7 +256,11 @@
     """
     for count in (3, 6, 9):
         deployment = launcher.Deployment(
-            launcher.Plan(entries=count // 3, services=(("tally", 1),))
+            launcher.Plan(
+                entries=count // 3,
+                services=(("tally", 1),),
+                poll_seconds=2.0,
+            )
         )
         try:
             deployment.start()
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -451,6 +451,7 @@
         else:
             pools[shift.source] -= 1
             lent[shift.source] -= 1
+            lent[shift.target] = lent.get(shift.target, 0) + 1
         joining.append((now + 10.0, shift.target))
     return idle / 3_600, moves, unserved
 
--- a/src/agaterudder/execution.py
+++ b/src/agaterudder/execution.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import itertools
 import logging
 import time
 import typing as t
@@ -36,7 +37,9 @@
 LOG = logging.getLogger(__name__)
 
 TURN_SECONDS = 0.05
+IDLE_SECONDS = 1.0
 RENEW_SECONDS = 0.5
+ASK_ALL_TURNS = 4
 STARTS_AT_ONCE = 64
 STEPS_PER_TURN = 200
 MOST_AVOIDED = 10
@@ -204,7 +207,8 @@
 
     def _schedule_forever(self) -> None:
         while True:
-            self._wake.wait(timeout=TURN_SECONDS)
+            idle = not len(self._waiting)
+            self._wake.wait(timeout=IDLE_SECONDS if idle else TURN_SECONDS)
             self._wake.clear()
             self.schedule(time.monotonic(), time.time())
 
@@ -445,18 +449,22 @@
     # Leases and outcomes
 
     def _renew_forever(self) -> None:
-        while True:
+        for turn in itertools.count():
             calls = [
                 gevent.spawn(self.renew, worker)
-                for worker in self._workers_to_ask()
+                for worker in self._workers_to_ask(turn)
             ]
             gevent.joinall(calls, timeout=workers.TIMEOUT_SECONDS * 2)
             self.resolve_lapsed(time.monotonic())
             gevent.sleep(RENEW_SECONDS)
 
-    def _workers_to_ask(self) -> set[str]:
+    def _workers_to_ask(self, turn: int = 0) -> set[str]:
+        """Return workers with tasks of ours, and now and then all."""
         running = {place.worker for place in self._placements.values()}
-        return running.union(self._forget, self._fleet.views)
+        asked = running.union(self._forget)
+        if turn % ASK_ALL_TURNS == 0:
+            asked.update(self._fleet.views)
+        return asked
 
     def renew(self, worker: str) -> None:
         """Renew the leases on one worker and take its reports."""
--- a/src/agaterudder/rebalance.py
+++ b/src/agaterudder/rebalance.py
@@ -94,29 +94,40 @@
             for pool in others
             if now - self._need_since.get(pool.pool, now) >= NEED_SECONDS
         ]
-        if idle < 1 or not needy:
+        if not needy:
             return None
         neediest = max(needy, key=lambda pool: pool.wanted / pool.size)
         reason = f"wants {neediest.wanted:.1f} VMs, has {neediest.size}"
-        return Shift(lending.pool, neediest.pool, reason)
+        if idle >= 1:
+            return Shift(lending.pool, neediest.pool, reason)
+        rich = self._rich(others, NEED_SECONDS, now)
+        if not rich:
+            return None
+        return Shift(rich[0].pool, neediest.pool, reason)
 
-    def _pay_back(
-        self,
-        others: t.Sequence[PoolDemand],
-        lending: PoolDemand,
-        now: float,
-    ) -> Shift | None:
-        rich = [
+    def _rich(
+        self, others: t.Sequence[PoolDemand], seconds: float, now: float
+    ) -> list[PoolDemand]:
+        """Return pools with a lent VM to spare for so long, richest first."""
+        found = [
             pool
             for pool in others
             if pool.lent
             and pool.size - pool.wanted >= SURPLUS_VMS
             and pool.size > pool.least
-            and now - self._surplus_since.get(pool.pool, now)
-            >= SURPLUS_SECONDS
+            and now - self._surplus_since.get(pool.pool, now) >= seconds
         ]
+        return sorted(found, key=lambda pool: pool.wanted - pool.size)
+
+    def _pay_back(
+        self,
+        others: t.Sequence[PoolDemand],
+        lending: PoolDemand,
+        now: float,
+    ) -> Shift | None:
+        rich = self._rich(others, SURPLUS_SECONDS, now)
         if not rich:
             return None
-        richest = max(rich, key=lambda pool: pool.size - pool.wanted)
+        richest = rich[0]
         reason = f"wants {richest.wanted:.1f} VMs, has {richest.size}"
         return Shift(richest.pool, lending.pool, reason)
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -46,6 +46,7 @@
     timing: tuple[tuple[str, float], ...] = ()
     open_services: tuple[str, ...] = ()
     service_timeout: float = 2.0
+    poll_seconds: float = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -233,7 +234,7 @@
         return (
             f'[entry]\nvm = "{vm}"\ndata_centre = "{centre}"\n'
             f'http = "{self.entries[vm]}"\nstream = "{self._address()}"\n'
-            f'[platform]\naddress = "{self.platform}"\npoll_seconds = 0.5\n'
+            f'[platform]\naddress = "{self.platform}"\npoll_seconds = {self.plan.poll_seconds}\n'
             f'[[operators]]\nname = "{OPERATOR}"\n'
             f'salt = "{OPERATOR_SALT}"\nhash = "{hashed}"\n'
             f"[timing]\nreadiness_lag_seconds = 0.5\n{timing}{services}"
