--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -101,6 +101,7 @@
         show("configuration_parse", teams, seconds * 1000, "ms")
 
         def install() -> configuration.InForce:
+            assurances.parse.cache_clear()
             in_force = configuration.InForce()
             in_force.install(made)
             return in_force
--- a/src/agaterudder/assurances.py
+++ b/src/agaterudder/assurances.py
@@ -207,7 +207,7 @@
         item = tomlkit.parse(line)[kind][key.partition(".")[2]]
         value = msgspec.convert(item.unwrap(), _KINDS[kind])
     except tomlkit.exceptions.ParseError as error:
-        return Fault(number, error.col + 1, str(error))
+        return _unreadable(number, line, error)
     except (tomlkit.exceptions.TOMLKitError, AttributeError) as error:
         return Fault(number, column, str(error))
     except msgspec.ValidationError as error:
@@ -219,6 +219,19 @@
     return _Parsed(key, value, Source(number, asked_by, line.strip()))
 
 
+def _unreadable(
+    number: int, line: str, error: tomlkit.exceptions.ParseError
+) -> Fault:
+    """Return the fault of a line that is no TOML.
+
+    The parser gives column 0 when the line ends too early.
+    """
+    if error.col:
+        return Fault(number, error.col + 1, str(error))
+    end = len(line.partition("#")[0].rstrip()) + 1
+    return Fault(number, end, "the line ends too early; is a } missing?")
+
+
 def _column(line: str, error: Exception, default: int) -> int:
     named = re.search(r"`\$\.(\w+)`|field `(\w+)`", str(error))
     if named is None:
--- a/tests/features/documents.feature
+++ b/tests/features/documents.feature
@@ -36,7 +36,7 @@
       | team.a = { share = 1 }                        | 23     | who asked          |
       | team.a = { share = -1 }  # Ane                | 12     | share              |
       | team.a = { shore = 1 }  # Ane                 | 12     | shore              |
-      | team.a = { share = 1  # Ane                   | 22     |                    |
+      | team.a = { share = 1  # Ane                   | 21     | ends too early     |
       | flock.a = { share = 1 }  # Ane                | 1      | unknown kind       |
       | pool.a = { out = 0 }  # Ane                   | 1      | no maintenance     |
       | queue.a = { pool = "b" }  # Ane               | 1      | no pool b          |
