--- a/src/agaterudder/adoption.py
+++ b/src/agaterudder/adoption.py
@@ -243,7 +243,8 @@
                 or task.repeatable
             ):
                 continue
-            task.state = tasks.State.UNKNOWN
+            task.state = tasks.State.WAITING
+            tasks.move(task, "lose_track")
             task.reason = "a worker that may have run it is silent"
             held.dirty = True
 
--- a/src/agaterudder/batches.py
+++ b/src/agaterudder/batches.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import logging
+import time
 import typing as t
 
 import gevent
@@ -257,6 +258,7 @@
         )
         writes = [before]
         if settled:
+            batch.settled_at = time.time()
             writes.append(store.Write(batch.settled_key, 0, batch))
         self.writes += 1
         match self._store.transact(writes):
@@ -352,6 +354,35 @@
                 return outcome
 
 
+def sweep(
+    table: store.Store, data_centre: str, retention: float, wall: float
+) -> int:
+    """Delete batches that were settled long ago; return their number.
+
+    The rows of callers' request ids go with them: a submission repeated
+    after the retention is a new task.
+
+    :param retention: seconds for which a settled task can be looked up.
+    :param wall: wall-clock time in seconds since the epoch.
+    :raises StoreUnavailable: when the table service is away.
+    """
+    count = 0
+    prefix = f"{tasks.SETTLED_PREFIX}{data_centre}/"
+    for row in table.scan(prefix, tasks.Batch):
+        batch = row.value
+        if batch is None or wall - batch.settled_at < retention:
+            continue
+        markers = [
+            table.read(tasks.marker_key(task.team, task.request), tasks.Marker)
+            for task in batch.tasks
+            if task.request
+        ]
+        gone = [store.replace(marker, None) for marker in markers]
+        table.transact([store.replace(row, None), *gone])
+        count += 1
+    return count
+
+
 def _split_repeated(
     group: list[_Pending],
 ) -> tuple[list[_Pending], list[tuple[_Pending, _Pending]]]:
--- a/src/agaterudder/entry.py
+++ b/src/agaterudder/entry.py
@@ -23,6 +23,7 @@
 from agaterudder import membership
 from agaterudder import messages
 from agaterudder import metrics
+from agaterudder import outcomes
 from agaterudder import peering
 from agaterudder import peers
 from agaterudder import platform
@@ -132,7 +133,7 @@
             self.store,
             self.execution,
             self,
-            execution.lapse_seconds(checked.timing),
+            outcomes.lapse_seconds(checked.timing),
         )
         self.maintenance = maintenance.Maintenance(
             self.vm,
--- a/src/agaterudder/execution.py
+++ b/src/agaterudder/execution.py
@@ -25,6 +25,7 @@
 from agaterudder import fleet
 from agaterudder import grants
 from agaterudder import metrics
+from agaterudder import outcomes
 from agaterudder import resources
 from agaterudder import scheduling
 from agaterudder import settings
@@ -42,38 +43,12 @@
 ASK_ALL_TURNS = 4
 STARTS_AT_ONCE = 64
 STEPS_PER_TURN = 200
-MOST_AVOIDED = 10
 KEEP_SECONDS = 4.0
 SAMPLE_TASKS = 20
 GRANT_FRACTION = 0.25
-UNKNOWN_SECONDS = 300.0
 DRAIN_PATIENCE_SECONDS = 10.0
 
 
-class Placement:
-    """A task that was started, or may have been.
-
-    :ivar certain: whether the worker confirmed the start.
-    """
-
-    __slots__ = ("task", "worker", "amount", "certain", "since", "used")
-
-    def __init__(
-        self,
-        task: tasks.Task,
-        worker: str,
-        amount: resources.Vector,
-        certain: bool,
-        since: float,
-    ) -> None:
-        self.task = task
-        self.worker = worker
-        self.amount = amount
-        self.certain = certain
-        self.since = since
-        self.used = resources.ZERO
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Surroundings:
     """What the execution asks of the rest of the process.
@@ -100,17 +75,13 @@
         "_grants",
         "_fleet",
         "_around",
-        "_decisions",
         "_metrics",
-        "_waiting",
-        "_placements",
         "_sizes",
+        "_outcomes",
         "_wake",
         "_starts",
         "_needs",
         "_deferred",
-        "_avoided",
-        "_forget",
         "_kept_free",
         "_draining",
         "_started",
@@ -140,17 +111,25 @@
         self._grants = grants.Grants(checked.entry.vm, table)
         self._fleet = workers_here
         self._around = around
-        self._decisions = log
         self._metrics = measured
-        self._waiting = waiting.WaitingTasks()
-        self._placements: dict[str, Placement] = {}
         self._sizes = sizes.Sizes()
         self._wake = gevent.event.Event()
+        self._outcomes = outcomes.Outcomes(
+            checked.timing,
+            in_force,
+            self._batches,
+            self._grants,
+            workers_here,
+            self._sizes,
+            log,
+            measured,
+            self._wake,
+            around.worker_gone,
+            self._make_sure_later,
+        )
         self._starts = gevent.pool.Pool(STARTS_AT_ONCE)
         self._needs: dict[str, escrow.Need] = {}
         self._deferred: dict[str, float] = {}
-        self._avoided: dict[str, list[str]] = {}
-        self._forget: dict[str, list[str]] = {}
         self._kept_free: dict[str, str] = {}
         self._draining: dict[str, float] = {}
         self._started: dict[str, resources.Vector] = {}
@@ -169,12 +148,12 @@
     @property
     def waiting(self) -> waiting.WaitingTasks:
         """Tasks that have not started."""
-        return self._waiting
+        return self._outcomes.waiting
 
     @property
-    def placements(self) -> dict[str, Placement]:
+    def placements(self) -> dict[str, outcomes.Placement]:
         """Started tasks."""
-        return self._placements
+        return self._outcomes.placements
 
     @property
     def needs(self) -> dict[str, escrow.Need]:
@@ -200,14 +179,14 @@
     def _committed(self, batch: tasks.Batch) -> None:
         for task in batch.tasks:
             if task.state is tasks.State.WAITING:
-                self._waiting.add(task)
+                self._outcomes.waiting.add(task)
         self._wake.set()
 
     # Starting
 
     def _schedule_forever(self) -> None:
         while True:
-            idle = not len(self._waiting)
+            idle = not len(self._outcomes.waiting)
             self._wake.wait(timeout=IDLE_SECONDS if idle else TURN_SECONDS)
             self._wake.clear()
             self.schedule(time.monotonic(), time.time())
@@ -219,7 +198,7 @@
         started = 0
         view = self._around.view()
         self._started = {}
-        for pool in self._waiting.pools():
+        for pool in self._outcomes.waiting.pools():
             blocked = self._refused_teams(pool, now)
             for _ in range(STEPS_PER_TURN):
                 if self._starts.free_count() == 0:
@@ -246,7 +225,7 @@
         """Return the waiting teams whose tasks may not start now."""
         return {
             team
-            for team in self._waiting.teams(pool)
+            for team in self._outcomes.waiting.teams(pool)
             if self._around.may_start(team, now) is not None
         }
 
@@ -266,7 +245,7 @@
         )
         step = scheduling.next_step(
             pool,
-            self._waiting,
+            self._outcomes.waiting,
             self._fleet,
             self._sizes,
             self._holding,
@@ -291,7 +270,7 @@
             for worker, urgent in self._kept_free.items()
             if urgent != task
         ]
-        return [*self._avoided.get(task, ()), *kept]
+        return [*self._outcomes.avoided.get(task, ()), *kept]
 
     def _holding(self, team: str) -> escrow.Holding:
         holding = self._grants.holding(team)
@@ -304,14 +283,14 @@
         if isinstance(step, scheduling.Launch):
             self._deferred.pop(step.task.team, None)
             return
-        for team in self._waiting.teams(pool):
+        for team in self._outcomes.waiting.teams(pool):
             self._deferred.setdefault(team, now)
 
     def _need(self, team: str, amount: resources.Vector) -> escrow.Need:
         """Return how much to ask for: the next tasks, within reason."""
         free = self._grants.holding(team).free
         least = (amount - free).larger(resources.ZERO)
-        sample = self._waiting.sample(team, SAMPLE_TASKS)
+        sample = self._outcomes.waiting.sample(team, SAMPLE_TASKS)
         asked = resources.total(task.size for task in sample)
         quarter = self.limit(team).limit.scaled(GRANT_FRACTION)
         wanted = (asked - free).larger(resources.ZERO).smaller(quarter)
@@ -319,22 +298,22 @@
 
     def _launch(self, step: scheduling.Launch, now: float) -> None:
         task = step.task
-        self._waiting.remove(task.task)
+        self._outcomes.waiting.remove(task.task)
         self._keep_no_more(task.task)
-        task.state = tasks.State.STARTING
+        tasks.move(task, "launch")
         task.starts += 1
-        place = Placement(task, step.worker, step.amount, False, now)
-        self._placements[task.task] = place
+        place = outcomes.Placement(task, step.worker, step.amount, False, now)
+        self._outcomes.placements[task.task] = place
         self._fleet.views[step.worker].started(step.amount)
         self._fleet.health.chosen(step.worker, now)
-        self._explain(
+        self._outcomes.explain(
             task, f"start on {step.worker}", f"size {step.amount.values()}"
         )
         self._starts.spawn(self._start_on_worker, place)
 
-    def _start_on_worker(self, place: Placement) -> None:
+    def _start_on_worker(self, place: outcomes.Placement) -> None:
         client = self._around.worker(place.worker)
-        held = self._held(place.task)
+        held = self._outcomes.held(place.task)
         refused = self._around.may_start(place.task.team, time.monotonic())
         if client is None or held is None or refused is not None:
             self._not_started(place, "the worker or the batch left", False)
@@ -357,7 +336,7 @@
             case workers.Started():
                 place.certain = True
                 place.since = now
-                place.task.state = tasks.State.RUNNING
+                self._outcomes.confirm(place)
                 delay = time.time() - place.task.submitted_at
                 self._metrics.observe(
                     "task_start",
@@ -376,28 +355,28 @@
                 )
 
     def _not_started(
-        self, place: Placement, reason: str, fenced: bool
+        self, place: outcomes.Placement, reason: str, fenced: bool
     ) -> None:
-        if not self._unplace(place):
+        if not self._outcomes.unplace(place):
             return
         if fenced:
-            held = self._held(place.task)
+            held = self._outcomes.held(place.task)
             if held is not None:
-                self._lose(held)
+                self._outcomes.lose(held)
             return
         view = self._fleet.views.get(place.worker)
         if view is not None:
             view.free = resources.ZERO
-        place.task.state = tasks.State.WAITING
-        self._waiting.put_back(place.task)
-        self._explain(place.task, "wait again", reason)
+        tasks.move(place.task, "refuse")
+        self._outcomes.waiting.put_back(place.task)
+        self._outcomes.explain(place.task, "wait again", reason)
 
     def _make_room(self, step: scheduling.NeedRoom, now: float) -> None:
         if step.task.task in self._kept_free.values():
             return
         running = [
             (place.task, place.worker, place.amount)
-            for place in self._placements.values()
+            for place in self._outcomes.placements.values()
             if place.certain
         ]
         chosen = scheduling.victims(step.amount, running, self._fleet, now)
@@ -424,8 +403,10 @@
                 client = self._around.worker(worker)
                 if client is None:
                     continue
-                self._explain(task, "checkpoint", reason)
-                self._take_reports(worker, client.checkpoint(task.task))
+                self._outcomes.explain(task, "checkpoint", reason)
+                self._outcomes.take_reports(
+                    worker, client.checkpoint(task.task)
+                )
         except exceptions.StoreUnavailable as error:
             LOG.info("checkpoint unanswered", extra={"why": error})
         finally:
@@ -440,7 +421,7 @@
         self._draining[worker] = now
         running = [
             (place.task, worker)
-            for place in self._placements.values()
+            for place in self._outcomes.placements.values()
             if place.worker == worker and place.certain
         ]
         if running:
@@ -460,8 +441,10 @@
 
     def _workers_to_ask(self, turn: int = 0) -> set[str]:
         """Return workers with tasks of ours, and now and then all."""
-        running = {place.worker for place in self._placements.values()}
-        asked = running.union(self._forget)
+        running = {
+            place.worker for place in self._outcomes.placements.values()
+        }
+        asked = running.union(self._outcomes.forget)
         if turn % ASK_ALL_TURNS == 0:
             asked.update(self._fleet.views)
         return asked
@@ -473,64 +456,32 @@
             return
         mine = [
             task
-            for task, place in self._placements.items()
+            for task, place in self._outcomes.placements.items()
             if place.worker == worker
-            and time.monotonic() - place.since < UNKNOWN_SECONDS
+            and time.monotonic() - place.since < outcomes.UNKNOWN_SECONDS
         ]
-        forget = self._forget.pop(worker, [])
+        forget = self._outcomes.forget.pop(worker, [])
         lease = self._settings.timing.task_lease_seconds
         asked_at = time.monotonic()
         try:
             reports = client.renew(mine, forget, lease)
         except exceptions.StoreUnavailable:
-            self._forget.setdefault(worker, []).extend(forget)
+            self._outcomes.forget.setdefault(worker, []).extend(forget)
             return
         for task in mine:
-            place = self._placements.get(task)
+            place = self._outcomes.placements.get(task)
             if place is not None and place.certain:
                 place.since = asked_at
-        self._take_reports(worker, reports)
+        self._outcomes.take_reports(worker, reports)
 
-    def _take_reports(self, worker: str, reports: workers.Reports) -> None:
-        now = time.monotonic()
-        view = self._fleet.views.get(worker)
-        if view is not None and reports.free is not resources.ZERO:
-            view.reported(reports.free, now)
-        for report in reports.tasks:
-            place = self._placements.get(report.task)
-            if place is not None and place.worker == worker:
-                self._take_report(place, report, now)
-        self._wake.set()
+    def resolve_lapsed(self, now: float) -> None:
+        """Decide about tasks whose worker stays silent."""
+        self._outcomes.resolve_lapsed(now)
 
-    def _take_report(
-        self, place: Placement, report: workers.Report, now: float
-    ) -> None:
-        place.used = place.used.larger(report.used)
-        match report.state:
-            case "running":
-                place.certain = True
-                place.task.state = tasks.State.RUNNING
-            case "done":
-                self._ended(place, tasks.State.DONE, "done", now)
-            case "failed":
-                self._failed(place, now)
-            case "stopped":
-                self._ended(
-                    place, tasks.State.CANCELLED, "stopped by a call", now
-                )
-            case "checkpointed":
-                place.task.checkpoint = report.checkpoint
-                self._again(place, "checkpointed for urgent work")
-            case "lapsed":
-                self._interrupted(place, "the lease lapsed", now)
-            case "refused":
-                self._again(place, "it never started there")
-            case "unknown" if place.certain:
-                self._interrupted(place, "the worker forgot the task", now)
-            case "unknown":
-                gevent.spawn(self._make_sure, place)
-
-    def _make_sure(self, place: Placement) -> None:
+    def _make_sure_later(self, place: outcomes.Placement) -> None:
+        gevent.spawn(self._make_sure, place)
+
+    def _make_sure(self, place: outcomes.Placement) -> None:
         """Ask a worker never to start a task whose start had no answer."""
         client = self._around.worker(place.worker)
         if client is None or place.task.state is not tasks.State.STARTING:
@@ -539,12 +490,12 @@
             return
         reports = self._stop_run(client, place)
         if reports is not None:
-            self._take_reports(place.worker, reports)
+            self._outcomes.take_reports(place.worker, reports)
 
     def _stop_run(
-        self, client: workers.Worker, place: Placement
+        self, client: workers.Worker, place: outcomes.Placement
     ) -> workers.Reports | None:
-        held = self._held(place.task)
+        held = self._outcomes.held(place.task)
         if held is None:
             return None
         try:
@@ -555,92 +506,6 @@
             LOG.info("stop unanswered", extra={"why": error})
             return None
 
-    def _failed(self, place: Placement, now: float) -> None:
-        task = place.task
-        task.attempts += 1
-        ejected = self._fleet.health.result(place.worker, False, now)
-        if ejected is not None:
-            LOG.warning(
-                "worker ejected",
-                extra={"worker": place.worker, "why": ejected.reason},
-            )
-        if not task.repeatable:
-            self._ended(place, tasks.State.FAILED, "failed", now, False)
-        elif task.attempts >= tasks.MOST_ATTEMPTS:
-            reason = f"failed on {task.attempts} workers"
-            self._ended(place, tasks.State.SET_ASIDE, reason, now, False)
-        else:
-            avoided = self._avoided.setdefault(task.task, [])
-            avoided.append(place.worker)
-            del avoided[:-MOST_AVOIDED]
-            self._again(place, f"failed on {place.worker}")
-
-    def _interrupted(self, place: Placement, reason: str, now: float) -> None:
-        place.task.attempts += 1
-        if not place.task.repeatable:
-            self._ended(place, tasks.State.UNKNOWN, reason, now, None)
-        elif place.task.attempts >= tasks.MOST_ATTEMPTS:
-            self._ended(place, tasks.State.SET_ASIDE, reason, now, None)
-        else:
-            self._again(place, reason)
-
-    def _again(self, place: Placement, reason: str) -> None:
-        if not self._unplace(place):
-            return
-        place.task.state = tasks.State.WAITING
-        self._forget.setdefault(place.worker, []).append(place.task.task)
-        self._waiting.put_back(place.task)
-        self._batches.changed(place.task.task)
-        self._explain(place.task, "wait again", reason)
-
-    def _ended(
-        self,
-        place: Placement,
-        state: tasks.State,
-        reason: str,
-        now: float,
-        succeeded: bool | None = True,
-    ) -> None:
-        if not self._unplace(place):
-            return
-        task = place.task
-        task.state = state
-        task.reason = reason
-        if succeeded:
-            self._fleet.health.result(place.worker, True, now)
-        if any(place.used.values()):
-            self._sizes.observe(task.team, task.kind, task.size, place.used)
-        self._forget.setdefault(place.worker, []).append(task.task)
-        self._avoided.pop(task.task, None)
-        self._batches.changed(task.task)
-        self._metrics.count("tasks", team=task.team, state=state.value)
-        self._explain(task, state.value, reason)
-
-    def _unplace(self, place: Placement) -> bool:
-        """Free what a task used; return False when it was done before."""
-        if self._placements.get(place.task.task) is not place:
-            return False
-        del self._placements[place.task.task]
-        self._grants.holding(place.task.team).release(place.task.task)
-        self._wake.set()
-        return True
-
-    def resolve_lapsed(self, now: float) -> None:
-        """Decide about tasks whose worker stays silent.
-
-        A worker stops a task whose lease lapsed, also when it is cut off,
-        so that after the lease the task runs no more.
-        """
-        timing = self._settings.timing
-        lapse = lapse_seconds(timing)
-        for place in list(self._placements.values()):
-            gone = self._around.worker_gone(place.worker)
-            silent = now - place.since
-            if not gone and silent < lapse:
-                continue
-            if place.task.repeatable or gone or silent > UNKNOWN_SECONDS:
-                self._interrupted(place, "its worker is silent", now)
-
     # Settling
 
     def _settle_forever(self) -> None:
@@ -657,7 +522,7 @@
                     refused is not None
                     and refused.code is codes.Result.CONFLICT
                 ):
-                    self._lose(held)
+                    self._outcomes.lose(held)
             retention = min(60.0, self._settings.timing.retention_seconds)
             if (
                 held.settled_at is not None
@@ -671,50 +536,40 @@
             return True
         ended = sum(t.state in tasks.SETTLED for t in held.batch.tasks)
         return ended * 2 >= len(held.batch.tasks) or not any(
-            task.task in self._placements for task in held.batch.tasks
+            task.task in self._outcomes.placements for task in held.batch.tasks
         )
 
-    def _lose(self, held: batches.Held) -> None:
-        """Drop a batch that another VM owns now."""
-        for task in held.batch.tasks:
-            self._waiting.remove(task.task)
-            place = self._placements.get(task.task)
-            if place is not None:
-                self._unplace(place)
-        self._batches.drop(held)
-        LOG.warning("batch lost", extra={"batch": held.batch.batch})
-
     # Callers' and operators' calls
 
     def cancel(self, task: tasks.Task, now: float) -> tasks.State:
         """Cancel a task; a start that has not happened does not happen."""
-        if task.task in self._waiting:
-            self._waiting.remove(task.task)
-            task.state = tasks.State.CANCELLED
+        if task.task in self._outcomes.waiting:
+            self._outcomes.waiting.remove(task.task)
+            tasks.move(task, "cancel")
             task.reason = "cancelled before it started"
             self._batches.changed(task.task)
-            self._explain(task, "cancelled", "the caller")
+            self._outcomes.explain(task, "cancelled", "the caller")
             return task.state
-        place = self._placements.get(task.task)
+        place = self._outcomes.placements.get(task.task)
         if place is not None:
             gevent.spawn(self._stop, place)
         return task.state
 
-    def _stop(self, place: Placement) -> None:
+    def _stop(self, place: outcomes.Placement) -> None:
         client = self._around.worker(place.worker)
         reports = self._stop_run(client, place) if client else None
         if reports is None:
             return
         for report in reports.tasks:
             if report.state == "refused":
-                self._ended(
+                self._outcomes.ended(
                     place,
                     tasks.State.CANCELLED,
                     "cancelled before it started",
                     time.monotonic(),
                     None,
                 )
-        self._take_reports(place.worker, reports)
+        self._outcomes.take_reports(place.worker, reports)
 
     def release_batches(self) -> None:
         """Give every open batch to the other entry VMs."""
@@ -724,12 +579,12 @@
             if held.batch.settled:
                 continue
             placed = {
-                task.task: self._placements[task.task].worker
+                task.task: self._outcomes.placements[task.task].worker
                 for task in held.batch.tasks
-                if task.task in self._placements
+                if task.task in self._outcomes.placements
             }
             if self._batches.release(held, placed) is None:
-                self._lose(held)
+                self._outcomes.lose(held)
 
     # Adoption
 
@@ -749,37 +604,17 @@
             if task.state in tasks.SETTLED:
                 continue
             report = known.get(task.task)
+            # A row does not say whether a task was started.
+            task.state = tasks.State.WAITING
             if report is None:
-                task.state = tasks.State.WAITING
-                self._waiting.add(task)
+                self._outcomes.waiting.add(task)
                 continue
+            tasks.move(task, "launch")
             amount = self._sizes.corrected(task.team, task.kind, task.size)
-            place = Placement(task, where[task.task], amount, True, now)
-            self._placements[task.task] = place
+            place = outcomes.Placement(
+                task, where[task.task], amount, True, now
+            )
+            self._outcomes.placements[task.task] = place
             self._grants.holding(task.team).adopt(task.task, amount)
-            self._take_report(place, report, now)
+            self._outcomes.take_report(place, report, now)
         self._wake.set()
-
-    def _held(self, task: tasks.Task) -> batches.Held | None:
-        place = tasks.batch_of(task.task)
-        return self._batches.held.get(place[1]) if place else None
-
-    def _explain(self, task: tasks.Task, what: str, inputs: str) -> None:
-        self._decisions.record(
-            "task",
-            task.task,
-            decisions.Decision(
-                time.time(),
-                what,
-                inputs,
-                self._in_force.assurances.source("team", task.team),
-            ),
-        )
-
-
-def lapse_seconds(timing: settings.Timing) -> float:
-    """Return the time after which a lease given before has lapsed."""
-    return (
-        timing.task_lease_seconds * (1 + timing.clock_rate_margin)
-        + timing.lease_margin_seconds
-    )
--- a/src/agaterudder/gateway.py
+++ b/src/agaterudder/gateway.py
@@ -61,8 +61,7 @@
             case ["readyz"]:
                 return self._ready()
             case ["metrics"]:
-                text = self._entry.metrics.render().encode()
-                return http.Reply(200, text, "text/plain; version=0.0.4")
+                return self._metrics()
             case ["v1", "operator", *rest]:
                 return self._operators.answer(environ, rest, body)
             case ["v1", "services", name, *_]:
@@ -75,6 +74,19 @@
             codes.Refused(codes.Result.NOT_FOUND, f"no path {path[:80]}")
         )
 
+    def _metrics(self) -> http.Reply:
+        entry = self._entry
+        gauges = {
+            "configuration_version": entry.in_force.version,
+            "tasks_waiting": len(entry.execution.waiting),
+            "tasks_started": len(entry.execution.placements),
+            "peers_heard": len(entry.links.alive(time.monotonic())),
+        }
+        for name, value in gauges.items():
+            entry.metrics.gauge(name, value)
+        text = entry.metrics.render().encode()
+        return http.Reply(200, text, "text/plain; version=0.0.4")
+
     def _ready(self) -> http.Reply:
         entry = self._entry
         refused = entry.may_take("", time.monotonic())
--- a/src/agaterudder/tasks.py
+++ b/src/agaterudder/tasks.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from agaterudder import lifecycles
 from agaterudder import requests
 from agaterudder import resources
 
@@ -87,6 +88,7 @@
         that releases the batch; None while an owner may be starting some.
     :ivar released_by: the owner that released the batch, whose grants
         cover the started tasks.
+    :ivar settled_at: wall-clock time at which every task had ended.
     """
 
     batch: str
@@ -98,6 +100,7 @@
     incarnation: int = 0
     placements: dict[str, str] | None = None
     released_by: str = ""
+    settled_at: float = 0.0
 
     @property
     def key(self) -> str:
@@ -145,6 +148,15 @@
         )
 
 
+def move(task: Task, event: str) -> None:
+    """Change the state of a task by an event of its chart.
+
+    :raises ChartError: when the event is not allowed in its state.
+    """
+    chart = lifecycles.load("task")
+    task.state = State(chart.next_state(task.state.value, event))
+
+
 def marker_key(team: str, request: str) -> str:
     """Return the key of the row for a caller's request id."""
     return f"{REQUEST_PREFIX}{team}/{request}"
--- a/src/agaterudder/upkeep.py
+++ b/src/agaterudder/upkeep.py
@@ -10,12 +10,13 @@
 
 import gevent
 
+from agaterudder import batches
 from agaterudder import decisions
 from agaterudder import escrow
 from agaterudder import exceptions
-from agaterudder import execution
 from agaterudder import grants
 from agaterudder import membership
+from agaterudder import outcomes
 from agaterudder import platform
 from agaterudder import resources
 from agaterudder import settings
@@ -33,6 +34,7 @@
 ADOPTION_SECONDS = 2.0
 SLOTS_SECONDS = 1.0
 MAINTENANCE_SECONDS = 1.0
+SWEEP_SECONDS = 600.0
 UNDER_WAY_SECONDS = 0.25
 SLOTS_PREFIX = "slots/"
 
@@ -63,6 +65,7 @@
             (self.divide_slots, SLOTS_SECONDS),
             (self.adopt, ADOPTION_SECONDS),
             (self.maintain, MAINTENANCE_SECONDS),
+            (self.sweep, SWEEP_SECONDS),
         ]
         self._loops = [
             gevent.spawn(self._repeat, action, seconds)
@@ -162,7 +165,7 @@
             raise exceptions.StoreUnavailable("not registered")
         self._entry.incarnation = incarnation
         self._entry.execution.owned.incarnation = incarnation
-        self._reservations_end = time.monotonic() + execution.lapse_seconds(
+        self._reservations_end = time.monotonic() + outcomes.lapse_seconds(
             self._entry.settings.timing
         )
         LOG.info("registered", extra={"incarnation": incarnation})
@@ -293,7 +296,7 @@
             self._entry.execution.release_batches()
             return
         self._entry.adopter.scan()
-        lapse = execution.lapse_seconds(self._entry.settings.timing)
+        lapse = outcomes.lapse_seconds(self._entry.settings.timing)
         entries = {
             vm: at
             for vm, at in self._entry.gone_at.items()
@@ -304,6 +307,16 @@
                 entries, lapse, time.monotonic()
             )
 
+    def sweep(self) -> None:
+        """Delete the rows of tasks that were settled long ago."""
+        if self._entry.incarnation and self._drives(time.monotonic()):
+            batches.sweep(
+                self._entry.store,
+                self._entry.data_centre,
+                self._entry.settings.timing.retention_seconds,
+                time.time(),
+            )
+
     def maintain(self) -> float | None:
         """Advance maintenance and moves; empty what drains.
 
--- a/tests/features/steps/task_steps.py
+++ b/tests/features/steps/task_steps.py
@@ -7,6 +7,7 @@
 import behave
 import gevent
 
+from agaterudder import batches
 from agaterudder import codes
 from agaterudder import requests
 from agaterudder import resources
@@ -256,3 +257,20 @@
     states = [context.cell.task(name).state.value for name in context.tasks]
     assert set(states) <= {"running", "waiting"}, states
     assert not re.search("unknown", " ".join(states))
+
+
+@behave.when(
+    "settled tasks are swept {later:d} seconds later with a retention of "
+    "{kept:d}"
+)
+def step_sweep(context: Context, later: int, kept: int) -> None:
+    entry = context.cell.entries["a"]
+    wall = time.time() + later
+    batches.sweep(entry.store, "north", float(kept), wall)
+
+
+@behave.then("{count:d} settled rows are left")
+def step_rows_left(context: Context, count: int) -> None:
+    rows = context.cell.platform.rows
+    left = [key for key in rows if key.startswith(tasks.SETTLED_PREFIX)]
+    assert len(left) == count, left
--- a/tests/features/tasks.feature
+++ b/tests/features/tasks.feature
@@ -37,6 +37,17 @@
     When the same request id is submitted to "a" and to "b"
     Then both answers name the same task
 
+  Scenario Outline: Settled tasks are kept for <kept> of <asked> seconds
+    When 3 tasks of 0.01 seconds that may not be repeated are submitted to "a"
+    And the survivors have had 20 turns of everything
+    And settled tasks are swept <asked> seconds later with a retention of <kept>
+    Then <left> settled rows are left
+
+    Examples:
+      | kept | asked | left |
+      | 100  | 99    | 1    |
+      | 100  | 101   | 0    |
+
   Scenario: Submissions are refused truly while the table service is away
     When the table service is down for "a"
     And a task is submitted to "a"
