--- a/src/agaterudder/entry.py
+++ b/src/agaterudder/entry.py
@@ -157,6 +157,10 @@
             return None
         return decision
 
+    def may_decide(self, now: float) -> bool:
+        """Return whether decisions may be made from what is known here."""
+        return self.may_take("", now) is None
+
     def may_start(self, team: str, now: float) -> codes.Refused | None:
         """Return a refusal when no task of a team may start here now."""
         if self.data_centre in self.in_force.data_centres_out:
--- a/src/agaterudder/execution.py
+++ b/src/agaterudder/execution.py
@@ -338,6 +338,7 @@
                 place.since = now
                 self._outcomes.confirm(place)
                 delay = time.time() - place.task.submitted_at
+                self._check_start(place.task, delay)
                 self._metrics.observe(
                     "task_start",
                     delay,
@@ -354,6 +355,22 @@
                     extra={"task": place.task.task, "why": reason},
                 )
 
+    def _check_start(self, task: tasks.Task, delay: float) -> None:
+        """Tell when a class started later than its assurance says."""
+        known = self._in_force.assurances
+        assured = known.classes.get(task.priority.value)
+        if assured is None or delay <= assured.start_seconds:
+            return
+        source = known.source("class", task.priority.value)
+        self._metrics.count("tasks_started_late", priority=task.priority.value)
+        LOG.warning(
+            "started late",
+            extra={"task": task.task, "delay": delay, "assurance": source},
+        )
+        self._outcomes.explain(
+            task, f"started after {delay:.1f} s, later than {source}", "wait"
+        )
+
     def _not_started(
         self, place: outcomes.Placement, reason: str, fenced: bool
     ) -> None:
--- a/src/agaterudder/maintenance.py
+++ b/src/agaterudder/maintenance.py
@@ -21,6 +21,8 @@
 LOG = logging.getLogger(__name__)
 
 STEPS_PER_TURN = 20
+DAY_SECONDS = 86_400.0
+DUE_FRACTION = 0.75
 
 
 class Maintenance:
@@ -130,6 +132,7 @@
             if row.value is not None and row.value.state != "serving":
                 self._steps.advance(row, row.value, around)
         self._repair_pools()
+        self._maintain_due(around)
         for wave in self._store.scan(waves.PREFIX, waves.Wave):
             if wave.value is not None and waves.unfinished(wave.value):
                 self._drive(wave, wave.value, around)
@@ -139,7 +142,9 @@
         for vm in around.listed.values():
             if vm.data_centre != self._data_centre or vm.vm in self._records:
                 continue
-            record = vmsteps.VmRecord(vm.vm, vm.data_centre, vm.pool)
+            record = vmsteps.VmRecord(
+                vm.vm, vm.data_centre, vm.pool, maintained_at=around.wall
+            )
             self._store.transact([store.Write(record.key, 0, record)])
 
     def _forget_gone(self, vms: t.Sequence[platform.Vm]) -> None:
@@ -163,6 +168,18 @@
                 operation = f"repair-{utils.new_identifier()}"
                 self._platform.assign_pool(name, record.pool, operation)
 
+    def _maintain_due(self, around: vmsteps.Surroundings) -> None:
+        """Begin to maintain the VM that has waited longest, if one is due."""
+        due = due_records(
+            self.records().values(), around.assurances, around.wall
+        )
+        for record in due[:STEPS_PER_TURN]:
+            refused = self._steps.begin(
+                record.vm, vmsteps.MAINTAIN, "", "", around
+            )
+            if refused is None or refused.code is codes.Result.BUDGET:
+                return
+
     def balance(
         self,
         demands: t.Mapping[str, float],
@@ -332,3 +349,25 @@
                 time.time(), f"{wave.state} {wave.why}".strip(), inputs
             ),
         )
+
+
+def due_records(
+    records: t.Iterable[vmsteps.VmRecord],
+    known: assurances.Assurances,
+    wall: float,
+) -> list[vmsteps.VmRecord]:
+    """Return the serving VMs that are due, the longest waiting first.
+
+    A VM is due before its time is up, so that the budget has room for all.
+
+    :param wall: wall-clock time in seconds since the epoch.
+    """
+    due = [
+        record
+        for record in records
+        if record.state == "serving"
+        and record.pool in known.pools
+        and wall - record.maintained_at
+        >= known.pools[record.pool].maintain_days * DAY_SECONDS * DUE_FRACTION
+    ]
+    return sorted(due, key=lambda record: record.maintained_at)
--- a/src/agaterudder/upkeep.py
+++ b/src/agaterudder/upkeep.py
@@ -290,7 +290,7 @@
         """
         if not self._entry.incarnation or self._entry.leaving:
             return
-        if self._entry.may_take(self._entry.vm, time.monotonic()) is not None:
+        if not self._entry.may_decide(time.monotonic()):
             return
         if self._entry.data_centre in self._entry.in_force.data_centres_out:
             self._entry.execution.release_batches()
@@ -324,7 +324,7 @@
         """
         if not self._entry.incarnation or self._entry.leaving:
             return None
-        if self._entry.may_take(self._entry.vm, time.monotonic()) is not None:
+        if not self._entry.may_decide(time.monotonic()):
             return None
         drives = self._drives(time.monotonic())
         if drives and self._entry.maintenance.under_way:
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -101,3 +101,17 @@
       | 5       | 0     |
       | 14      | 0     |
       | 40      | 1     |
+
+  Scenario Outline: A VM that was maintained <days> days ago
+    Given entry VMs "a" and "b" in "north" with 6 workers
+    And pool "count" allows 2 out
+    When "w3" was last maintained <days> days ago
+    And both drive up to 20 turns
+    Then "w3" was rebooted <times> times and the others not
+
+    Examples: once in 28 days, begun when three quarters have passed
+      | days | times |
+      | 1    | 0     |
+      | 20   | 0     |
+      | 22   | 1     |
+      | 60   | 1     |
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -6,13 +6,16 @@
 
 import behave
 import gevent
+import msgspec
 
 from agaterudder import assurances
 from agaterudder import budgets
 from agaterudder import codes
 from agaterudder import configuration
 from agaterudder import exceptions
+from agaterudder import maintenance
 from agaterudder import platform
+from agaterudder import store
 from agaterudder import vmsteps
 from agaterudder import waves
 from tests import builders
@@ -181,9 +184,12 @@
 @behave.when("VMs fail after their reboot")
 def step_fail_after(context: Context) -> None:
     def fail() -> None:
+        entry = next(iter(context.cell.entries.values()))
         for vm in context.platform.vms.values():
             if vm.get("reboots") and vm["state"] == "live":
-                vm["state"] = "down"
+                record = entry.maintenance.steps.read_record("north", vm["vm"])
+                if record is not None and record.state == "serving":
+                    vm["state"] = "down"
 
     context.after_reboot = fail
 
@@ -347,3 +353,21 @@
 @behave.then("{count:d} moves were made in all")
 def step_moves_made(context: Context, count: int) -> None:
     assert context.pool_changes == count, context.pool_changes
+
+
+@behave.when('"{vm}" was last maintained {days:d} days ago')
+def step_maintained_ago(context: Context, vm: str, days: int) -> None:
+    entry = context.cell.entries["a"]
+    row = entry.store.read(f"{vmsteps.PREFIX}north/{vm}", vmsteps.VmRecord)
+    assert row.value is not None
+    old = context.wall - days * maintenance.DAY_SECONDS
+    record = msgspec.structs.replace(row.value, maintained_at=old)
+    entry.store.transact([store.replace(row, record)])
+
+
+@behave.then('"{vm}" was rebooted {times:d} times and the others not')
+def step_times(context: Context, vm: str, times: int) -> None:
+    for listed in context.platform.vms.values():
+        if listed["role"] == "worker":
+            expected = times if listed["vm"] == vm else 0
+            assert listed.get("reboots", 0) == expected, listed
