Count contact with every entry VM, not with one of each data centre

Cause: found by reading the acceptance rule against the code. The VM that accepts a change by the grace may be cut off from its own neighbours; others that heard such a neighbour counted as in contact with its data centre and went on with a withdrawn key after the change was accepted. Ruled out: the model, which has one accepting VM and could not show it. Change: contact is the table service or every registered entry VM. Three table rows check it; the row with one VM missing failed before.

--- a/models/acceptance.py
+++ b/models/acceptance.py
@@ -84,7 +84,9 @@
 def _after_grace(s: Acceptance, guards: frozenset[str]) -> Acceptance:
     """Return the state when each VM without version 1 had no contact.
 
-    Contact after the head was written would have brought version 1.
+    Contact after the head was written would have brought version 1: it
+    means the table service, or every other entry VM and so the accepting
+    one too.
     """
     contact = s.contact
     if "refuse after the grace" in guards:
--- a/src/agaterudder/entry.py
+++ b/src/agaterudder/entry.py
@@ -147,9 +147,7 @@
     # What the parts ask of the process
     def may_take(self, team: str, now: float) -> codes.Refused | None:
         """Return a refusal when a team's work can't be taken now."""
-        decision = self.freshness.decide(
-            self.data_centre, self.roster.data_centres, now
-        )
+        decision = self.freshness.decide(self.vm, self.roster.names, now)
         if isinstance(decision, freshness.Fresh):
             return None
         isolated = decision.code is codes.Result.ISOLATED
--- a/src/agaterudder/freshness.py
+++ b/src/agaterudder/freshness.py
@@ -1,9 +1,10 @@
 """Whether this process may act on what it knows.
 
 A process that was paused acts on nothing before it had contact again. A
-process cut off from the table service and from some other data centre
-goes on with keyed work for a grace time only, because a withdrawal
-accepted elsewhere could not reach it.
+process cut off from the table service and from some other entry VM goes on
+with keyed work for a grace time only, because a withdrawal accepted there
+could not reach it. Contact with one VM of each data centre would not do: the
+one that accepts a change may be cut off from its own neighbours.
 """
 
 import dataclasses
@@ -41,7 +42,7 @@
         self._turn_at = now
         self._resumed_at = now
         self._store_at: float | None = None
-        self._peers: dict[str, tuple[str, float]] = {}
+        self._peers: dict[str, float] = {}
 
     def turn(self, now: float) -> bool:
         """Note a turn of the loop; return whether a pause came before."""
@@ -55,27 +56,27 @@
         """Note a reading of the configuration head, by when it was asked."""
         self._store_at = asked_at
 
-    def peer_contact(self, vm: str, data_centre: str, asked_at: float) -> None:
+    def peer_contact(self, vm: str, asked_at: float) -> None:
         """Note that a peer answered something sent at ``asked_at``."""
-        self._peers[vm] = (data_centre, asked_at)
+        self._peers[vm] = asked_at
 
     def forget_peer(self, vm: str) -> None:
         """Forget a peer that is gone."""
         self._peers.pop(vm, None)
 
     def decide(
-        self, own: str, data_centres: frozenset[str], now: float
+        self, own: str, members: frozenset[str], now: float
     ) -> Fresh | codes.Refused:
         """Decide whether keyed work may be taken.
 
-        :param own: data centre of this process.
-        :param data_centres: data centres with entry VMs.
+        :param own: this entry VM.
+        :param members: registered entry VMs that are not gone.
         """
         if self._paused(now):
             return codes.Refused(
                 codes.Result.STALE, "the entry process was paused"
             )
-        contact_at = self._contact_at(data_centres - {own})
+        contact_at = self._contact_at(members - {own})
         if contact_at is None or contact_at < self._resumed_at:
             return codes.Refused(
                 codes.Result.STALE,
@@ -92,17 +93,9 @@
         return now - self._turn_at > self._pause_seconds
 
     def _contact_at(self, others: frozenset[str]) -> float | None:
-        """Return the later of the store's and all data centres' contact."""
-        per_centre = {
-            centre: max(
-                (at for dc, at in self._peers.values() if dc == centre),
-                default=None,
-            )
-            for centre in others
-        }
-        times = list(per_centre.values())
-        everywhere = (
-            min(times) if times and None not in times else None  # type: ignore
-        )
-        known = [at for at in (self._store_at, everywhere) if at is not None]
+        """Return the later of the store's and all entry VMs' contact."""
+        heard = [self._peers[vm] for vm in others if vm in self._peers]
+        known = [] if self._store_at is None else [self._store_at]
+        if heard and len(heard) == len(others):
+            known.append(min(heard))
         return max(known, default=None)
--- a/src/agaterudder/membership.py
+++ b/src/agaterudder/membership.py
@@ -45,13 +45,14 @@
     passed on by any member in any order.
     """
 
-    __slots__ = ("_members", "_versions", "_gone", "_data_centres")
+    __slots__ = ("_members", "_versions", "_gone", "_data_centres", "_names")
 
     def __init__(self) -> None:
         self._members: dict[str, Member] = {}
         self._versions: dict[str, messages.MemberVersion] = {}
         self._gone: frozenset[str] = frozenset()
         self._data_centres: frozenset[str] = frozenset()
+        self._names: frozenset[str] = frozenset()
 
     @property
     def members(self) -> dict[str, Member]:
@@ -95,7 +96,13 @@
         }
         self._count_data_centres()
 
+    @property
+    def names(self) -> frozenset[str]:
+        """Registered VMs that are not gone."""
+        return self._names
+
     def _count_data_centres(self) -> None:
+        self._names = frozenset(self.members)
         self._data_centres = frozenset(
             member.data_centre for member in self.members.values()
         )
--- a/src/agaterudder/peering.py
+++ b/src/agaterudder/peering.py
@@ -49,9 +49,7 @@
         current = digest.version <= entry.in_force.version
         learnt = digest.version > 0 or entry.in_force.version > 0
         if asked_at is not None and current and learnt:
-            entry.freshness.peer_contact(
-                digest.vm, digest.data_centre, asked_at
-            )
+            entry.freshness.peer_contact(digest.vm, asked_at)
 
     def offered(self, offer: messages.ConfigurationOffer) -> None:
         """See :class:`peers.Handler`."""
--- a/src/agaterudder/settings.py
+++ b/src/agaterudder/settings.py
@@ -101,7 +101,7 @@
     :ivar pause_seconds: a gap of the loop from which the process counts
         as paused.
     :ivar keyed_grace_seconds: how long keyed work goes on without contact
-        with the table service or with every other data centre.
+        with the table service or with every other entry VM.
     :ivar task_lease_seconds: length of a task's lease on its worker.
     :ivar clock_rate_margin: largest relative difference of clock rates.
     :ivar lease_margin_seconds: added to each wait for a lapsed lease.
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -69,6 +69,17 @@
       | 299     | taken    |
       | 302     | ISOLATED |
 
+  Scenario Outline: Cut off from the table service, <heard> heard
+    When "entry-south" has had no contact for 302 seconds
+    And "entry-south" hears "<heard>" but not the table service
+    Then work of team "tally" at "entry-south" is "<answer>"
+
+    Examples: whoever may accept a change must be heard
+      | heard                    | answer   |
+      | entry-north,entry-middle | taken    |
+      | entry-north              | ISOLATED |
+      | entry-middle             | ISOLATED |
+
   Scenario Outline: A process that was paused <contact>
     When "entry-south" was paused for 10 seconds
     And "entry-south" <contact>
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -233,7 +233,7 @@
     entry = context.cell.entries[vm]
     entry.freshness.store_contact(asked_at)
     for name in ("north", "middle"):
-        entry.freshness.peer_contact(f"entry-{name}", name, asked_at)
+        entry.freshness.peer_contact(f"entry-{name}", asked_at)
 
 
 @behave.when('an operator at "{vm}" takes "{centre}" out')
@@ -287,3 +287,9 @@
     for vm in names.split(","):
         entry = context.cell.entries[vm]
         assert centre in entry.in_force.data_centres_out, vm
+
+
+@behave.when('"{vm}" hears "{heard}" but not the table service')
+def step_hears(context: Context, vm: str, heard: str) -> None:
+    for name in heard.split(","):
+        context.cell.entries[vm].freshness.peer_contact(name, context.now)
