--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -80,6 +80,16 @@
       | entry-north              | ISOLATED |
       | entry-middle             | ISOLATED |
 
+  Scenario Outline: Two VMs in "north", heard <heard>, no table service
+    Given "c" in "south" knows "a1" and "a2" in "north" and hears "<heard>"
+    Then keyed work at "c" is "<answer>" after the grace
+
+    Examples: one VM of a data centre does not speak for the other
+      | heard | answer   |
+      | a1,a2 | taken    |
+      | a1    | ISOLATED |
+      | a2    | ISOLATED |
+
   Scenario Outline: A process that was paused <contact>
     When "entry-south" was paused for 10 seconds
     And "entry-south" <contact>
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -10,6 +10,7 @@
 from agaterudder import configuration
 from agaterudder import control
 from agaterudder import entry as entries
+from agaterudder import freshness
 from agaterudder import membership
 from agaterudder import utils
 from tests import builders
@@ -293,3 +294,22 @@
 def step_hears(context: Context, vm: str, heard: str) -> None:
     for name in heard.split(","):
         context.cell.entries[vm].freshness.peer_contact(name, context.now)
+
+
+@behave.given(
+    '"c" in "south" knows "a1" and "a2" in "north" and hears "{heard}"'
+)
+def step_two_in_north(context: Context, heard: str) -> None:
+    context.freshness = freshness.Freshness(1_000.0, 300.0, 0.0)
+    context.freshness.store_contact(0.0)
+    for vm in heard.split(","):
+        context.freshness.peer_contact(vm, 400.0)
+
+
+@behave.then('keyed work at "c" is "{answer}" after the grace')
+def step_after_grace(context: Context, answer: str) -> None:
+    members = frozenset({"a1", "a2", "c"})
+    decision = context.freshness.decide("c", members, 401.0)
+    refused = isinstance(decision, codes.Refused)
+    name = decision.code.name if refused else "taken"
+    assert name == answer, decision
