Never say not run after an earlier attempt that may have run

Cause: found by reading. A slot given in the very turn of a waiter's time-out was lost. Ruled out: requests that may not be repeated, which stop at the first unknown outcome. Change: what is known of a request is carried from attempt to attempt; an unknown outcome of a repeatable one may go on to another data centre.

--- a/src/agaterudder/cli.py
+++ b/src/agaterudder/cli.py
@@ -9,6 +9,7 @@
 import pathlib
 import secrets
 import sys
+import time
 import typing as t
 
 import cappa
@@ -28,6 +29,8 @@
 EXIT_USAGE = 2
 EXIT_PENDING = 3
 EXIT_AWAY = 4
+WATCH_SECONDS = 2.0
+WAVE_ENDS = ("done", "stopped")
 
 EntryAddress = t.Annotated[
     str,
@@ -300,9 +303,26 @@
     """
 
     wave: t.Annotated[str, cappa.Arg(help="identifier of the wave")]
+    watch: t.Annotated[
+        bool, cappa.Arg(long=True, help="show progress until it has ended")
+    ] = False
 
     def __call__(self) -> None:
-        self.get(f"waves/{self.wave}")
+        while self.watch:
+            found = self._call(lambda: self.connect().get(self._path))
+            if found.status >= 400 or found.body["state"] in WAVE_ENDS:
+                break
+            counts = {
+                name: len(found.body[name])
+                for name in ("waiting", "under_way", "done", "failed")
+            }
+            print(found.body["state"], counts, flush=True)
+            time.sleep(WATCH_SECONDS)
+        self.get(self._path)
+
+    @property
+    def _path(self) -> str:
+        return f"waves/{self.wave}"
 
 
 @cappa.command(name="drain", help="Maintain one VM.")
--- a/src/agaterudder/dispatch.py
+++ b/src/agaterudder/dispatch.py
@@ -148,7 +148,7 @@
         )
         if not self._out_here():
             outcome = self.serve_here(request)
-        if self._elsewhere(outcome):
+        if self._elsewhere(request, outcome):
             outcome = self._serve_elsewhere(request, outcome)
         self._record(request, outcome)
         return outcome
@@ -161,10 +161,13 @@
                 codes.Result.UNKNOWN_SERVICE, f"no service {request.service}"
             )
         excluded: list[str] = []
+        before: Outcome | None = None
         while True:
             tried = self._attempt(service, request, excluded)
+            outcome = _with_earlier(before, tried.outcome)
             if not self._may_retry(request, tried, time.monotonic()):
-                return tried.outcome
+                return outcome
+            before = outcome
             if tried.server:
                 excluded.append(tried.server)
 
@@ -215,6 +218,11 @@
             )
         except gevent.Timeout:
             service.queue.discard(request)
+            if waiter.result.ready():
+                # The slot came in the same turn as the time-out.
+                return t.cast(
+                    "routing.Chosen | codes.Refused", waiter.result.get()
+                )
             return codes.Refused(codes.Result.TOO_LATE, "no slot in time")
         finally:
             service.waiters.pop(id(request), None)
@@ -322,9 +330,13 @@
             return outcome.code is not codes.Result.TOO_LATE
         return request.repeatable and self._budget.spend()
 
-    def _elsewhere(self, outcome: Outcome) -> bool:
+    def _elsewhere(self, request: requests.Request, outcome: Outcome) -> bool:
         """Return whether another data centre should be asked."""
-        return isinstance(outcome, codes.Refused) and outcome.code in (
+        if not isinstance(outcome, codes.Refused):
+            return False
+        if outcome.code is codes.Result.OUTCOME_UNKNOWN:
+            return request.repeatable and self._budget.spend()
+        return outcome.code in (
             codes.Result.NO_SERVER,
             codes.Result.DATA_CENTRE_OUT,
         )
@@ -332,25 +344,33 @@
     def _serve_elsewhere(
         self, request: requests.Request, outcome: Outcome
     ) -> Outcome:
-        helpers = self._remote.helpers(time.monotonic())
-        for vm in helpers:
+        for vm in self._remote.helpers(time.monotonic()):
             now = time.monotonic()
             left = request.deadline - now
             if left <= 0 or not self._remote.can_call(vm, now):
                 continue
             call = _forward_request(request, left)
-            answer = self._remote.forward(vm, call, left)
-            outcome = _from_peer(answer, vm)
-            if isinstance(outcome, requests.Answer):
-                return outcome
+            answer = _from_peer(self._remote.forward(vm, call, left), vm)
+            outcome = _with_earlier(outcome, answer)
+            if isinstance(answer, requests.Answer):
+                return answer
             repeat = request.repeatable and self._budget.spend()
-            if not (outcome.not_run or repeat):
+            if not (answer.not_run or repeat):
                 return outcome
         return outcome
 
     def _record(self, request: requests.Request, outcome: Outcome) -> None:
-        name = (
-            "OK" if isinstance(outcome, requests.Answer) else outcome.code.name
+        answered = isinstance(outcome, requests.Answer)
+        name = "OK" if answered else t.cast(t.Any, outcome).code.name
+        LOG.log(
+            logging.DEBUG if answered else logging.INFO,
+            "request",
+            extra={
+                "request": request.identifier,
+                "team": request.team,
+                "service": request.service,
+                "result": name,
+            },
         )
         self._metrics.observe(
             "request",
@@ -409,6 +429,23 @@
         )
 
 
+def _with_earlier(before: Outcome | None, outcome: Outcome) -> Outcome:
+    """Return what is known of a request after a further attempt.
+
+    A refusal as not run says nothing of an earlier attempt that may have
+    been executed.
+    """
+    may_have_run = before is not None and not (
+        isinstance(before, codes.Refused) and before.not_run
+    )
+    if may_have_run and isinstance(outcome, codes.Refused) and outcome.not_run:
+        return codes.Refused(
+            codes.Result.OUTCOME_UNKNOWN,
+            f"an earlier attempt may have run; then: {outcome.reason}",
+        )
+    return outcome
+
+
 def _forward_request(
     request: requests.Request, left: float
 ) -> messages.ForwardRequest:
--- a/src/agaterudder/gateway.py
+++ b/src/agaterudder/gateway.py
@@ -227,6 +227,7 @@
             if cancel:
                 entry.execution.cancel(own, time.monotonic())
             return TaskState(task, own.state.value, own.reason)
+        unanswered = False
         for vm in entry.links.alive(time.monotonic()):
             call = messages.TaskCall(
                 utils.new_identifier(), task, team, cancel
@@ -234,12 +235,17 @@
             answer = entry.links.call(vm, call, LOOK_UP_SECONDS)
             if isinstance(answer, messages.TaskAnswer) and answer.state:
                 return TaskState(task, answer.state, answer.reason)
+            unanswered |= answer is None
         recorded = batches.recorded_task(entry.store, task)
         if isinstance(recorded, codes.Refused):
             return recorded
         if recorded.team != team:
             return missing
         if cancel and recorded.state not in tasks.SETTLED:
+            if unanswered:
+                return codes.Refused(
+                    codes.Result.CHANGE_UNKNOWN, "its owner may have heard it"
+                )
             return codes.Refused(
                 codes.Result.CONFLICT, "its owner is not in reach"
             )
--- a/src/agaterudder/peering.py
+++ b/src/agaterudder/peering.py
@@ -1,6 +1,7 @@
 """Connects the links to other entry processes with this one."""
 
 import dataclasses
+import logging
 import time
 import typing as t
 
@@ -15,6 +16,8 @@
 if t.TYPE_CHECKING:
     from agaterudder import entry as entries
 
+LOG = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerHandler:
@@ -90,6 +93,10 @@
             )
         if outcome is None:
             outcome = entry.dispatcher.serve_here(_request(call, now))
+        LOG.debug(
+            "request of a peer",
+            extra={"request": call.request, "outcome": type(outcome).__name__},
+        )
         match outcome:
             case codes.Refused(code=code, reason=reason):
                 return messages.ForwardAnswer(
--- a/tests/features/input.feature
+++ b/tests/features/input.feature
@@ -53,5 +53,6 @@
       | explain team tally                        | 0      |                |
       | log-level debug                           | 0      | debug          |
       | roll-out nothing                          | 1      | NOT_FOUND      |
+      | wave 0000000000000000 --watch             | 1      | NOT_FOUND      |
       | status --key-file /nonexistent            | 2      | No such file   |
       | serve --settings /nonexistent             | 2      | No such file   |
--- a/tests/features/requests.feature
+++ b/tests/features/requests.feature
@@ -43,6 +43,18 @@
       | may        | 2    |
       | may not    | 1    |
 
+  Scenario Outline: The first server is <fault> and the other can't be reached
+    Given two backend servers, of which the first is "<fault>" and the other is away
+    When 12 requests that <repeatable> be repeated are sent
+    Then every refusal that says not run is true
+    And the outcomes are only "<outcomes>"
+
+    Examples: a repeat that finds no server does not make the first unrun
+      | fault  | repeatable | outcomes                               |
+      | killed | may        | OUTCOME_UNKNOWN,NO_SERVER              |
+      | killed | may not    | OUTCOME_UNKNOWN,NO_SERVER              |
+      | short  | may        | OUTCOME_UNKNOWN,SHORT_ANSWER,NO_SERVER |
+
   Scenario: A late answer never reaches another caller
     Given two backend servers, of which the first is "late"
     When 6 requests that may not be repeated are sent
--- a/tests/features/steps/request_steps.py
+++ b/tests/features/steps/request_steps.py
@@ -57,8 +57,18 @@
     )
 
 
+@behave.given(
+    'two backend servers, of which the first is "{fault}" and the other is '
+    "away"
+)
+def step_one_away(context: Context, fault: str) -> None:
+    step_servers(context, fault)
+    context.listeners[1].stop(timeout=0)
+
+
 @behave.given('two backend servers, of which the first is "{fault}"')
 def step_servers(context: Context, fault: str) -> None:
+    context.listeners = []
     context.servers = [backend.Backend(8, 0.01) for _ in range(2)]
     listed = []
     for number, server in enumerate(context.servers):
@@ -66,6 +76,7 @@
         if number or fault != "away":
             listener = backend.create_server(address, server)
             listener.start()
+            context.listeners.append(listener)
             context.cleanups.append(lambda at=listener: at.stop(timeout=0))
         listed.append(
             builders.vm(
