One change of a VM's grants at a time

Cause: found by reading the escrow code against its model, in which a VM makes one write at a time. Ruled out: the row, whose sum was right throughout. Change: one change at a time, and what is handed back is limited to what is unspent when its turn comes.

--- a/src/agaterudder/escrow.py
+++ b/src/agaterudder/escrow.py
@@ -169,6 +169,12 @@
         usable = self.grant.smaller(self._ceiling)
         return usable - self.reserved - self.spent
 
+    @property
+    def unspent(self) -> resources.Vector:
+        """What neither tasks nor former ones use of the grant."""
+        left = self.grant - self.reserved - self.spent
+        return left.larger(resources.ZERO)
+
     @property
     def excess(self) -> resources.Vector:
         """What neither tasks nor a lowered limit leave to this VM."""
--- a/src/agaterudder/grants.py
+++ b/src/agaterudder/grants.py
@@ -8,6 +8,8 @@
 import logging
 import typing as t
 
+import gevent.lock
+
 from agaterudder import codes
 from agaterudder import escrow
 from agaterudder import exceptions
@@ -32,13 +34,16 @@
 class Grants:
     """Holdings by team, and the calls that change them."""
 
-    __slots__ = ("_vm", "_store", "_holdings", "_restored")
+    __slots__ = ("_vm", "_store", "_holdings", "_restored", "_changing")
 
     def __init__(self, vm: str, table: store.Store) -> None:
         self._vm = vm
         self._store = table
         self._holdings: dict[str, escrow.Holding] = {}
         self._restored = False
+        # One change at a time: the outcome of one would undo what another
+        # learnt from the row.
+        self._changing = gevent.lock.BoundedSemaphore(1)
 
     @property
     def restored(self) -> bool:
@@ -104,7 +109,8 @@
         def more(pot: escrow.Pot) -> escrow.Pot | codes.Refused:
             return escrow.enlarged(pot, self._vm, need)
 
-        return self._change(team, limit, more)
+        with self._changing:
+            return self._change(team, limit, more)
 
     def hand_back(
         self, team: str, amount: resources.Vector, limit: TeamLimit
@@ -116,14 +122,17 @@
         limit, when the outcome stays unknown.
         """
         holding = self.holding(team)
-        holding.grant = holding.grant - amount
+        with self._changing:
+            # Tasks may have started while another change was under way.
+            returned = amount.smaller(holding.unspent)
 
-        def less(pot: escrow.Pot) -> escrow.Pot:
-            return escrow.handed_back(pot, self._vm, amount)
+            def less(pot: escrow.Pot) -> escrow.Pot:
+                return escrow.handed_back(pot, self._vm, returned)
 
-        refused = self._change(team, limit, less)
-        if refused is not None and refused.not_run:
-            holding.grant = holding.grant + amount
+            holding.grant = holding.grant - returned
+            refused = self._change(team, limit, less)
+            if refused is not None and refused.not_run:
+                holding.grant = holding.grant + returned
         return refused
 
     def adopt(
@@ -138,10 +147,11 @@
         def moved(pot: escrow.Pot) -> escrow.Pot:
             return escrow.transferred(pot, former, self._vm, amount)
 
-        refused = self._change(team, limit, moved)
-        if refused is None:
-            holding = self.holding(team)
-            holding.reserved = holding.reserved + amount
+        with self._changing:
+            refused = self._change(team, limit, moved)
+            if refused is None:
+                holding = self.holding(team)
+                holding.reserved = holding.reserved + amount
         return refused
 
     def reclaim(
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -64,3 +64,8 @@
     When 20 tasks of 60 seconds are submitted to "b"
     And "b" has had 20 turns of everything
     Then at most 6 tasks are running and at least 5 are
+
+  Scenario: A grant is handed back while another change of it is under way
+    Given a VM that holds 4 of 6 in the row
+    When it hands 3 back and adopts 1 of another VM at the same time
+    Then it holds no more than the row says
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -10,7 +10,10 @@
 
 from agaterudder import configuration
 from agaterudder import escrow
+from agaterudder import grants
 from agaterudder import resources
+from agaterudder import store
+from standins import platform
 from tests import cell
 from tests import fakes
 
@@ -169,3 +172,59 @@
 def step_running(context: Context, most: int, least: int) -> None:
     running = context.cell.running()
     assert least <= running <= most, running
+
+
+class _Slow(fakes.PlatformTransport):
+    """Lets others run before each write takes effect."""
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """See :class:`agaterudder.store.Transport`."""
+        if method == "POST":
+            gevent.sleep(self.delay)
+        return super().call(method, path, body, headers)
+
+    delay = 0.02
+
+
+def _tasks(count: float) -> resources.Vector:
+    return resources.Vector(0.0, 0.0, 0.0, count)
+
+
+@behave.given("a VM that holds 4 of 6 in the row")
+def step_holds_four(context: Context) -> None:
+    context.platform = platform.Platform([], 0.0)
+    context.slow = store.Store(_Slow(context.platform), 0.0)
+    context.grants = grants.Grants("a", context.slow)
+    context.limit = grants.TeamLimit(_tasks(6.0), 1)
+    need = escrow.Need(_tasks(4.0), _tasks(4.0))
+    assert context.grants.enlarge("tally", need, context.limit) is None
+    other = grants.Grants("b", context.slow)
+    need = escrow.Need(_tasks(1.0), _tasks(1.0))
+    assert other.enlarge("tally", need, context.limit) is None
+
+
+@behave.when("it hands 3 back and adopts 1 of another VM at the same time")
+def step_both(context: Context) -> None:
+    back = gevent.spawn(
+        context.grants.hand_back, "tally", _tasks(3.0), context.limit
+    )
+    gevent.sleep(0.01)
+    fast = store.Store(fakes.PlatformTransport(context.platform), 0.0)
+    context.grants._store = fast
+    adopt = gevent.spawn(
+        context.grants.adopt, "tally", "b", _tasks(1.0), context.limit
+    )
+    gevent.joinall([back, adopt])
+
+
+@behave.then("it holds no more than the row says")
+def step_no_more(context: Context) -> None:
+    row = context.slow.read("limits/tally", escrow.Pot)
+    held = context.grants.holding("tally").grant
+    assert held.fits_in(row.value.grants["a"]), (held, row.value)
