--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,140 @@
+"""Workers of both users, for the experiment on the deciding functions."""
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+from agaterudder import fleet
+from agaterudder import platform
+from agaterudder import requests
+from agaterudder import resources
+from agaterudder import tasks
+
+CORES = 16.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class User:
+    """Sizes of one user.
+
+    :ivar teams: share of each team.
+    """
+
+    name: str
+    workers: int
+    data_centres: int
+    teams: tuple[tuple[str, float], ...]
+
+
+USERS = (
+    User(
+        "Malanad",
+        30,
+        3,
+        (("a", 4), ("b", 3), ("c", 1), ("d", 1), ("e", 1), ("f", 1)),
+    ),
+    User(
+        "Kalliope",
+        40,
+        4,
+        (("a", 5), ("b", 2), ("c", 2), ("d", 1), ("e", 1), ("f", 1)),
+    ),
+)
+
+
+def list_vms(user: User, pool: str = "count") -> list[platform.Vm]:
+    size = resources.Vector(CORES, 32_000.0, 0.0, 1_000.0)
+    return [
+        platform.Vm(
+            f"w{n:02d}",
+            "worker",
+            f"dc{n % user.data_centres}",
+            f"rack{n % user.data_centres}-{n // user.data_centres // 4}",
+            "",
+            platform.VmState.LIVE,
+            pool,
+            size=size,
+        )
+        for n in range(user.workers)
+    ]
+
+
+class Cluster:
+    """Workers that run tasks; a common ground for both policies."""
+
+    def __init__(self, user: User, generator: random.Random) -> None:
+        self.user = user
+        self.generator = generator
+        self.fleet = fleet.Fleet()
+        self.vms = {vm.vm: vm for vm in list_vms(user)}
+        self.fleet.listed(self.vms.values())
+        self.ends: list[tuple[float, str, str]] = []
+        self.running: dict[str, tuple[tasks.Task, str, resources.Vector]] = {}
+        self.usage = dict.fromkeys(
+            (name for name, _ in user.teams), resources.ZERO
+        )
+        self.work = 0.0
+        self.number = itertools.count()
+        self.waiting = dict.fromkeys((name for name, _ in user.teams), 0)
+
+    def task(self, team: str, now: float) -> tasks.Task:
+        """Return a task whose declared size and time are far off."""
+        used = self.generator.choice((1.0, 2.0, 4.0))
+        declared = used * self.generator.choice((0.5, 1.0, 2.0))
+        seconds = self.generator.expovariate(1 / 20.0)
+        return tasks.Task(
+            f"t{next(self.number)}",
+            team,
+            "count",
+            "count",
+            requests.Priority.NORMAL,
+            resources.Vector(declared, declared * 100, 0.0, 1.0),
+            max(1.0, seconds),
+            True,
+            f"k{used:g}",
+            now,
+        )
+
+    def start(
+        self,
+        task: tasks.Task,
+        worker: str,
+        amount: resources.Vector,
+        now: float,
+    ) -> None:
+        """Run a task on a worker until its end."""
+        self.running[task.task] = (task, worker, amount)
+        self.usage[task.team] = self.usage[task.team] + amount
+        self.waiting[task.team] -= 1
+        heapq.heappush(self.ends, (now + task.run_seconds, task.task, worker))
+
+    def end_until(self, now: float) -> list[str]:
+        """End the tasks whose time has come."""
+        ended = []
+        while self.ends and self.ends[0][0] <= now:
+            _, name, _ = heapq.heappop(self.ends)
+            if self.stop(name) is not None:
+                ended.append(name)
+        return ended
+
+    def stop(self, name: str) -> tasks.Task | None:
+        """Free what a task held; return it, None when it had ended."""
+        found = self.running.pop(name, None)
+        if found is None:
+            return None
+        task, worker, amount = found
+        self.usage[task.team] = self.usage[task.team] - amount
+        view = self.fleet.views[worker]
+        view.free = view.free + amount
+        return task
+
+    def lose(self, centre: str) -> list[tasks.Task]:
+        """Take a data centre out; return the tasks that ran there."""
+        lost = [
+            name
+            for name, (_, worker, _) in self.running.items()
+            if self.vms[worker].data_centre == centre
+        ]
+        found = [self.stop(name) for name in lost]
+        return [task for task in found if task is not None]
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -8,7 +8,6 @@
 
 import argparse
 import dataclasses
-import heapq
 import itertools
 import random
 import statistics
@@ -24,16 +23,15 @@
 from agaterudder import fleet
 from agaterudder import platform
 from agaterudder import rebalance
-from agaterudder import requests
 from agaterudder import resources
 from agaterudder import scheduling
 from agaterudder import sizes
 from agaterudder import tasks
 from agaterudder import waiting
 from agaterudder import waves
+from bench import cluster
 
 SEEDS = (1, 2, 3, 4, 5)
-CORES = 16.0
 TURN_SECONDS = 1.0
 RUN_SECONDS = 600
 LOSS_FROM = 200
@@ -44,35 +42,6 @@
 MEAN_ARRIVALS = 8.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class User:
-    """Sizes of one user.
-
-    :ivar teams: share of each team.
-    """
-
-    name: str
-    workers: int
-    data_centres: int
-    teams: tuple[tuple[str, float], ...]
-
-
-USERS = (
-    User(
-        "Malanad",
-        30,
-        3,
-        (("a", 4), ("b", 3), ("c", 1), ("d", 1), ("e", 1), ("f", 1)),
-    ),
-    User(
-        "Kalliope",
-        40,
-        4,
-        (("a", 5), ("b", 2), ("c", 2), ("d", 1), ("e", 1), ("f", 1)),
-    ),
-)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Figure:
     """One measure of one run, for the product and the baseline."""
@@ -85,105 +54,8 @@
     baseline: float
 
 
-def _vms(user: User, pool: str = "count") -> list[platform.Vm]:
-    size = resources.Vector(CORES, 32_000.0, 0.0, 1_000.0)
-    return [
-        platform.Vm(
-            f"w{n:02d}",
-            "worker",
-            f"dc{n % user.data_centres}",
-            f"rack{n % user.data_centres}-{n // user.data_centres // 4}",
-            "",
-            platform.VmState.LIVE,
-            pool,
-            size=size,
-        )
-        for n in range(user.workers)
-    ]
-
-
-class _Cluster:
-    """Workers that run tasks; a common ground for both policies."""
-
-    def __init__(self, user: User, generator: random.Random) -> None:
-        self.user = user
-        self.generator = generator
-        self.fleet = fleet.Fleet()
-        self.vms = {vm.vm: vm for vm in _vms(user)}
-        self.fleet.listed(self.vms.values())
-        self.ends: list[tuple[float, str, str]] = []
-        self.running: dict[str, tuple[tasks.Task, str, resources.Vector]] = {}
-        self.usage = dict.fromkeys(
-            (name for name, _ in user.teams), resources.ZERO
-        )
-        self.work = 0.0
-        self.number = itertools.count()
-        self.waiting = dict.fromkeys((name for name, _ in user.teams), 0)
-
-    def task(self, team: str, now: float) -> tasks.Task:
-        """Return a task whose declared size and time are far off."""
-        used = self.generator.choice((1.0, 2.0, 4.0))
-        declared = used * self.generator.choice((0.5, 1.0, 2.0))
-        seconds = self.generator.expovariate(1 / 20.0)
-        return tasks.Task(
-            f"t{next(self.number)}",
-            team,
-            "count",
-            "count",
-            requests.Priority.NORMAL,
-            resources.Vector(declared, declared * 100, 0.0, 1.0),
-            max(1.0, seconds),
-            True,
-            f"k{used:g}",
-            now,
-        )
-
-    def start(
-        self,
-        task: tasks.Task,
-        worker: str,
-        amount: resources.Vector,
-        now: float,
-    ) -> None:
-        """Run a task on a worker until its end."""
-        self.running[task.task] = (task, worker, amount)
-        self.usage[task.team] = self.usage[task.team] + amount
-        self.waiting[task.team] -= 1
-        heapq.heappush(self.ends, (now + task.run_seconds, task.task, worker))
-
-    def end_until(self, now: float) -> list[str]:
-        """End the tasks whose time has come."""
-        ended = []
-        while self.ends and self.ends[0][0] <= now:
-            _, name, _ = heapq.heappop(self.ends)
-            if self.stop(name) is not None:
-                ended.append(name)
-        return ended
-
-    def stop(self, name: str) -> tasks.Task | None:
-        """Free what a task held; return it, None when it had ended."""
-        found = self.running.pop(name, None)
-        if found is None:
-            return None
-        task, worker, amount = found
-        self.usage[task.team] = self.usage[task.team] - amount
-        view = self.fleet.views[worker]
-        view.free = view.free + amount
-        return task
-
-    def lose(self, centre: str) -> list[tasks.Task]:
-        """Take a data centre out; return the tasks that ran there."""
-        lost = [
-            name
-            for name, (_, worker, _) in self.running.items()
-            if self.vms[worker].data_centre == centre
-        ]
-        found = [self.stop(name) for name in lost]
-        return [task for task in found if task is not None]
-
-
 def _shares(
-    user: User, seed: int, faults: bool, product: bool
+    user: cluster.User, seed: int, faults: bool, product: bool
 ) -> tuple[float, float, float]:
     """Return nearness to the share, work in the loss, and use of the fleet.
 
@@ -191,7 +63,7 @@
     second the part of what the remaining data centres can do.
     """
     generator = random.Random(seed)
-    cluster = _Cluster(user, generator)
+    running = cluster.Cluster(user, generator)
     queue = waiting.WaitingTasks()
     order: list[tasks.Task] = []
     learnt = sizes.Sizes()
@@ -199,29 +71,29 @@
     for holding in holdings.values():
         holding.grant = resources.UNLIMITED
     known = dict(user.teams)
-    capacity = resources.Vector(CORES * user.workers, 0.0, 0.0, 0.0)
+    capacity = resources.Vector(cluster.CORES * user.workers, 0.0, 0.0, 0.0)
     used_sum = dict.fromkeys(holdings, 0.0)
     samples = 0
     busy_out = 0.0
     samples_out = 0
     out = ""
-    waiting_of = cluster.waiting
+    waiting_of = running.waiting
     for turn in range(RUN_SECONDS):
         now = turn * TURN_SECONDS
-        for name in cluster.end_until(now):
+        for name in running.end_until(now):
             for holding in holdings.values():
                 holding.release(name)
         if faults and turn == LOSS_FROM:
             out = "dc0"
-            for task in cluster.lose(out):
+            for task in running.lose(out):
                 holdings[task.team].release(task.task)
-                cluster.waiting[task.team] += 1
+                running.waiting[task.team] += 1
                 queue.add(task)
                 order.insert(0, task)
         if turn == LOSS_UNTIL:
             out = ""
-        cluster.fleet.hold_back(
-            vm.vm for vm in cluster.vms.values() if vm.data_centre == out
+        running.fleet.hold_back(
+            vm.vm for vm in running.vms.values() if vm.data_centre == out
         )
         for place, team in enumerate(holdings):
             peak = 5.0 if (turn // 20) % len(holdings) == place else 1.0
@@ -229,22 +101,22 @@
                 if waiting_of[team] >= MOST_WAITING:
                     break
                 waiting_of[team] += 1
-                task = cluster.task(team, now)
+                task = running.task(team, now)
                 queue.add(task)
                 order.append(task)
         if product:
             _start_product(
-                cluster, queue, learnt, holdings, known, capacity, now
+                running, queue, learnt, holdings, known, capacity, now
             )
         else:
-            _start_baseline(cluster, queue, order, now)
+            _start_baseline(running, queue, order, now)
         if turn >= 60 and not out:
             samples += 1
-            for team, used in cluster.usage.items():
+            for team, used in running.usage.items():
                 used_sum[team] += used.cores
         if out:
             samples_out += 1
-            busy_out += sum(v.cores for v in cluster.usage.values())
+            busy_out += sum(v.cores for v in running.usage.values())
     whole = sum(share for _, share in user.teams)
     all_used = sum(used_sum.values())
     near = min(
@@ -263,7 +135,7 @@
 
 
 def _start_product(
-    cluster: _Cluster,
+    running: cluster.Cluster,
     queue: waiting.WaitingTasks,
     learnt: sizes.Sizes,
     holdings: dict[str, escrow.Holding],
@@ -275,7 +147,7 @@
         view = scheduling.View(
             "entry",
             known,
-            cluster.usage,
+            running.usage,
             frozenset(),
             capacity,
             frozenset(),
@@ -284,7 +156,7 @@
         step = scheduling.next_step(
             "count",
             queue,
-            cluster.fleet,
+            running.fleet,
             learnt,
             lambda team: holdings[team],
             view,
@@ -295,12 +167,12 @@
         if not isinstance(step, scheduling.Launch):
             return
         queue.remove(step.task.task)
-        cluster.fleet.views[step.worker].started(step.amount)
-        cluster.start(step.task, step.worker, step.amount, now)
+        running.fleet.views[step.worker].started(step.amount)
+        running.start(step.task, step.worker, step.amount, now)
 
 
 def _start_baseline(
-    cluster: _Cluster,
+    running: cluster.Cluster,
     queue: waiting.WaitingTasks,
     order: list[tasks.Task],
     now: float,
@@ -309,20 +181,22 @@
     while order:
         task = order[0]
         place = fleet.choose(
-            task.size, cluster.fleet.usable("count", now), "entry"
+            task.size, running.fleet.usable("count", now), "entry"
         )
         if not isinstance(place, fleet.Place):
             return
         order.pop(0)
         queue.remove(task.task)
-        cluster.fleet.views[place.worker].started(task.size)
-        cluster.start(task, place.worker, task.size, now)
+        running.fleet.views[place.worker].started(task.size)
+        running.start(task, place.worker, task.size, now)
 
 
-def _roll_out(user: User, seed: int, faults: bool, product: bool) -> float:
+def _roll_out(
+    user: cluster.User, seed: int, faults: bool, product: bool
+) -> float:
     """Return the time of a roll-out over the bound for its budget."""
     generator = random.Random(seed)
-    vms = {vm.vm: vm for vm in _vms(user)}
+    vms = {vm.vm: vm for vm in cluster.list_vms(user)}
     assurance = assurances.PoolAssurance(out=4 if product else 1)
     wave = waves.Wave("w", "count", "x", 0.0, "running", sorted(vms))
     steps = {
@@ -391,7 +265,7 @@
 
 
 def _buffer(
-    user: User, seed: int, product: bool, greedy: bool = False
+    user: cluster.User, seed: int, product: bool, greedy: bool = False
 ) -> tuple[float, float, float]:
     """Return idle buffer in VM-hours, moves, and unserved VM-seconds.
 
@@ -458,7 +332,9 @@
 
 def figures(seeds: t.Sequence[int]) -> t.Iterator[Figure]:
     """Run everything for each user, seed and fault setting."""
-    for user, seed, faults in itertools.product(USERS, seeds, (False, True)):
+    for user, seed, faults in itertools.product(
+        cluster.USERS, seeds, (False, True)
+    ):
         near, during, use = _shares(user, seed, faults, True)
         base_near, base_during, base_use = _shares(user, seed, faults, False)
         yield Figure(
@@ -498,7 +374,7 @@
             yield from _buffer_figures(user, seed)
 
 
-def _buffer_figures(user: User, seed: int) -> t.Iterator[Figure]:
+def _buffer_figures(user: cluster.User, seed: int) -> t.Iterator[Figure]:
     own = _buffer(user, seed, True)
     static = _buffer(user, seed, False)
     greedy = _buffer(user, seed, True, True)
