Read the whole change once more: drop what nothing calls, join twins

Change: vmsteps.surroundings and Vector.is_positive serve all their callers; behaviour and tests are as before.

--- a/src/agaterudder/admission.py
+++ b/src/agaterudder/admission.py
@@ -7,7 +7,6 @@
 
 import collections
 import dataclasses
-import itertools
 import typing as t
 
 from agaterudder import codes
@@ -43,11 +42,6 @@
     def __len__(self) -> int:
         return self._length
 
-    @property
-    def service_seconds(self) -> float:
-        """Smoothed time that a backend server takes for a request."""
-        return self._service
-
     def observe(self, seconds: float) -> None:
         """Take the service time of one request."""
         self._service += SMOOTHING * (seconds - self._service)
@@ -228,15 +222,3 @@
     def _charge(self, team: str, shares: t.Mapping[str, float]) -> None:
         present = self._served.get(team, 0.0)
         self._served[team] = present + 1.0 / shares.get(team, 1.0)
-
-
-def lengths(queue: RequestQueue) -> dict[str, int]:
-    """Return the number of waiting requests of each class."""
-    grouped = itertools.groupby(
-        sorted(queue._lanes, key=lambda key: requests.RANKS[key[0]]),
-        key=lambda key: key[0],
-    )
-    return {
-        priority.value: sum(len(queue._lanes[key]) for key in keys)
-        for priority, keys in grouped
-    }
--- a/src/agaterudder/cli.py
+++ b/src/agaterudder/cli.py
@@ -24,7 +24,6 @@
 from agaterudder import serve
 from agaterudder import settings
 
-EXIT_DONE = 0
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
 EXIT_PENDING = 3
--- a/src/agaterudder/entry.py
+++ b/src/agaterudder/entry.py
@@ -294,13 +294,8 @@
 
     def around(self) -> vmsteps.Surroundings:
         """Return what maintenance decisions are made from."""
-        listed = {
-            vm.vm: vm
-            for vm in self.vms
-            if vm.role == "worker" and vm.state is not platform.VmState.GONE
-        }
-        return vmsteps.Surroundings(
-            listed,
+        return vmsteps.surroundings(
+            self.vms,
             self.in_force.assurances,
             self.in_force.data_centres_out,
             time.time(),
--- a/src/agaterudder/escrow.py
+++ b/src/agaterudder/escrow.py
@@ -131,7 +131,7 @@
 ) -> Pot:
     amount = (present + added).larger(resources.ZERO)
     grants = {**pot.grants, holder: amount}
-    if not any(value > resources.TOLERANCE for value in amount.values()):
+    if not amount.is_positive():
         del grants[holder]
     return msgspec.structs.replace(pot, grants=grants)
 
@@ -230,12 +230,3 @@
     def release(self, task: str) -> None:
         """Give back what a task that no longer runs used."""
         self._spent.pop(task, None)
-
-
-def idle_amount(holding: Holding, keep: resources.Vector) -> resources.Vector:
-    """Return what a holder should hand back of an idle grant.
-
-    :param keep: amount that stays for the next tasks.
-    """
-    free = holding.free.larger(resources.ZERO)
-    return (free - keep).larger(resources.ZERO)
--- a/src/agaterudder/forwarding.py
+++ b/src/agaterudder/forwarding.py
@@ -139,10 +139,6 @@
             while idle and now - idle[0].answered_at > IDLE_SECONDS:
                 idle.popleft().close()
 
-    def idle_connections(self, server: str) -> int:
-        """Return the number of idle connections to a server."""
-        return len(self._idle.get(server, ()))
-
     def _connection(self, server: platform.Vm, repeatable: bool) -> Connection:
         idle = self._idle.setdefault(server.vm, collections.deque())
         if idle:
--- a/src/agaterudder/maintenance.py
+++ b/src/agaterudder/maintenance.py
@@ -120,12 +120,7 @@
         self._listed_pools = {vm.vm: vm.pool for vm in vms}
         if not drives:
             return
-        listed = {
-            vm.vm: vm
-            for vm in vms
-            if vm.role == "worker" and vm.state is not platform.VmState.GONE
-        }
-        around = vmsteps.Surroundings(listed, known, data_centres_out, wall)
+        around = vmsteps.surroundings(vms, known, data_centres_out, wall)
         self._enrol(around)
         self._forget_gone(vms)
         for row in list(self._records.values()):
--- a/src/agaterudder/resources.py
+++ b/src/agaterudder/resources.py
@@ -38,6 +38,10 @@
         """Return the amounts in the order of the fields."""
         return (self.cores, self.memory, self.accelerators, self.tasks)
 
+    def is_positive(self) -> bool:
+        """Return whether some amount is more than a rounding error."""
+        return any(value > TOLERANCE for value in self.values())
+
     def fits_in(self, other: "Vector") -> bool:
         """Return whether no amount exceeds that of ``other``."""
         return all(
--- a/src/agaterudder/slots.py
+++ b/src/agaterudder/slots.py
@@ -98,10 +98,6 @@
         """Return the slots in use on a server."""
         return self._busy.get(server, 0)
 
-    def total_busy(self) -> int:
-        """Return the slots in use on all servers."""
-        return sum(self._busy.values())
-
     def acquire(self, server: str, now: float) -> bool:
         """Use a slot on a server; return whether there was one."""
         if self.busy(server) >= self.allowance(now):
--- a/src/agaterudder/upkeep.py
+++ b/src/agaterudder/upkeep.py
@@ -145,9 +145,7 @@
             if vm != self._entry.vm
         }
         self._entry.links.want(
-            {**by_address(self._entry.settings.entry.seeds), **addresses}
-            if not addresses
-            else addresses
+            addresses or by_address(self._entry.settings.entry.seeds)
         )
 
     def _register(self) -> None:
@@ -217,16 +215,13 @@
             holding = self._entry.execution.held_grants.holding(team)
             limit = self._entry.execution.limit(team)
             holding.limit_is(limit.limit)
-            if any(
-                value > resources.TOLERANCE
-                for value in holding.excess.values()
-            ):
+            if holding.excess.is_positive():
                 self._entry.execution.held_grants.hand_back(
                     team, holding.excess, limit
                 )
                 continue
             free = holding.free.larger(resources.ZERO)
-            if not any(value > resources.TOLERANCE for value in free.values()):
+            if not free.is_positive():
                 self._idle_since.pop(team, None)
                 continue
             since = self._idle_since.setdefault(team, now)
@@ -237,9 +232,7 @@
             )
             if now - since >= patience:
                 self._idle_since.pop(team, None)
-                self._entry.execution.held_grants.hand_back(
-                    team, free, self._entry.execution.limit(team)
-                )
+                self._entry.execution.held_grants.hand_back(team, free, limit)
 
     def hand_back_all(self) -> None:
         """Hand back every grant that is not spent."""
--- a/src/agaterudder/vmsteps.py
+++ b/src/agaterudder/vmsteps.py
@@ -74,6 +74,24 @@
     wall: float
 
 
+def surroundings(
+    vms: t.Iterable[platform.Vm],
+    known: assurances.Assurances,
+    data_centres_out: frozenset[str],
+    wall: float,
+) -> Surroundings:
+    """Return what maintenance decisions are made from.
+
+    :param wall: wall-clock time in seconds since the epoch.
+    """
+    listed = {
+        vm.vm: vm
+        for vm in vms
+        if vm.role == "worker" and vm.state is not platform.VmState.GONE
+    }
+    return Surroundings(listed, known, data_centres_out, wall)
+
+
 Record = store.Row[VmRecord]
 
 
