--- a/src/agaterudder/escrow.py
+++ b/src/agaterudder/escrow.py
@@ -149,7 +149,7 @@
     :ivar reserved: part that a former incarnation may still be using.
     """
 
-    __slots__ = ("grant", "reserved", "_base", "_ceiling", "_spent")
+    __slots__ = ("grant", "reserved", "_base", "_ceiling", "_spent", "_sum")
 
     def __init__(self) -> None:
         self.grant = resources.ZERO
@@ -157,11 +157,12 @@
         self._base = resources.ZERO
         self._ceiling = resources.UNLIMITED
         self._spent: dict[str, resources.Vector] = {}
+        self._sum = resources.ZERO
 
     @property
     def spent(self) -> resources.Vector:
         """What running tasks use of the grant."""
-        return resources.total(self._spent.values())
+        return self._sum
 
     @property
     def free(self) -> resources.Vector:
@@ -217,16 +218,24 @@
             return codes.Refused(
                 codes.Result.TEAM_LIMIT, "the grant of this VM is spent"
             )
-        self._spent[task] = amount
+        self._add(task, amount)
         return Spent(self.free)
 
     def adopt(self, task: str, amount: resources.Vector) -> None:
         """Count a task that runs already under the reserved part."""
         if task not in self._spent:
-            self._spent[task] = amount
+            self._add(task, amount)
             left = self.reserved - amount
             self.reserved = left.larger(resources.ZERO)
 
     def release(self, task: str) -> None:
         """Give back what a task that no longer runs used."""
-        self._spent.pop(task, None)
+        amount = self._spent.pop(task, None)
+        if amount is not None:
+            self._sum = self._sum - amount
+        if not self._spent:
+            self._sum = resources.ZERO
+
+    def _add(self, task: str, amount: resources.Vector) -> None:
+        self._spent[task] = amount
+        self._sum = self._sum + amount
--- a/src/agaterudder/exceptions.py
+++ b/src/agaterudder/exceptions.py
@@ -26,3 +26,14 @@
 
 class StreamClosed(AgaterudderError):
     """The stream to a peer has ended."""
+
+
+class CallFailed(AgaterudderError):
+    """A call to an outside system brought no whole answer.
+
+    :param sent: whether the call may take effect, now or later.
+    """
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
--- /dev/null
+++ b/src/agaterudder/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of tasks on pools of workers that keep no register of their own."""
--- /dev/null
+++ b/src/agaterudder/jobs/fleet.py
@@ -0,0 +1,182 @@
+"""Workers of a pool as its holder sees them.
+
+A worker that does not answer is taken to run everything that it may have,
+until its lease has surely lapsed by its own clock.
+"""
+
+import itertools
+
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+from agaterudder import resources
+
+# A worker's clock may be 2 % slow.
+SLOWEST_CLOCK = 0.98
+LAPSE_MARGIN_SECONDS = 0.2
+# Part of the longest lease that is asked for; the rest is for the way.
+LEASE_PART = 0.98
+# An order without an answer may be carried out so much later.
+LATE_ORDER_SECONDS = 12.5
+NO_ROOM = resources.ZERO
+
+
+class WorkerState:
+    """One worker.
+
+    :ivar entry: what it registered last.
+    :ivar listed: whether its registration is there now.
+    :ivar fenced: whether this life answered to the present epoch.
+    :ivar heard_at: when the last answered look was sent; 0 before.
+    :ivar latest_deadline: latest lease that was given to it, by its own
+        clock in seconds.
+    :ivar acknowledged: ends up to here are stored; it may forget them.
+    :ivar last_end: number of the last end that was taken from its lists.
+    :ivar recorded: whether it is in the row of the pool's workers.
+    :ivar leaving: why it gets no more work, empty otherwise.
+    :ivar set_aside_until: gets no work before, as it fails what it starts.
+    """
+
+    __slots__ = (
+        "name",
+        "entry",
+        "link",
+        "listed",
+        "fenced",
+        "born",
+        "heard_at",
+        "failed_at",
+        "latest_deadline",
+        "acknowledged",
+        "last_end",
+        "recorded",
+        "leaving",
+        "set_aside_until",
+        "failures_in_a_row",
+        "slow_factor",
+        "finished_runs",
+        "runs",
+        "used",
+        "clock",
+        "clock_at",
+        "unlisted_at",
+        "room_until",
+        "over",
+    )
+
+    def __init__(self, entry: ports.WorkerEntry, link: ports.Worker) -> None:
+        self.name = entry.worker
+        self.entry = entry
+        self.link = link
+        self.listed = True
+        self.fenced = False
+        self.born = entry.born
+        self.heard_at = 0.0
+        self.failed_at = 0.0
+        self.latest_deadline = 0.0
+        self.acknowledged = 0
+        self.last_end = 0
+        self.recorded = False
+        self.leaving = ""
+        self.set_aside_until = 0.0
+        self.failures_in_a_row = 0
+        self.slow_factor = 1.0
+        self.finished_runs = 0
+        self.runs: dict[tuple[str, int], runs.Run] = {}
+        self.used = resources.ZERO
+        self.clock = 0.0
+        self.clock_at = 0.0
+        self.unlisted_at = 0.0
+        self.room_until = 0.0
+        self.over = False
+
+    @property
+    def free(self) -> resources.Vector:
+        """Room that no run takes."""
+        return self.entry.size - self.used
+
+    @property
+    def mixed(self) -> bool:
+        """Whether tasks that serve run here beside tasks that fill."""
+        steps = [
+            run.task.step.step
+            for run in self.runs.values()
+            if run.task is not None
+        ]
+        return any(step.target_seconds > 0 for step in steps) and any(
+            step.uses_leftover for step in steps
+        )
+
+    def add(self, run: runs.Run) -> None:
+        """Take room for a run."""
+        self.runs[(run.task_name, run.number)] = run
+        self.used = self.used + run.size
+
+    def remove(self, run: runs.Run) -> None:
+        """Give back the room of a run that is over."""
+        if self.runs.pop((run.task_name, run.number), None) is None:
+            return
+        self.used = self.used - run.size
+        if not self.runs:
+            self.used = resources.ZERO
+
+    def heard(
+        self, listing: ports.Listing, sent_at: float, now: float
+    ) -> None:
+        """Note an answered look."""
+        self.heard_at = max(self.heard_at, sent_at)
+        self.failed_at = 0.0
+        self.clock = listing.clock
+        self.clock_at = now
+
+    def clock_at_least(self, now: float) -> float:
+        """Return the least that the worker's clock may show."""
+        return self.clock + max(now - self.clock_at, 0.0) * SLOWEST_CLOCK
+
+    def lease_deadline(self, now: float, longest: float) -> float:
+        """Return the deadline of a lease given now, by its clock.
+
+        :param longest: longest lease in seconds.
+        """
+        return self.clock_at_least(now) + longest * LEASE_PART
+
+    def lapsed(self, now: float) -> bool:
+        """Return whether every lease given to it has surely lapsed."""
+        return (
+            self.clock_at_least(now)
+            > self.latest_deadline + LAPSE_MARGIN_SECONDS
+        )
+
+    def forgotten(self, run: runs.Run, now: float, longest: float) -> bool:
+        """Return whether a run is over although nobody could look.
+
+        The order can't arrive any more, and no lease was renewed since.
+
+        :param longest: longest lease in seconds.
+        """
+        last = max(run.sent_at, self.heard_at)
+        bound = LATE_ORDER_SECONDS + longest / SLOWEST_CLOCK
+        return now - last > bound
+
+    def new_life(self, born: int) -> None:
+        """Forget what held for an earlier life."""
+        self.born = born
+        self.fenced = False
+        self.acknowledged = 0
+        self.last_end = 0
+        self.latest_deadline = 0.0
+        self.clock = 0.0
+        self.clock_at = 0.0
+        self.failures_in_a_row = 0
+        self.set_aside_until = 0.0
+        self.slow_factor = 1.0
+
+
+def racks(workers: list[WorkerState]) -> dict[str, list[WorkerState]]:
+    """Return the workers by rack."""
+    ordered = sorted(workers, key=lambda worker: worker.entry.rack)
+    return {
+        rack: list(found)
+        for rack, found in itertools.groupby(
+            ordered, key=lambda worker: worker.entry.rack
+        )
+    }
--- /dev/null
+++ b/src/agaterudder/jobs/journal.py
@@ -0,0 +1,124 @@
+"""Which jobs have progress to store, and the transactions that store it.
+
+Each row is written under the version that it had, so that a transaction
+that takes effect late, after its repetition, changes nothing.
+"""
+
+import dataclasses
+import itertools
+
+import msgspec
+
+from agaterudder.jobs import model
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+
+# The store takes 100 entries a transaction; a job has at most 5.
+MOST_JOBS = 18
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """One transaction.
+
+    :ivar upto: marks up to here are stored when it commits.
+    """
+
+    jobs: tuple[runs.JobRun, ...]
+    checks: tuple[ports.Check, ...]
+    puts: tuple[ports.Put, ...]
+    deletes: tuple[ports.Delete, ...]
+    upto: int
+
+
+class Journal:
+    """Jobs whose progress is not stored yet, in order.
+
+    :ivar marked: number of the last mark.
+    :ivar stored: marks up to here are stored.
+    """
+
+    __slots__ = ("marked", "stored", "_dirty", "_orphans")
+
+    def __init__(self) -> None:
+        self.marked = 0
+        self.stored = 0
+        self._dirty: dict[runs.JobRun, int] = {}
+        self._orphans: list[ports.Delete] = []
+
+    def __len__(self) -> int:
+        return len(self._dirty) + len(self._orphans)
+
+    def mark(self, job: runs.JobRun) -> None:
+        """Note that a job's progress changed."""
+        self.marked += 1
+        self._dirty[job] = self.marked
+
+    def remove(self, row: ports.Delete) -> None:
+        """Remove a row that belongs to no job any more."""
+        self._orphans.append(row)
+
+    def batch(self, pool: str, epoch: ports.Check, clock: float) -> Batch:
+        """Return the next transaction; its jobs are no longer marked."""
+        upto = self.marked
+        jobs = tuple(itertools.islice(self._dirty, MOST_JOBS))
+        for job in jobs:
+            del self._dirty[job]
+        if self._dirty:
+            upto = min(self._dirty.values()) - 1
+        orphans = tuple(self._orphans[:MOST_JOBS]) if not jobs else ()
+        del self._orphans[: len(orphans)]
+        checks = [epoch]
+        puts: list[ports.Put] = []
+        deletes: list[ports.Delete] = list(orphans)
+        for job in jobs:
+            _add(pool, job, clock, checks, puts, deletes)
+        return Batch(jobs, tuple(checks), tuple(puts), tuple(deletes), upto)
+
+    def committed(self, batch: Batch, version: int) -> list[runs.JobRun]:
+        """Note that a batch is stored; return the jobs that ended."""
+        self.stored = max(self.stored, batch.upto)
+        written = {put.key for put in batch.puts}
+        for job in batch.jobs:
+            if job.ending is None and job.job.job in written:
+                job.row_version = version
+        ended = {
+            put.key for put in batch.puts if put.table == model.ENDED_TABLE
+        }
+        return [job for job in batch.jobs if job.job.job in ended]
+
+    def failed(self, batch: Batch, rows: tuple[ports.Row, ...]) -> None:
+        """Take a batch back, with the versions that rows have now."""
+        for row in rows:
+            for job in batch.jobs:
+                if (
+                    row.table == model.PROGRESS_TABLE
+                    and row.key == job.job.job
+                ):
+                    job.row_version = row.version
+        again = {job: batch.upto for job in batch.jobs}
+        self._dirty = {**again, **self._dirty}
+
+
+def _add(
+    pool: str,
+    job: runs.JobRun,
+    clock: float,
+    checks: list[ports.Check],
+    puts: list[ports.Put],
+    deletes: list[ports.Delete],
+) -> None:
+    key = job.job.job
+    checks.append(ports.Check(model.PROGRESS_TABLE, key, job.row_version))
+    if job.ending is None:
+        content = model.encode(job.progress)
+        puts.append(ports.Put(model.PROGRESS_TABLE, key, content))
+        return
+    ending = msgspec.structs.replace(job.ending, ended_at=clock)
+    puts.append(ports.Put(model.ENDED_TABLE, key, model.encode(ending)))
+    table = model.jobs_table(pool)
+    deletes.append(ports.Delete(table, key))
+    if job.cancelled:
+        deletes.append(ports.Delete(table, key + model.CANCEL_SUFFIX))
+    if job.row_version:
+        deletes.append(ports.Delete(model.PROGRESS_TABLE, key))
--- /dev/null
+++ b/src/agaterudder/jobs/model.py
@@ -0,0 +1,172 @@
+"""Jobs and their progress, as they are stored."""
+
+import typing as t
+
+import msgspec
+
+from agaterudder import resources
+
+
+class Step(msgspec.Struct, frozen=True, array_like=True):
+    """A step of a job: tasks of one kind.
+
+    :ivar size: what each task needs.
+    :ivar after: earlier steps whose tasks must all be done first.
+    :ivar gang: the tasks work only together and end together.
+    :ivar rack_local: the tasks are slower on more than one rack.
+    :ivar data_rack: rack where the data lies; slower elsewhere.
+    :ivar most_per_worker: most tasks on one worker, 0 without a bound.
+    :ivar speculative: copies may run in parallel.
+    :ivar long_running: the tasks run until the job is cancelled.
+    :ivar target_seconds: bound of the response times of its users.
+    :ivar uses_leftover: takes only processor time that others leave.
+    :ivar may_miss: tasks that may be away through actions of ours.
+    """
+
+    count: int
+    size: resources.Vector
+    estimate_seconds: float = 0.0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    rack_local: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    most_per_worker: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_seconds: float = 0.0
+    uses_leftover: bool = False
+    may_miss: int = 0
+
+
+class Request(msgspec.Struct, frozen=True, array_like=True):
+    """What a client asks for.
+
+    :ivar text: handed to each task.
+    :ivar times: how often the steps run, 0 for once and at once.
+    :ivar start_at: when the first occurrence is due, Unix seconds.
+    :ivar interval: seconds between occurrences.
+    """
+
+    text: str
+    steps: tuple[Step, ...]
+    times: int = 0
+    start_at: float = 0.0
+    interval: float = 0.0
+
+
+class Job(msgspec.Struct, frozen=True, array_like=True):
+    """An accepted job.
+
+    :ivar accepted_at: when it was accepted, seconds of the store's clock.
+    """
+
+    job: str
+    queue: str
+    team: str
+    accepted_at: float
+    request: Request
+
+    @property
+    def occurrences(self) -> int:
+        """How often the steps run."""
+        return max(self.request.times, 1)
+
+
+STATE_QUEUED = "queued"
+STATE_RUNNING = "running"
+STATE_COMPLETED = "completed"
+STATE_FAILED = "failed"
+STATE_CANCELLED = "cancelled"
+
+
+class Progress(msgspec.Struct, array_like=True):
+    """What is known for good of a job that has not ended.
+
+    :ivar done: numbers of the tasks that are done, by occurrence and step
+        (``"0.1"``).
+    :ivar failures: number of failed runs by task (or by occurrence and
+        step for a gang).
+    :ivar checkpoints: saved progress of tasks that do not run.
+    """
+
+    done: dict[str, list[int]] = {}
+    failures: dict[str, int] = {}
+    checkpoints: dict[str, str] = {}
+
+
+class Ended(msgspec.Struct, frozen=True, array_like=True):
+    """The end of a job.
+
+    :ivar state: completed, failed or cancelled.
+    :ivar ended_at: seconds of the store's clock.
+    """
+
+    state: str
+    ended_at: float
+    reason: str = ""
+
+
+class Holder(msgspec.Struct, frozen=True, array_like=True):
+    """Row of a pool's holder; its version is the epoch."""
+
+    vm: str
+    incarnation: str
+
+
+class Lease(msgspec.Struct, frozen=True, array_like=True):
+    """Lease of the holder of a pool.
+
+    :ivar expires_at: seconds of the store's clock.
+    """
+
+    vm: str
+    incarnation: str
+    expires_at: float
+
+
+class Pending(msgspec.Struct, frozen=True, array_like=True):
+    """Accepted jobs of which no task has started, by queue."""
+
+    written_at: float
+    counts: dict[str, int]
+
+
+_Stored = t.TypeVar("_Stored")
+
+
+def encode(value: t.Any) -> bytes:
+    """Return the stored form of a value."""
+    return msgspec.msgpack.encode(value)
+
+
+def decode(content: bytes, kind: type[_Stored]) -> _Stored:
+    """Return the value of a stored form.
+
+    :raises MsgspecError: when the content is of another kind.
+    """
+    return msgspec.msgpack.decode(content, type=kind)
+
+
+CANCEL_SUFFIX = ".cancel"
+
+
+def jobs_table(pool: str) -> str:
+    """Return the table of accepted jobs and cancellations of a pool."""
+    return f"jobs.{pool}"
+
+
+PROGRESS_TABLE = "progress"
+ENDED_TABLE = "ended"
+HOLDERS_TABLE = "holders"
+LEASES_TABLE = "leases"
+PENDING_TABLE = "pending"
+HOLDER_KEY = "holder"
+PENDING_KEY = "pending"
+
+
+def task_name(job: str, occurrence: int, step: int, index: int) -> str:
+    """Return the name of a task."""
+    return f"{job}.{occurrence}.{step}.{index}"
--- /dev/null
+++ b/src/agaterudder/jobs/runs.py
@@ -0,0 +1,368 @@
+"""Jobs, steps, tasks and runs as the holder of a pool sees them."""
+
+import enum
+import typing as t
+
+from agaterudder.jobs import model
+from agaterudder import resources
+
+if t.TYPE_CHECKING:
+    from agaterudder.jobs import fleet
+
+
+class RunState(enum.Enum):
+    """What is known of a run.
+
+    ``SENT``: its start is under way. ``UNCERTAIN``: its start got no
+    answer and may be carried out later. ``RUNNING``: the worker has it.
+    """
+
+    SENT = "sent"
+    UNCERTAIN = "uncertain"
+    RUNNING = "running"
+
+
+class Run:
+    """One run of a task on a worker; it takes room until it is over.
+
+    :ivar task: the task, None when its job is not known any more.
+    :ivar deadline: end of the lease given with the start, seconds of the
+        worker's clock.
+    :ivar stop_reason: why it has to end, empty while it should go on.
+    :ivar stop_sent_at: when a stop was last sent, 0 before.
+    :ivar stop_answered_at: when the worker answered a stop, 0 before.
+    :ivar percent: share of its speed that it works at.
+    """
+
+    __slots__ = (
+        "task",
+        "number",
+        "worker",
+        "state",
+        "sent_at",
+        "deadline",
+        "answered_at",
+        "working_since",
+        "checkpoint",
+        "percent",
+        "reading",
+        "over_target_since",
+        "stop_reason",
+        "stop_sent_at",
+        "stop_answered_at",
+        "size",
+        "task_name",
+    )
+
+    def __init__(
+        self,
+        task_name: str,
+        task: "Task | None",
+        number: int,
+        worker: "fleet.WorkerState",
+        sent_at: float,
+        size: resources.Vector,
+    ) -> None:
+        self.task_name = task_name
+        self.task = task
+        self.number = number
+        self.worker = worker
+        self.state = RunState.SENT
+        self.sent_at = sent_at
+        self.deadline = 0.0
+        self.answered_at = 0.0
+        self.working_since = 0.0
+        self.checkpoint = ""
+        self.percent = 100
+        self.reading: float | None = None
+        self.over_target_since = 0.0
+        self.stop_reason = ""
+        self.stop_sent_at = 0.0
+        self.stop_answered_at = 0.0
+        self.size = size
+
+    @property
+    def spending(self) -> str:
+        """Name under which it is counted against its team's limit."""
+        return f"{self.task_name}/{self.number}"
+
+    @property
+    def at_work(self) -> bool:
+        """Whether a lasting task counts as available through this run."""
+        return (
+            self.state is RunState.RUNNING
+            and self.percent >= 100
+            and self.working_since > 0
+            and not self.stop_reason
+        )
+
+
+class Task:
+    """One task of one occurrence of a step.
+
+    :ivar runs: runs that are not known to be over.
+    :ivar avoid: workers on which it failed.
+    :ivar not_before: its next start waits until then.
+    """
+
+    __slots__ = (
+        "name",
+        "step",
+        "index",
+        "done",
+        "failures",
+        "checkpoint",
+        "runs",
+        "avoid",
+        "not_before",
+        "preempted_at",
+    )
+
+    def __init__(self, name: str, step: "StepRun", index: int) -> None:
+        self.name = name
+        self.step = step
+        self.index = index
+        self.done = False
+        self.failures = 0
+        self.checkpoint = ""
+        self.runs: list[Run] = []
+        self.avoid: set[str] = set()
+        self.not_before = 0.0
+        self.preempted_at = 0.0
+
+    @property
+    def waiting(self) -> bool:
+        """Whether it may be started."""
+        return not self.done and not self.runs
+
+
+class StepRun:
+    """One occurrence of a step.
+
+    :ivar ready_at: when all earlier steps were seen to be done, 0 before.
+    :ivar failures: failed runs of a gang.
+    :ivar tickets: what the placement policy allowed, None before.
+    :ivar asking: whether the policy is being asked.
+    """
+
+    __slots__ = (
+        "job",
+        "occurrence",
+        "number",
+        "step",
+        "tasks",
+        "done",
+        "ready_at",
+        "failures",
+        "tickets",
+        "asking",
+    )
+
+    def __init__(
+        self, job: "JobRun", occurrence: int, number: int, step: model.Step
+    ) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.step = step
+        self.done = 0
+        self.ready_at = 0.0
+        self.failures = 0
+        self.tickets: Tickets | None = None
+        self.asking = False
+        self.tasks = [
+            Task(
+                model.task_name(job.job.job, occurrence, number, index),
+                self,
+                index,
+            )
+            for index in range(step.count)
+        ]
+
+    @property
+    def key(self) -> str:
+        """Occurrence and number of the step, as progress is stored."""
+        return f"{self.occurrence}.{self.number}"
+
+    @property
+    def name(self) -> str:
+        """Name of the step of this occurrence."""
+        return f"{self.job.job.job}.{self.key}"
+
+    @property
+    def finished(self) -> bool:
+        """Whether all tasks are done."""
+        return self.done >= len(self.tasks)
+
+    def waiting_tasks(self, now: float) -> list[Task]:
+        """Return the tasks that may be started."""
+        return [
+            task
+            for task in self.tasks
+            if task.waiting and task.not_before <= now
+        ]
+
+    def away(self) -> int:
+        """Return how many tasks of a lasting step are not at work."""
+        return sum(
+            1
+            for task in self.tasks
+            if not any(run.at_work for run in task.runs)
+        )
+
+    def on_worker(self, worker: str) -> int:
+        """Return how many tasks have a run on a worker."""
+        return sum(
+            1
+            for task in self.tasks
+            for run in task.runs
+            if run.worker.name == worker
+        )
+
+
+class Tickets:
+    """Permissions of the placement policy for a step.
+
+    :ivar asked: workers that the policy was asked about.
+    :ivar until: when the tickets end.
+    """
+
+    __slots__ = ("asked", "by_worker", "until")
+
+    def __init__(
+        self, asked: set[str], by_worker: dict[str, str], until: float
+    ) -> None:
+        self.asked = asked
+        self.by_worker = by_worker
+        self.until = until
+
+
+class JobRun:
+    """A job that has not ended.
+
+    :ivar accepted_at: when it was accepted, by this machine's clock.
+    :ivar row_version: version of its row of progress, 0 without one.
+    :ivar recovered: was accepted before this holder took the pool, so
+        that its tasks may run where nobody can look yet.
+    :ivar ending: the end that is to be stored, None while it goes on.
+    """
+
+    __slots__ = (
+        "job",
+        "accepted_at",
+        "progress",
+        "row_version",
+        "steps",
+        "created",
+        "recovered",
+        "started",
+        "ending",
+        "cancelled",
+    )
+
+    def __init__(
+        self, job: model.Job, accepted_at: float, recovered: bool
+    ) -> None:
+        self.job = job
+        self.accepted_at = accepted_at
+        self.progress = model.Progress()
+        self.row_version = 0
+        self.steps: dict[str, StepRun] = {}
+        self.created = 0
+        self.recovered = recovered
+        self.started = False
+        self.ending: model.Ended | None = None
+        self.cancelled = False
+
+    def due_at(self, occurrence: int) -> float:
+        """Return when an occurrence is due, Unix seconds; 0 for at once."""
+        if not self.job.request.times:
+            return 0.0
+        request = self.job.request
+        return request.start_at + occurrence * request.interval
+
+    def create_due(self, wall: float, now: float) -> list[StepRun]:
+        """Create the steps of the occurrences that are due."""
+        created: list[StepRun] = []
+        while (
+            self.created < self.job.occurrences
+            and self.due_at(self.created) <= wall
+        ):
+            created.extend(self._create(self.created, now))
+            self.created += 1
+        return created
+
+    def create_up_to(self, task: str, now: float) -> list[StepRun]:
+        """Create the steps of the occurrences up to that of a task."""
+        number = task.split(".")[1]
+        wanted = int(number) if number.isdigit() else -1
+        created: list[StepRun] = []
+        while self.created <= min(wanted, self.job.occurrences - 1):
+            created.extend(self._create(self.created, now))
+            self.created += 1
+        return created
+
+    def _create(self, occurrence: int, now: float) -> list[StepRun]:
+        found = [
+            StepRun(self, occurrence, number, step)
+            for number, step in enumerate(self.job.request.steps)
+        ]
+        for step in found:
+            self.steps[step.key] = step
+            self._restore(step)
+        for step in found:
+            self.check_ready(step, now)
+        return found
+
+    def _restore(self, step: StepRun) -> None:
+        for index in self.progress.done.get(step.key, ()):
+            if index < len(step.tasks) and not step.tasks[index].done:
+                step.tasks[index].done = True
+                step.done += 1
+        step.failures = self.progress.failures.get(step.key, 0)
+        for task in step.tasks:
+            task.failures = self.progress.failures.get(
+                f"{step.key}.{task.index}", 0
+            )
+            task.checkpoint = self.progress.checkpoints.get(
+                f"{step.key}.{task.index}", ""
+            )
+
+    def check_ready(self, step: StepRun, now: float) -> bool:
+        """Note when all earlier steps are done; return whether they are."""
+        if step.ready_at:
+            return True
+        needed = (
+            self.steps.get(f"{step.occurrence}.{number}")
+            for number in step.step.after
+        )
+        if all(found is not None and found.finished for found in needed):
+            step.ready_at = now
+            return True
+        return False
+
+    @property
+    def finished(self) -> bool:
+        """Whether every occurrence is done."""
+        return self.created >= self.job.occurrences and all(
+            step.finished for step in self.steps.values()
+        )
+
+    def task(self, name: str) -> Task | None:
+        """Return a task by its name, None when it has none."""
+        _, _, rest = name.partition(".")
+        key, _, index = rest.rpartition(".")
+        step = self.steps.get(key)
+        if step is None or not index.isdigit():
+            return None
+        number = int(index)
+        return step.tasks[number] if number < len(step.tasks) else None
+
+    def live_runs(self) -> list[Run]:
+        """Return the runs that are not known to be over."""
+        return [
+            run
+            for step in self.steps.values()
+            for task in step.tasks
+            for run in task.runs
+        ]
--- /dev/null
+++ b/src/agaterudder/jobs/teamlimits.py
@@ -0,0 +1,217 @@
+"""The part of each team's upper limit that a pool may use.
+
+One row a team divides its limit among the pools; a pool's grant goes with
+the pool to its next holder.
+"""
+
+import logging
+
+from agaterudder import escrow
+from agaterudder.jobs import model
+from agaterudder.jobs import ports
+from agaterudder.jobs import rules
+from agaterudder import resources
+
+LOG = logging.getLogger(__name__)
+
+TABLE = "limits"
+PART = "limits"
+GRANT_FRACTION = 0.25
+# A grant that was not used for so long is handed back.
+IDLE_SECONDS = 2.0
+
+
+class _Account:
+    """One team's grant in this pool."""
+
+    __slots__ = ("holding", "needed", "needed_at", "lowered")
+
+    def __init__(self) -> None:
+        self.holding = escrow.Holding()
+        self.needed: escrow.Need | None = None
+        self.needed_at = 0.0
+        self.lowered = False
+
+
+class TeamLimits:
+    """Grants of one pool.
+
+    :param pool: name of the pool, which holds the grants.
+    """
+
+    __slots__ = ("_pool", "_teams", "_version", "_accounts")
+
+    def __init__(self, pool: str) -> None:
+        self._pool = pool
+        self._teams: dict[str, rules.Team] = {}
+        self._version = 0
+        self._accounts: dict[str, _Account] = {}
+
+    def configure(self, configuration: rules.Configuration) -> None:
+        """Take the limits of a configuration."""
+        self._teams = configuration.teams
+        self._version = configuration.version
+
+    def limited(self, team: str) -> bool:
+        """Return whether a team has an upper limit."""
+        found = self._teams.get(team)
+        return found is not None and found.limit != resources.UNLIMITED
+
+    def _account(self, team: str) -> _Account:
+        return self._accounts.setdefault(team, _Account())
+
+    def weight(self, team: str) -> float:
+        """Return the weight of a team's share."""
+        found = self._teams.get(team)
+        return found.weight if found is not None else 1.0
+
+    def fits(self, team: str, size: resources.Vector) -> bool:
+        """Return whether an amount is covered by the grant."""
+        holding = self._account(team).holding
+        holding.limit_is(self._teams[team].limit)
+        return size.fits_in(holding.free)
+
+    def spend(self, team: str, run: str, size: resources.Vector) -> bool:
+        """Take the size of a run from the grant; return whether it fits."""
+        if not self.limited(team):
+            return True
+        holding = self._account(team).holding
+        holding.limit_is(self._teams[team].limit)
+        return isinstance(holding.spend(run, size), escrow.Spent)
+
+    def adopt(self, team: str, run: str, size: resources.Vector) -> None:
+        """Count a run of an earlier holder."""
+        self._account(team).holding.adopt(run, size)
+
+    def release(self, team: str, run: str) -> None:
+        """Give back what a run used."""
+        account = self._accounts.get(team)
+        if account is not None:
+            account.holding.release(run)
+
+    def need(
+        self,
+        team: str,
+        least: resources.Vector,
+        wanted: resources.Vector,
+        now: float,
+    ) -> None:
+        """Note what a team's waiting tasks need beyond the grant."""
+        account = self._account(team)
+        free = account.holding.free
+        quarter = self._teams[team].limit.scaled(GRANT_FRACTION)
+        account.needed = escrow.Need(
+            (least - free).larger(resources.ZERO),
+            (wanted - free).larger(resources.ZERO).smaller(quarter),
+        )
+        account.needed_at = now
+
+    def recovered(self) -> None:
+        """Nothing of earlier holders runs unseen any more."""
+        for account in self._accounts.values():
+            account.holding.reserved = resources.ZERO
+
+    def load(self, store: ports.Store) -> bool:
+        """Take the grants that this pool's earlier holders had.
+
+        Each row is written again, so that a write of an earlier holder
+        can't take effect any more.
+
+        :returns: whether all were taken.
+        :raises CallFailed: when the store did not answer.
+        """
+        complete = True
+        for row in store.scan(TABLE, PART).rows:
+            pot = model.decode(row.value, escrow.Pot)
+            if self._pool not in pot.grants:
+                continue
+            account = self._account(row.key)
+            complete &= self._write(store, row.key, row, pot, account)
+            account.holding.reserved = account.holding.grant
+        return complete
+
+    def settle(self, store: ports.Store, now: float) -> bool:
+        """Ask for what is needed, hand back what is idle.
+
+        :returns: whether some grant grew.
+        """
+        grew = False
+        for team, account in list(self._accounts.items()):
+            if not self.limited(team):
+                continue
+            if account.needed is not None:
+                grew |= self._ask(store, team, account)
+            elif account.lowered or self._idle(account, now):
+                self._hand_back(store, team, account)
+        return grew
+
+    @staticmethod
+    def _idle(account: _Account, now: float) -> bool:
+        waits = now - account.needed_at < IDLE_SECONDS
+        return not waits and account.holding.unspent.is_positive()
+
+    def _ask(self, store: ports.Store, team: str, account: _Account) -> bool:
+        need = account.needed
+        account.needed = None
+        assert need is not None
+        row, pot = self._read(store, team)
+        pot = escrow.relimited(pot, self._teams[team].limit, self._version)
+        larger = escrow.enlarged(pot, self._pool, need)
+        if not isinstance(larger, escrow.Pot):
+            LOG.debug(
+                "team limit reached",
+                extra={"team": team, "pool": self._pool},
+            )
+            return False
+        return self._write(store, team, row, larger, account)
+
+    def _hand_back(
+        self, store: ports.Store, team: str, account: _Account
+    ) -> None:
+        # Lowered here first: nothing may be spent of what another pool may
+        # already have. The row is set to what is left until that is known
+        # to be stored, so that an earlier write can't take effect late.
+        holding = account.holding
+        holding.grant = holding.grant - holding.unspent
+        account.lowered = True
+        row, pot = self._read(store, team)
+        held = pot.grants.get(self._pool) or resources.ZERO
+        smaller = escrow.handed_back(
+            pot, self._pool, (held - holding.grant).larger(resources.ZERO)
+        )
+        if self._write(store, team, row, smaller, account):
+            account.lowered = False
+
+    def _read(
+        self, store: ports.Store, team: str
+    ) -> tuple[ports.Row | None, escrow.Pot]:
+        row = store.read(TABLE, PART, team)
+        if row is None:
+            return None, escrow.Pot(self._teams[team].limit, self._version)
+        return row, model.decode(row.value, escrow.Pot)
+
+    def _write(
+        self,
+        store: ports.Store,
+        team: str,
+        row: ports.Row | None,
+        pot: escrow.Pot,
+        account: _Account,
+    ) -> bool:
+        check = ports.Check(TABLE, team, row.version if row else 0)
+        put = ports.Put(TABLE, team, model.encode(pot))
+        outcome = store.transact(PART, [check], [put])
+        if isinstance(outcome, ports.Committed):
+            grant = pot.grants.get(self._pool) or resources.ZERO
+            account.holding.took(pot, self._pool)
+            LOG.info(
+                "team grant",
+                extra={
+                    "team": team,
+                    "pool": self._pool,
+                    "cores": round(grant.cores, 2),
+                    "memory": round(grant.memory),
+                },
+            )
+            return True
+        return False
--- a/tests/run.py
+++ b/tests/run.py
@@ -14,11 +14,12 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FEATURES = ROOT / "tests" / "features"
-SOURCES = ("src", "standins", "demo", "bench", "tests", "tools")
+SOURCES = ("src", "platform", "standins", "demo", "bench", "tests", "tools")
 CHECKS = {
     "format": ("black", "--check", "--quiet", *SOURCES),
     "lint": ("flake8", *SOURCES),
     "types": ("mypy", "src", "standins", "demo", "bench", "tools"),
+    "platform types": ("mypy", "platform/agaterudder_platform"),
 }
 AT_ONCE = 4
 MOST_SECONDS = 900
