Waves of upkeep by the holders of the pools

Ruled out: one coordinator for all waves, which would have to agree with each pool's holder about every worker. Change: a row a wave holds the machines that are down (at most as many as it allows) and those done; the holder of a machine's pool takes a place, empties the worker within may_miss, orders the upkeep with a token of the machine's own row and gives the place back when the machine is up.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -33,6 +33,7 @@
     :ivar last_end: number of the last end that was taken from its lists.
     :ivar recorded: whether it is in the row of the pool's workers.
     :ivar leaving: why it gets no more work, empty otherwise.
+    :ivar draining: whether it said that it shuts down.
     :ivar set_aside_until: gets no work before, as it fails what it starts.
     """
 
@@ -50,6 +51,8 @@
         "last_end",
         "recorded",
         "leaving",
+        "leaving_since",
+        "draining",
         "set_aside_until",
         "failures_in_a_row",
         "slow_factor",
@@ -77,6 +80,8 @@
         self.last_end = 0
         self.recorded = False
         self.leaving = ""
+        self.leaving_since = 0.0
+        self.draining = False
         self.set_aside_until = 0.0
         self.failures_in_a_row = 0
         self.slow_factor = 1.0
@@ -94,6 +99,20 @@
         """Room that no run takes."""
         return self.entry.size - self.used
 
+    @property
+    def lasting(self) -> int:
+        """Number of lasting tasks that run here."""
+        return sum(
+            1
+            for run in self.runs.values()
+            if run.task is not None and run.task.step.step.long_running
+        )
+
+    @property
+    def empty_enough(self) -> bool:
+        """Whether nothing runs here that would be missed."""
+        return not self.runs
+
     @property
     def mixed(self) -> bool:
         """Whether tasks that serve run here beside tasks that fill."""
@@ -106,6 +125,12 @@
             step.uses_leftover for step in steps
         )
 
+    def leave(self, reason: str, now: float) -> None:
+        """Give it no more work."""
+        if not self.leaving:
+            self.leaving_since = now
+        self.leaving = reason
+
     def add(self, run: runs.Run) -> None:
         """Take room for a run."""
         self.runs[(run.task_name, run.number)] = run
--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -1,5 +1,6 @@
 """Holds one pool: reads what is stored, orders its workers, stores ends."""
 
+import dataclasses
 import logging
 import typing as t
 
@@ -15,6 +16,8 @@
 from agaterudder.jobs import deployment
 from agaterudder.jobs import fleet
 from agaterudder.jobs import following
+from agaterudder.jobs import machines
+from agaterudder.jobs import maintenance
 from agaterudder.jobs import model
 from agaterudder.jobs import orders
 from agaterudder.jobs import ownership
@@ -38,6 +41,7 @@
 LIMITS_SECONDS = 0.25
 STORE_RETRY_SECONDS = 0.1
 ORDERS_AT_ONCE = 256
+MAINTENANCE_SECONDS = 0.4
 WORKERS_KEY = "workers"
 
 
@@ -50,6 +54,15 @@
     born: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetTools:
+    """What upkeep and moves of machines go through."""
+
+    operators: ports.Operators
+    view: machines.View
+    orders: machines.MachineOrders
+
+
 class _Inbox:
     """The stored jobs and cancellations of a pool, to be followed."""
 
@@ -91,6 +104,7 @@
         bounds: deployment.Bounds,
         connect: t.Callable[[ports.WorkerEntry], ports.Worker],
         policy: ports.Policy | None,
+        fleet_tools: FleetTools,
         measured: metrics.Metrics,
     ) -> None:
         self.lease = lease
@@ -125,6 +139,13 @@
             self._inbox_changed,
             INBOX_WAIT_SECONDS,
         )
+        self._maintenance = maintenance.Maintenance(
+            self,
+            store,
+            fleet_tools.operators,
+            fleet_tools.view,
+            fleet_tools.orders,
+        )
         self._stopped = False
 
     # Life
@@ -172,6 +193,7 @@
             self._publish_for_ever,
             self._settle_limits_for_ever,
             self._record_for_ever,
+            self._maintain_for_ever,
         ):
             self._spawn(loop)
         self._beliefs.listen(self._beliefs_heard)
@@ -329,7 +351,7 @@
 
     def _add_worker(self, entry: ports.WorkerEntry) -> fleet.WorkerState:
         worker = fleet.WorkerState(entry, self._connect(entry))
-        worker.leaving = _leaving(entry)
+        _note_draining(worker, entry)
         self.state.adopt_worker(worker)
         loop = workerloop.WorkerLoop(worker, self, self._bounds.worker_lease)
         self._worker_loops[worker.name] = loop
@@ -344,13 +366,8 @@
             worker.link = self._connect(entry)
         if entry.born > worker.born:
             self.state.worker_born(worker, entry.born)
-        reason = _leaving(entry)
-        if reason != worker.leaving:
-            LOG.info(
-                "worker state", extra={"worker": worker.name, "state": reason}
-            )
         worker.entry = entry
-        worker.leaving = reason
+        _note_draining(worker, entry)
         self._worker_loops[worker.name].wake()
 
     def forget_worker(self, worker: fleet.WorkerState) -> None:
@@ -361,6 +378,58 @@
         self._record.set()
         self._plan.set()
 
+    # What upkeep and sizing need; see maintenance.PoolHolder
+
+    @property
+    def standby(self) -> bool:
+        """Whether the machines of the pool are off."""
+        configuration = self._beliefs.configuration
+        if configuration is None:
+            return False
+        found = configuration.pools.get(self.pool)
+        return found is not None and found.standby
+
+    def store_clock(self) -> float:
+        """Return the most that the store's clock may show."""
+        return self._owner.store_clock()
+
+    def worker_state(self, worker: str) -> fleet.WorkerState | None:
+        """Return a worker, None when it is not known."""
+        return self.state.workers.get(worker)
+
+    def leave(self, worker: fleet.WorkerState, reason: str) -> None:
+        """Give a worker no more work."""
+        worker.leave(reason, clock.now())
+        self._plan.set()
+
+    def stay(self, worker: fleet.WorkerState) -> None:
+        """Give a worker work again, unless it drains."""
+        worker.leaving = "draining" if worker.draining else ""
+        self._plan.set()
+
+    def worker_ended(self, worker: fleet.WorkerState, reason: str) -> None:
+        """Note that all that ran on a worker was ended."""
+        self.state.worker_over(worker, reason)
+        worker.fenced = False
+        self._plan.set()
+
+    def waiting_part(self) -> float:
+        """Return the waiting work as a part of the room, in cores."""
+        room = sum(w.entry.size.cores for w in self.state.workers.values())
+        waiting = sum(
+            step.step.size.cores
+            for step in self.state.ready.values()
+            if step.ready_at
+            for task in step.tasks
+            if task.waiting
+        )
+        return waiting / room if room else 0.0
+
+    def _maintain_for_ever(self) -> None:
+        while True:
+            gevent.sleep(MAINTENANCE_SECONDS)
+            self._maintenance.turn(list(self._beliefs.waves.values()))
+
     # Planning
 
     def heard(self) -> None:
@@ -668,5 +737,13 @@
                 return False
 
 
-def _leaving(entry: ports.WorkerEntry) -> str:
-    return "draining" if entry.state == ports.WORKER_DRAINING else ""
+def _note_draining(
+    worker: fleet.WorkerState, entry: ports.WorkerEntry
+) -> None:
+    draining = entry.state == ports.WORKER_DRAINING
+    if draining and not worker.draining:
+        LOG.info("worker drains", extra={"worker": worker.name})
+        worker.leave("draining", clock.now())
+    if not draining and worker.draining:
+        worker.leaving = ""
+    worker.draining = draining
--- /dev/null
+++ b/src/agaterudder/jobs/machines.py
@@ -0,0 +1,150 @@
+"""Orders for machines: who may give them, and what the fleet looks like.
+
+A row a machine says who ordered it last. Taking the row gives the fencing
+token: the version of the row, which only rises. Another process takes it
+only when the last one has been quiet for the lease of a holder.
+"""
+
+import logging
+
+import msgspec
+
+from agaterudder import exceptions
+from agaterudder.jobs import clock
+from agaterudder.jobs import model
+from agaterudder.jobs import ports
+
+LOG = logging.getLogger(__name__)
+
+TABLE = "machines"
+PART = "machines"
+# A list that was asked for so long ago is asked for again.
+VIEW_AGE_SECONDS = 0.4
+QUIET_MARGIN_SECONDS = 0.2
+
+
+class LastOrder(msgspec.Struct, frozen=True, array_like=True):
+    """Who ordered a machine last.
+
+    :ivar at: seconds of the store's clock, at most.
+    """
+
+    vm: str
+    at: float
+
+
+class View:
+    """The platform's machines as last listed.
+
+    :ivar asked_at: when the list was asked for, by :func:`clock.now`.
+    """
+
+    __slots__ = ("_machines", "machines", "asked_at")
+
+    def __init__(self, machines: ports.Machines) -> None:
+        self._machines = machines
+        self.machines: dict[str, ports.Machine] = {}
+        self.asked_at = 0.0
+
+    def refresh(self, after: float = 0.0) -> bool:
+        """Ask for the list if it is old; return whether it is current.
+
+        :param after: the list must have been asked for later than this.
+        """
+        now = clock.now()
+        if now - self.asked_at < VIEW_AGE_SECONDS and self.asked_at > after:
+            return True
+        try:
+            found = self._machines.list()
+        except exceptions.CallFailed as error:
+            LOG.info("machines not listed", extra={"why": error})
+            return False
+        self.machines = {machine.machine: machine for machine in found}
+        self.asked_at = now
+        return True
+
+    def in_pool(self, pool: str) -> list[ports.Machine]:
+        """Return the machines of a pool."""
+        return [
+            machine
+            for machine in self.machines.values()
+            if machine.pool == pool
+        ]
+
+
+class MachineOrders:
+    """Gives orders for machines on behalf of one process.
+
+    :param quiet_seconds: another process may order a machine when the
+        last one has been quiet for so long.
+    """
+
+    __slots__ = ("_store", "_machines", "_vm", "_quiet")
+
+    def __init__(
+        self,
+        store: ports.Store,
+        machines: ports.Machines,
+        vm: str,
+        quiet_seconds: float,
+    ) -> None:
+        self._store = store
+        self._machines = machines
+        self._vm = vm
+        self._quiet = quiet_seconds + QUIET_MARGIN_SECONDS
+
+    def claim(self, machine: str, store_clock: float) -> int | None:
+        """Take the right to order a machine; return its fencing token.
+
+        :param store_clock: the most that the store's clock may show.
+        """
+        try:
+            row = self._store.read(TABLE, PART, machine)
+        except exceptions.CallFailed as error:
+            LOG.info(
+                "machine not claimed", extra={"machine": machine, "why": error}
+            )
+            return None
+        if row is not None:
+            last = model.decode(row.value, LastOrder)
+            if last.vm != self._vm and store_clock - last.at < self._quiet:
+                return None
+        content = model.encode(LastOrder(self._vm, store_clock))
+        outcome = self._store.transact(
+            PART,
+            [ports.Check(TABLE, machine, row.version if row else 0)],
+            [ports.Put(TABLE, machine, content)],
+        )
+        if isinstance(outcome, ports.Committed):
+            return outcome.version
+        return None
+
+    def maintain(
+        self, machine: str, wave: int, token: int
+    ) -> ports.Done | ports.Rejected | ports.NoAnswer:
+        """Begin the upkeep of a machine."""
+        answer = self._machines.maintain(machine, wave, self._vm, token)
+        self._log("upkeep ordered", machine, f"wave {wave}", token, answer)
+        return answer
+
+    def move(
+        self, machine: str, pool: str, token: int
+    ) -> ports.Done | ports.Rejected | ports.NoAnswer:
+        """Move a machine to another pool."""
+        answer = self._machines.move(machine, pool, self._vm, token)
+        self._log("move ordered", machine, pool, token, answer)
+        return answer
+
+    @staticmethod
+    def _log(
+        event: str, machine: str, target: str, token: int, answer: object
+    ) -> None:
+        LOG.info(
+            event,
+            extra={
+                "machine": machine,
+                "target": target,
+                "token": token,
+                "answer": answer,
+            },
+        )
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -10,6 +10,7 @@
 import logging
 import typing as t
 
+from agaterudder.jobs import emptying
 from agaterudder.jobs import fleet
 from agaterudder.jobs import orders
 from agaterudder.jobs import pool as pools
@@ -49,6 +50,7 @@
     def make(self) -> list[orders.Order]:
         """Return the orders of this turn."""
         state = self._state
+        self._empty_leaving()
         self._stop_unwanted()
         recovering = state.recovering(self._now)
         for step in self._in_order():
@@ -76,6 +78,32 @@
 
     # Stops
 
+    def _empty_leaving(self) -> None:
+        """Stop what has to go from workers that leave."""
+        for worker in self._state.workers.values():
+            if not worker.leaving or not worker.runs:
+                continue
+            for run in emptying.runs_to_stop(
+                worker, self._state.bounds, self._has_place(worker), self._now
+            ):
+                run.stop_reason = f"worker leaves: {worker.leaving}"
+
+    def _has_place(self, worker: fleet.WorkerState) -> bool:
+        """Return whether each lasting task fits on some other worker."""
+        steps = [
+            run.task.step
+            for run in worker.runs.values()
+            if run.task is not None and run.task.step.step.long_running
+        ]
+        return all(
+            any(
+                self._state.room_of(step).fits_in(other.free)
+                and self._within_spread(step, other)
+                for other in self._usable
+            )
+            for step in steps
+        )
+
     def _stop_unwanted(self) -> None:
         for worker in self._state.workers.values():
             for run in worker.runs.values():
--- a/src/agaterudder/jobs/service.py
+++ b/src/agaterudder/jobs/service.py
@@ -10,6 +10,7 @@
 from agaterudder.jobs import deployment
 from agaterudder.jobs import frontdoor
 from agaterudder.jobs import holder
+from agaterudder.jobs import machines
 from agaterudder.jobs import ownership
 from agaterudder.jobs import ports
 from agaterudder import metrics
@@ -61,6 +62,16 @@
         self.front_door = frontdoor.FrontDoor(
             outside.store, self.beliefs, self.owner.store_clock, self.metrics
         )
+        self._fleet_tools = holder.FleetTools(
+            outside.operators,
+            machines.View(outside.machines),
+            machines.MachineOrders(
+                outside.store,
+                outside.machines,
+                settings.vm,
+                settings.bounds.holder_lease,
+            ),
+        )
         self.holders: dict[str, holder.Holder] = {}
         self._loops: list[gevent.Greenlet] = []
         self.leaving = False
@@ -104,6 +115,7 @@
             self.settings.bounds,
             self._outside.worker,
             self._outside.policy,
+            self._fleet_tools,
             self.metrics,
         )
         self.holders[lease.pool] = found
