--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -34,6 +34,7 @@
     :ivar recorded: whether it is in the row of the pool's workers.
     :ivar leaving: why it gets no more work, empty otherwise.
     :ivar draining: whether it said that it shuts down.
+    :ivar idle_since: when its last run ended, or it joined.
     :ivar set_aside_until: gets no work before, as it fails what it starts.
     """
 
@@ -63,7 +64,7 @@
         "clock_at",
         "unlisted_at",
         "room_until",
-        "over",
+        "idle_since",
     )
 
     def __init__(self, entry: ports.WorkerEntry, link: ports.Worker) -> None:
@@ -92,7 +93,7 @@
         self.clock_at = 0.0
         self.unlisted_at = 0.0
         self.room_until = 0.0
-        self.over = False
+        self.idle_since = 0.0
 
     @property
     def free(self) -> resources.Vector:
@@ -136,13 +137,14 @@
         self.runs[(run.task_name, run.number)] = run
         self.used = self.used + run.size
 
-    def remove(self, run: runs.Run) -> None:
+    def remove(self, run: runs.Run, now: float) -> None:
         """Give back the room of a run that is over."""
         if self.runs.pop((run.task_name, run.number), None) is None:
             return
         self.used = self.used - run.size
         if not self.runs:
             self.used = resources.ZERO
+            self.idle_since = now
 
     def heard(
         self, listing: ports.Listing, sent_at: float, now: float
--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -24,6 +24,7 @@
 from agaterudder.jobs import planning
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
+from agaterudder.jobs import resizing
 from agaterudder.jobs import runs
 from agaterudder.jobs import teamlimits
 from agaterudder.jobs import wallclock
@@ -42,6 +43,7 @@
 STORE_RETRY_SECONDS = 0.1
 ORDERS_AT_ONCE = 256
 MAINTENANCE_SECONDS = 0.4
+RESIZE_SECONDS = 0.25
 WORKERS_KEY = "workers"
 
 
@@ -146,6 +148,9 @@
             fleet_tools.view,
             fleet_tools.orders,
         )
+        self._resizing = resizing.Resizing(
+            self, fleet_tools.view, fleet_tools.orders
+        )
         self._stopped = False
 
     # Life
@@ -194,6 +199,7 @@
             self._settle_limits_for_ever,
             self._record_for_ever,
             self._maintain_for_ever,
+            self._resize_for_ever,
         ):
             self._spawn(loop)
         self._beliefs.listen(self._beliefs_heard)
@@ -352,6 +358,7 @@
     def _add_worker(self, entry: ports.WorkerEntry) -> fleet.WorkerState:
         worker = fleet.WorkerState(entry, self._connect(entry))
         _note_draining(worker, entry)
+        worker.idle_since = clock.now()
         self.state.adopt_worker(worker)
         loop = workerloop.WorkerLoop(worker, self, self._bounds.worker_lease)
         self._worker_loops[worker.name] = loop
@@ -365,7 +372,7 @@
             worker.link.close()
             worker.link = self._connect(entry)
         if entry.born > worker.born:
-            self.state.worker_born(worker, entry.born)
+            self.state.worker_born(worker, entry.born, clock.now())
         worker.entry = entry
         _note_draining(worker, entry)
         self._worker_loops[worker.name].wake()
@@ -409,7 +416,7 @@
 
     def worker_ended(self, worker: fleet.WorkerState, reason: str) -> None:
         """Note that all that ran on a worker was ended."""
-        self.state.worker_over(worker, reason)
+        self.state.worker_over(worker, reason, clock.now())
         worker.fenced = False
         self._plan.set()
 
@@ -425,6 +432,25 @@
         )
         return waiting / room if room else 0.0
 
+    def standby_pools(self) -> list[str]:
+        """Return the pools on standby."""
+        configuration = self._beliefs.configuration
+        if configuration is None:
+            return []
+        return sorted(
+            name for name, pool in configuration.pools.items() if pool.standby
+        )
+
+    def wave_machines(self) -> frozenset[str]:
+        """Return machines that are due for upkeep or down for it."""
+        return self._maintenance.open_machines
+
+    def _resize_for_ever(self) -> None:
+        while True:
+            gevent.sleep(RESIZE_SECONDS)
+            if not self.standby and self.standby_pools():
+                self._resizing.turn()
+
     def _maintain_for_ever(self) -> None:
         while True:
             gevent.sleep(MAINTENANCE_SECONDS)
@@ -536,7 +562,7 @@
             case ports.Rejected(reason=ports.REJECTED_FENCED):
                 self.deposed("a worker met a higher epoch")
             case ports.Rejected(reason=ports.REJECTED_OTHER_LIFE):
-                self.state.run_over(run)
+                self.state.run_over(run, clock.now())
             case other:
                 LOG.info(
                     "stop not answered",
--- a/src/agaterudder/jobs/maintenance.py
+++ b/src/agaterudder/jobs/maintenance.py
@@ -103,6 +103,7 @@
         "_orders",
         "_steps",
         "_finished",
+        "_open",
     )
 
     def __init__(
@@ -120,6 +121,12 @@
         self._orders = orders
         self._steps: dict[str, _Step] = {}
         self._finished: set[int] = set()
+        self._open: set[str] = set()
+
+    @property
+    def open_machines(self) -> frozenset[str]:
+        """Machines of waves that are not completed, and not yet done."""
+        return frozenset(self._open)
 
     def turn(self, waves: t.Iterable[rules.Wave]) -> None:
         """Do what can be done now for each wave."""
@@ -140,6 +147,7 @@
         if record.completed:
             self._finished.add(wave.number)
             return
+        self._open = set(wave.machines) - set(record.done)
         own = {
             machine.machine: machine
             for machine in self._view.in_pool(self._holder.pool)
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -171,7 +171,9 @@
         """Return whether earlier runs may be where nobody can look yet."""
         return bool(self.unseen) and now < self.recovery_until
 
-    def worker_born(self, worker: fleet.WorkerState, born: int) -> None:
+    def worker_born(
+        self, worker: fleet.WorkerState, born: int, now: float
+    ) -> None:
         """Note a new life of a worker: what ran there is over.
 
         A start without an answer may still be carried out by the new
@@ -188,13 +190,15 @@
         worker.new_life(born)
         for run in list(worker.runs.values()):
             if run.state is runs.RunState.RUNNING:
-                self.run_over(run)
+                self.run_over(run, now)
             else:
                 run.state = runs.RunState.UNCERTAIN
                 run.stop_reason = run.stop_reason or "worker restarted"
                 run.stop_sent_at = run.stop_answered_at = 0.0
 
-    def worker_over(self, worker: fleet.WorkerState, reason: str) -> None:
+    def worker_over(
+        self, worker: fleet.WorkerState, reason: str, now: float
+    ) -> None:
         """Note that nothing runs on a worker any more."""
         LOG.info(
             "worker over",
@@ -205,7 +209,7 @@
             },
         )
         for run in list(worker.runs.values()):
-            self.run_over(run)
+            self.run_over(run, now)
 
     # Runs
 
@@ -237,9 +241,9 @@
             return resources.Vector(0.0, size.memory, size.accelerators)
         return size
 
-    def run_over(self, run: runs.Run) -> None:
+    def run_over(self, run: runs.Run, now: float) -> None:
         """Note that a run is over, whatever its end was."""
-        run.worker.remove(run)
+        run.worker.remove(run, now)
         task = run.task
         if task is not None:
             if run in task.runs:
@@ -297,7 +301,7 @@
             run.task.step.tickets = None
         if reason == ports.REJECTED_INVALID and run.task is not None:
             run.task.not_before = now + SET_ASIDE_SECONDS
-        self.run_over(run)
+        self.run_over(run, now)
 
     def unanswered(self, run: runs.Run, reason: str, now: float) -> None:
         """Note that a start got no answer: it may be carried out later."""
@@ -324,7 +328,7 @@
     ) -> int:
         """Note what a worker lists; return the number of its last end."""
         if listing.born and listing.born != worker.born:
-            self.worker_born(worker, listing.born)
+            self.worker_born(worker, listing.born, now)
         worker.heard(listing, sent_at, now)
         for ended in listing.ended:
             if ended.number > worker.last_end:
@@ -335,7 +339,7 @@
             self._runs_there(worker, item, now)
         for run in list(worker.runs.values()):
             if (run.task_name, run.number) not in present:
-                self._not_there(run, listing, sent_at)
+                self._not_there(run, listing, sent_at, now)
         return worker.last_end
 
     def _runs_there(
@@ -349,7 +353,7 @@
             self._note_start(run, now)
         if item.checkpoint:
             run.checkpoint = item.checkpoint
-        run.percent = item.percent
+        run.progress = item.progress
         run.reading = item.reading
 
     def _adopt(
@@ -374,7 +378,11 @@
         return run
 
     def _not_there(
-        self, run: runs.Run, listing: ports.Listing, sent_at: float
+        self,
+        run: runs.Run,
+        listing: ports.Listing,
+        sent_at: float,
+        now: float,
     ) -> None:
         """Judge a run that a worker does not list."""
         if run.state is runs.RunState.RUNNING:
@@ -383,7 +391,7 @@
         never_late = listing.clock > run.deadline and run.deadline > 0
         stopped = run.stop_answered_at and sent_at >= run.stop_answered_at
         if never_late or stopped:
-            self.run_over(run)
+            self.run_over(run, now)
 
     def _ended(
         self, worker: fleet.WorkerState, ended: ports.Ended, now: float
@@ -393,7 +401,7 @@
         if run is not None:
             if ended.checkpoint:
                 run.checkpoint = ended.checkpoint
-            self.run_over(run)
+            self.run_over(run, now)
         LOG.debug(
             "run ended",
             extra={
--- a/src/agaterudder/jobs/ports.py
+++ b/src/agaterudder/jobs/ports.py
@@ -210,7 +210,8 @@
     """A run that a worker lists.
 
     :ivar checkpoint: last saved progress, empty without one.
-    :ivar percent: share of its speed that it works at.
+    :ivar progress: per cent of its work that is done; 100 for a lasting
+        task once it is at work.
     :ivar reading: tail of the response times in seconds for a task that
         serves, cores in use for any other; None when not listed.
     """
@@ -218,7 +219,7 @@
     task: str
     run: int
     checkpoint: str
-    percent: int
+    progress: int
     reading: float | None = None
 
 
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -31,7 +31,8 @@
     :ivar stop_reason: why it has to end, empty while it should go on.
     :ivar stop_sent_at: when a stop was last sent, 0 before.
     :ivar stop_answered_at: when the worker answered a stop, 0 before.
-    :ivar percent: share of its speed that it works at.
+    :ivar progress: per cent of its work; 100 for a lasting task at work.
+    :ivar throttled_to: share of its speed that it was last told to use.
     """
 
     __slots__ = (
@@ -44,7 +45,8 @@
         "answered_at",
         "working_since",
         "checkpoint",
-        "percent",
+        "progress",
+        "throttled_to",
         "reading",
         "over_target_since",
         "stop_reason",
@@ -73,7 +75,8 @@
         self.answered_at = 0.0
         self.working_since = 0.0
         self.checkpoint = ""
-        self.percent = 100
+        self.progress = 0
+        self.throttled_to = 100
         self.reading: float | None = None
         self.over_target_since = 0.0
         self.stop_reason = ""
@@ -86,13 +89,22 @@
         """Name under which it is counted against its team's limit."""
         return f"{self.task_name}/{self.number}"
 
+    @property
+    def starting_up(self) -> bool:
+        """Whether a lasting task is there but not yet at work."""
+        return (
+            self.task is not None
+            and self.task.step.step.long_running
+            and self.state is RunState.RUNNING
+            and self.progress < 100
+        )
+
     @property
     def at_work(self) -> bool:
         """Whether a lasting task counts as available through this run."""
         return (
             self.state is RunState.RUNNING
-            and self.percent >= 100
-            and self.working_since > 0
+            and self.progress >= 100
             and not self.stop_reason
         )
 
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -17,8 +17,9 @@
 LOG = logging.getLogger(__name__)
 
 LOOK_WAIT_SECONDS = 1.6
-# While a start may still arrive, or a stop was answered, look sooner.
-UNSETTLED_WAIT_SECONDS = 0.1
+# While a start may still arrive, a stop was answered or a lasting task
+# starts up, look sooner.
+UNSETTLED_WAIT_SECONDS = 0.2
 # The readings of tasks that serve beside tasks that fill get old quickly.
 SERVING_WAIT_SECONDS = 0.5
 ANSWER_SECONDS = 0.7
@@ -113,6 +114,7 @@
             run.state is not runs.RunState.RUNNING
             and run.state is not runs.RunState.SENT
             or run.stop_reason
+            or run.starting_up
             for run in worker.runs.values()
         ):
             return UNSETTLED_WAIT_SECONDS
@@ -175,7 +177,7 @@
     def _other_life(self, now: float) -> None:
         """Another worker has the address: this one is over."""
         worker = self._worker
-        self._holder.state.worker_over(worker, "another worker answers")
+        self._holder.state.worker_over(worker, "another worker answers", now)
         self._holder.state.unseen.discard(worker.name)
         worker.listed = False
         worker.unlisted_at = worker.unlisted_at or now
@@ -197,10 +199,10 @@
                 },
             )
         if worker.runs and worker.fenced and worker.lapsed(now):
-            self._holder.state.worker_over(worker, "its lease has lapsed")
+            self._holder.state.worker_over(worker, "its lease has lapsed", now)
             worker.fenced = False
         for run in list(worker.runs.values()):
             if worker.forgotten(run, now, self._lease):
-                self._holder.state.run_over(run)
+                self._holder.state.run_over(run, now)
         self._holder.heard()
         gevent.sleep(RETRY_SECONDS)
