Silent workers: lease not extended, machine's state asked, lives forgotten

Ruled out: the store (4 ms answers at that time) and the planner. Change: failed runs are stored by number; no deadline to a silent worker; the list of machines tells a life that is over; ended lives leave the row at once; grants are asked for as soon as they are needed, for all waiting steps; a holder's lease is 0.7 of the bound.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -12,6 +12,8 @@
 
 # A worker's clock may be 2 % slow.
 SLOWEST_CLOCK = 0.98
+# A worker that left a look unanswered for so long gets no new work.
+SILENT_SECONDS = 1.0
 LAPSE_MARGIN_SECONDS = 0.2
 # Part of the longest lease that is asked for; the rest is for the way.
 LEASE_PART = 0.98
@@ -34,6 +36,7 @@
     :ivar recorded: whether it is in the row of the pool's workers.
     :ivar leaving: why it gets no more work, empty otherwise.
     :ivar draining: whether it said that it shuts down.
+    :ivar ended: whether its life was ended by an order for its machine.
     :ivar idle_since: when its last run ended, or it joined.
     :ivar set_aside_until: gets no work before, as it fails what it starts.
     """
@@ -65,6 +68,7 @@
         "unlisted_at",
         "room_until",
         "idle_since",
+        "ended",
     )
 
     def __init__(self, entry: ports.WorkerEntry, link: ports.Worker) -> None:
@@ -94,12 +98,27 @@
         self.unlisted_at = 0.0
         self.room_until = 0.0
         self.idle_since = 0.0
+        self.ended = False
 
     @property
     def free(self) -> resources.Vector:
         """Room that no run takes."""
         return self.entry.size - self.used
 
+    def takes_work(self, now: float) -> bool:
+        """Return whether tasks may be started here now."""
+        silent = self.failed_at and now - self.heard_at > SILENT_SECONDS
+        return (
+            self.listed
+            and not self.ended
+            and self.fenced
+            and self.recorded
+            and not self.leaving
+            and not silent
+            and self.set_aside_until <= now
+            and self.room_until <= now
+        )
+
     @property
     def lasting(self) -> int:
         """Number of lasting tasks that run here."""
@@ -188,6 +207,7 @@
         """Forget what held for an earlier life."""
         self.born = born
         self.fenced = False
+        self.ended = False
         self.acknowledged = 0
         self.last_end = 0
         self.latest_deadline = 0.0
--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -26,6 +26,7 @@
 from agaterudder.jobs import ports
 from agaterudder.jobs import resizing
 from agaterudder.jobs import runs
+from agaterudder.jobs import sizing
 from agaterudder.jobs import teamlimits
 from agaterudder.jobs import wallclock
 from agaterudder.jobs import workerloop
@@ -39,7 +40,8 @@
 TURN_SECONDS = 0.1
 ORDER_TIMEOUT_SECONDS = 0.8
 PENDING_SECONDS = 1.0
-LIMITS_SECONDS = 0.25
+LIMITS_SECONDS = 0.5
+LIMITS_PAUSE_SECONDS = 0.05
 STORE_RETRY_SECONDS = 0.1
 ORDERS_AT_ONCE = 256
 MAINTENANCE_SECONDS = 0.4
@@ -129,11 +131,13 @@
         self._write = gevent.event.Event()
         self._stored = gevent.event.Event()
         self._record = gevent.event.Event()
+        self._limits_needed = gevent.event.Event()
         self._orders = gevent.pool.Pool(ORDERS_AT_ONCE)
         self._loops: list[gevent.Greenlet] = []
         self._worker_loops: dict[str, workerloop.WorkerLoop] = {}
         self._recorded: dict[str, KnownWorker] = {}
         self._recorded_version = 0
+        self._ended_lives: dict[str, int] = {}
         self._inbox = following.Follower(
             f"jobs of {self.pool}",
             _Inbox(store, self.pool),
@@ -148,6 +152,7 @@
             fleet_tools.view,
             fleet_tools.orders,
         )
+        self._view = fleet_tools.view
         self._resizing = resizing.Resizing(
             self, fleet_tools.view, fleet_tools.orders
         )
@@ -337,6 +342,12 @@
             name: entry
             for name, entry in self._beliefs.workers.items()
             if entry.pool == self.pool
+            and self._ended_lives.get(name) != entry.born
+        }
+        self._ended_lives = {
+            name: born
+            for name, born in self._ended_lives.items()
+            if name in self._beliefs.workers
         }
         for name, entry in listed.items():
             worker = self.state.workers.get(name)
@@ -379,6 +390,8 @@
 
     def forget_worker(self, worker: fleet.WorkerState) -> None:
         """Forget a worker that is gone and runs nothing."""
+        if worker.ended:
+            self._ended_lives[worker.name] = worker.born
         self.state.workers.pop(worker.name, None)
         self.state.unseen.discard(worker.name)
         self._worker_loops.pop(worker.name, None)
@@ -414,10 +427,20 @@
         worker.leaving = "draining" if worker.draining else ""
         self._plan.set()
 
+    def life_over(self, worker: fleet.WorkerState, since: float) -> str:
+        """Return why a silent worker's life is over, empty if it is not."""
+        return self._view.life_over(worker.name, since)
+
     def worker_ended(self, worker: fleet.WorkerState, reason: str) -> None:
         """Note that all that ran on a worker was ended."""
-        self.state.worker_over(worker, reason, clock.now())
+        now = clock.now()
+        self.state.worker_over(worker, reason, now)
+        for run in list(worker.runs.values()):
+            # The machine's next worker has another name.
+            self.state.run_over(run, now)
         worker.fenced = False
+        worker.ended = True
+        self._worker_loops[worker.name].wake()
         self._plan.set()
 
     def waiting_part(self) -> float:
@@ -479,6 +502,8 @@
             self.state.create_due(wallclock.now(), now)
             for order in planning.Plan(self.state, now).make():
                 self._orders.spawn(self._carry_out, order)
+            if self._limits.asking:
+                self._limits_needed.set()
             if len(self.state.journal):
                 self._write.set()
 
@@ -683,6 +708,7 @@
 
     def _publish_for_ever(self) -> None:
         while True:
+            self._tell_status()
             content = model.encode(
                 model.Pending(self._owner.store_clock(), self.state.pending())
             )
@@ -693,10 +719,32 @@
             )
             gevent.sleep(PENDING_SECONDS)
 
+    def _tell_status(self) -> None:
+        state = self.state
+        now = clock.now()
+        workers = state.workers.values()
+        usable = [worker for worker in workers if worker.takes_work(now)]
+        LOG.info(
+            "pool status",
+            extra={
+                "pool": self.pool,
+                "jobs": len(state.jobs),
+                "workers": len(state.workers),
+                "usable": len(usable),
+                "free": round(sum(w.free.cores for w in usable), 1),
+                "waiting": round(sizing.waiting_cores(state), 1),
+                "runs": sum(len(worker.runs) for worker in workers),
+                "unstored": len(state.journal),
+                "lease": round(self.lease.valid_until - now, 2),
+            },
+        )
+
     def _settle_limits_for_ever(self) -> None:
         while True:
-            gevent.sleep(LIMITS_SECONDS)
+            self._limits_needed.wait(LIMITS_SECONDS)
+            self._limits_needed.clear()
             self._settle_limits()
+            gevent.sleep(LIMITS_PAUSE_SECONDS)
 
     def _settle_limits(self) -> None:
         if not self.may_order():
--- a/src/agaterudder/jobs/machines.py
+++ b/src/agaterudder/jobs/machines.py
@@ -63,6 +63,25 @@
         self.asked_at = now
         return True
 
+    def life_over(self, worker: str, since: float) -> str:
+        """Return why a worker's life is over, empty if it may go on.
+
+        A worker is one life of a machine; a machine that is not up, or
+        that has another worker, has ended it.
+
+        :param since: the list must have been asked for later than this.
+        """
+        if not self.refresh(since) or not self.machines:
+            return ""
+        machine = next(
+            (m for m in self.machines.values() if m.worker == worker), None
+        )
+        if machine is None:
+            return "no machine has it"
+        if machine.state != ports.MACHINE_UP:
+            return f"its machine is {machine.state}"
+        return ""
+
     def in_pool(self, pool: str) -> list[ports.Machine]:
         """Return the machines of a pool."""
         return [
--- a/src/agaterudder/jobs/model.py
+++ b/src/agaterudder/jobs/model.py
@@ -87,13 +87,13 @@
 
     :ivar done: numbers of the tasks that are done, by occurrence and step
         (``"0.1"``).
-    :ivar failures: number of failed runs by task (or by occurrence and
-        step for a gang).
+    :ivar failures: numbers of the failed runs by task (or by occurrence
+        and step for a gang); an end that is listed again counts once.
     :ivar checkpoints: saved progress of tasks that do not run.
     """
 
     done: dict[str, list[int]] = {}
-    failures: dict[str, int] = {}
+    failures: dict[str, list[int]] = {}
     checkpoints: dict[str, str] = {}
 
 
--- a/src/agaterudder/jobs/ownership.py
+++ b/src/agaterudder/jobs/ownership.py
@@ -21,9 +21,9 @@
 LOG = logging.getLogger(__name__)
 
 LOOK_SECONDS = 0.4
-RENEW_SECONDS = 0.8
+RENEW_SECONDS = 0.6
 RETRY_SECONDS = 0.15
-RENEW_TIMEOUT_SECONDS = 0.8
+RENEW_TIMEOUT_SECONDS = 0.7
 # The lease ends earlier for its holder than for others.
 HOLDER_MARGIN_SECONDS = 0.15
 # A process that holds pools lets others go first.
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -21,8 +21,6 @@
 LOG = logging.getLogger(__name__)
 
 STOP_AGAIN_SECONDS = 0.5
-# A worker that left a look unanswered for so long gets no new work.
-SILENT_SECONDS = 1.0
 # Starts in one turn, so that a turn stays short.
 STARTS_PER_TURN = 120
 PREEMPT_AGAIN_SECONDS = 1.0
@@ -62,18 +60,9 @@
         return self._orders
 
     def _takes(self, worker: fleet.WorkerState) -> bool:
-        silent = worker.failed_at and (
-            self._now - worker.heard_at > SILENT_SECONDS
-        )
         return (
-            worker.listed
-            and worker.fenced
-            and worker.recorded
-            and not worker.leaving
-            and not silent
+            worker.takes_work(self._now)
             and worker.entry.data_centre not in self._state.taken_out
-            and worker.set_aside_until <= self._now
-            and worker.room_until <= self._now
         )
 
     # Stops
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -199,7 +199,11 @@
     def worker_over(
         self, worker: fleet.WorkerState, reason: str, now: float
     ) -> None:
-        """Note that nothing runs on a worker any more."""
+        """Note that what ran on a worker is over.
+
+        A start without an answer may still reach a later life of it under
+        the same name, for as long as orders may be late.
+        """
         LOG.info(
             "worker over",
             extra={
@@ -209,7 +213,9 @@
             },
         )
         for run in list(worker.runs.values()):
-            self.run_over(run, now)
+            late = now - run.sent_at < fleet.LATE_ORDER_SECONDS
+            if run.state is runs.RunState.RUNNING or not late:
+                self.run_over(run, now)
 
     # Runs
 
@@ -418,7 +424,7 @@
             case ports.END_DONE:
                 self._task_done(task, run, worker, now)
             case ports.END_FAILED:
-                self._task_failed(task, worker, now)
+                self._task_failed(task, ended.run, worker, now)
             case _:
                 if ended.checkpoint and not task.done:
                     self._keep_checkpoint(task, ended.checkpoint)
@@ -473,7 +479,11 @@
         self._check_finished(job, 0.0)
 
     def _task_failed(
-        self, task: runs.Task, worker: fleet.WorkerState, now: float
+        self,
+        task: runs.Task,
+        run_number: int,
+        worker: fleet.WorkerState,
+        now: float,
     ) -> None:
         step = task.step
         job = step.job
@@ -492,13 +502,12 @@
             return
         if step.step.long_running:
             return
-        if step.step.gang:
-            step.failures += 1
-            count, key = step.failures, step.key
-        else:
-            task.failures += 1
-            count, key = task.failures, f"{step.key}.{task.index}"
-        job.progress.failures[key] = count
+        key = step.key if step.step.gang else f"{step.key}.{task.index}"
+        failed = job.progress.failures.setdefault(key, [])
+        if run_number in failed:
+            return
+        failed.append(run_number)
+        count = len(failed)
         self.journal.mark(job)
         queue = self.queues.get(job.job.queue)
         most = queue.max_attempts if queue is not None else 1
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -122,7 +122,6 @@
         "step",
         "index",
         "done",
-        "failures",
         "checkpoint",
         "runs",
         "avoid",
@@ -135,7 +134,6 @@
         self.step = step
         self.index = index
         self.done = False
-        self.failures = 0
         self.checkpoint = ""
         self.runs: list[Run] = []
         self.avoid: set[str] = set()
@@ -152,7 +150,6 @@
     """One occurrence of a step.
 
     :ivar ready_at: when all earlier steps were seen to be done, 0 before.
-    :ivar failures: failed runs of a gang.
     :ivar tickets: what the placement policy allowed, None before.
     :ivar asking: whether the policy is being asked.
     """
@@ -165,7 +162,6 @@
         "tasks",
         "done",
         "ready_at",
-        "failures",
         "tickets",
         "asking",
     )
@@ -179,7 +175,6 @@
         self.step = step
         self.done = 0
         self.ready_at = 0.0
-        self.failures = 0
         self.tickets: Tickets | None = None
         self.asking = False
         self.tasks = [
@@ -331,11 +326,7 @@
             if index < len(step.tasks) and not step.tasks[index].done:
                 step.tasks[index].done = True
                 step.done += 1
-        step.failures = self.progress.failures.get(step.key, 0)
         for task in step.tasks:
-            task.failures = self.progress.failures.get(
-                f"{step.key}.{task.index}", 0
-            )
             task.checkpoint = self.progress.checkpoints.get(
                 f"{step.key}.{task.index}", ""
             )
--- a/src/agaterudder/jobs/service.py
+++ b/src/agaterudder/jobs/service.py
@@ -19,6 +19,11 @@
 LOG = logging.getLogger(__name__)
 
 
+# A pool without a holder is taken sooner than the bound asks for; a holder
+# that lost touch has not ordered anything for the rest of it.
+HOLDER_LEASE_PART = 0.7
+
+
 class Outside(t.Protocol):
     """What an adapter opens for a process."""
 
@@ -54,7 +59,7 @@
             settings.vm,
             self.incarnation,
             outside.store,
-            settings.bounds.holder_lease,
+            settings.bounds.holder_lease * HOLDER_LEASE_PART,
             self._pools,
             self._take,
             self._drop,
--- a/src/agaterudder/jobs/teamlimits.py
+++ b/src/agaterudder/jobs/teamlimits.py
@@ -16,9 +16,8 @@
 
 TABLE = "limits"
 PART = "limits"
-GRANT_FRACTION = 0.25
 # A grant that was not used for so long is handed back.
-IDLE_SECONDS = 2.0
+IDLE_SECONDS = 1.5
 
 
 class _Account:
@@ -96,15 +95,28 @@
         wanted: resources.Vector,
         now: float,
     ) -> None:
-        """Note what a team's waiting tasks need beyond the grant."""
+        """Note what tasks of a team need beyond the grant.
+
+        What several steps want is added up until it is asked for.
+
+        :param least: without this much, none of them can start.
+        """
         account = self._account(team)
-        free = account.holding.free
-        quarter = self._teams[team].limit.scaled(GRANT_FRACTION)
+        account.needed_at = now
+        known = account.needed
+        if known is None:
+            account.needed = escrow.Need(least, wanted)
+            return
         account.needed = escrow.Need(
-            (least - free).larger(resources.ZERO),
-            (wanted - free).larger(resources.ZERO).smaller(quarter),
+            known.least.smaller(least), known.wanted + wanted
+        )
+
+    @property
+    def asking(self) -> bool:
+        """Whether some team needs more."""
+        return any(
+            account.needed is not None for account in self._accounts.values()
         )
-        account.needed_at = now
 
     def recovered(self) -> None:
         """Nothing of earlier holders runs unseen any more."""
@@ -154,6 +166,11 @@
         need = account.needed
         account.needed = None
         assert need is not None
+        free = account.holding.free
+        need = escrow.Need(
+            (need.least - free).larger(resources.ZERO),
+            (need.wanted - free).larger(resources.ZERO),
+        )
         row, pot = self._read(store, team)
         pot = escrow.relimited(pot, self._teams[team].limit, self._version)
         larger = escrow.enlarged(pot, self._pool, need)
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -97,6 +97,8 @@
 
     def _gone(self) -> bool:
         worker = self._worker
+        if worker.ended and not worker.runs:
+            return True
         if worker.listed or worker.runs:
             return False
         now = clock.now()
@@ -125,7 +127,9 @@
         sent_at = clock.now()
         wait = self._wait_seconds()
         deadline = None
-        if worker.clock_at:
+        # A lease that goes on unheard would keep a silent worker's tasks
+        # from ever being known to be over.
+        if worker.clock_at and not worker.failed_at:
             deadline = worker.lease_deadline(sent_at, self._lease)
             worker.latest_deadline = max(worker.latest_deadline, deadline)
         acknowledged = worker.acknowledged
@@ -198,11 +202,18 @@
                     "runs": len(worker.runs),
                 },
             )
-        if worker.runs and worker.fenced and worker.lapsed(now):
-            self._holder.state.worker_over(worker, "its lease has lapsed", now)
+        state = self._holder.state
+        over = self._holder.life_over(worker, worker.failed_at)
+        if not over and worker.fenced and worker.lapsed(now):
+            over = "its lease has lapsed"
             worker.fenced = False
+        elif over:
+            worker.ended = True
+            state.unseen.discard(worker.name)
+        if over and worker.runs:
+            state.worker_over(worker, over, now)
         for run in list(worker.runs.values()):
             if worker.forgotten(run, now, self._lease):
-                self._holder.state.run_over(run, now)
+                state.run_over(run, now)
         self._holder.heard()
         gevent.sleep(RETRY_SECONDS)
