--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -684,7 +684,15 @@
             case ports.Conflicted(rows=rows):
                 if self._fenced_off(rows):
                     self.deposed("the row of the holder has changed")
-                journal.failed(batch, rows)
+                LOG.info(
+                    "progress conflicts",
+                    extra={
+                        "pool": self.pool,
+                        "jobs": [job.job.job for job in batch.jobs],
+                        "rows": [(row.key, row.version) for row in rows],
+                    },
+                )
+                journal.conflicted(batch, rows)
                 return False
             case codes.Refused() as refused:
                 LOG.info(
@@ -695,7 +703,7 @@
                         "why": refused.reason,
                     },
                 )
-                journal.failed(batch, ())
+                journal.take_back(batch)
                 return False
 
     def _fenced_off(self, rows: tuple[ports.Row, ...]) -> bool:
--- a/src/agaterudder/jobs/journal.py
+++ b/src/agaterudder/jobs/journal.py
@@ -21,15 +21,21 @@
 class Batch:
     """One transaction.
 
+    :ivar marks: its jobs, each with the number of its mark.
     :ivar upto: marks up to here are stored when it commits.
     """
 
-    jobs: tuple[runs.JobRun, ...]
+    marks: dict[runs.JobRun, int]
     checks: tuple[ports.Check, ...]
     puts: tuple[ports.Put, ...]
     deletes: tuple[ports.Delete, ...]
     upto: int
 
+    @property
+    def jobs(self) -> tuple[runs.JobRun, ...]:
+        """Jobs that it stores."""
+        return tuple(self.marks)
+
 
 class Journal:
     """Jobs whose progress is not stored yet, in order.
@@ -51,6 +57,8 @@
 
     def mark(self, job: runs.JobRun) -> None:
         """Note that a job's progress changed."""
+        if job.ending_stored:
+            return
         self.marked += 1
         self._dirty[job] = self.marked
 
@@ -61,7 +69,7 @@
     def batch(self, pool: str, epoch: ports.Check, clock: float) -> Batch:
         """Return the next transaction; its jobs are no longer marked."""
         upto = self.marked
-        jobs = tuple(itertools.islice(self._dirty, MOST_JOBS))
+        jobs = dict(itertools.islice(self._dirty.items(), MOST_JOBS))
         for job in jobs:
             del self._dirty[job]
         if self._dirty:
@@ -85,19 +93,30 @@
         ended = {
             put.key for put in batch.puts if put.table == model.ENDED_TABLE
         }
-        return [job for job in batch.jobs if job.job.job in ended]
-
-    def failed(self, batch: Batch, rows: tuple[ports.Row, ...]) -> None:
-        """Take a batch back, with the versions that rows have now."""
-        for row in rows:
-            for job in batch.jobs:
-                if (
-                    row.table == model.PROGRESS_TABLE
-                    and row.key == job.job.job
-                ):
-                    job.row_version = row.version
-        again = {job: batch.upto for job in batch.jobs}
-        self._dirty = {**again, **self._dirty}
+        over = [job for job in batch.jobs if job.job.job in ended]
+        for job in over:
+            # It may have been marked again while its end was stored.
+            job.ending_stored = True
+            self._dirty.pop(job, None)
+        return over
+
+    def conflicted(self, batch: Batch, rows: tuple[ports.Row, ...]) -> None:
+        """Take a batch back, with the versions that its rows have now.
+
+        :param rows: the rows that exist of those with a condition.
+        """
+        versions = {
+            row.key: row.version
+            for row in rows
+            if row.table == model.PROGRESS_TABLE
+        }
+        for job in batch.jobs:
+            job.row_version = versions.get(job.job.job, 0)
+        self.take_back(batch)
+
+    def take_back(self, batch: Batch) -> None:
+        """Take back a batch that may or may not be stored."""
+        self._dirty = {**batch.marks, **self._dirty}
 
 
 def _add(
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -252,6 +252,7 @@
     :ivar recovered: was accepted before this holder took the pool, so
         that its tasks may run where nobody can look yet.
     :ivar ending: the end that is to be stored, None while it goes on.
+    :ivar ending_stored: nothing more is stored of it.
     """
 
     __slots__ = (
@@ -264,6 +265,7 @@
         "recovered",
         "started",
         "ending",
+        "ending_stored",
         "cancelled",
     )
 
@@ -279,6 +281,7 @@
         self.recovered = recovered
         self.started = False
         self.ending: model.Ended | None = None
+        self.ending_stored = False
         self.cancelled = False
 
     def due_at(self, occurrence: int) -> float:
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -182,6 +182,8 @@
         """Another worker has the address: this one is over."""
         worker = self._worker
         self._holder.state.worker_over(worker, "another worker answers", now)
+        for run in list(worker.runs.values()):
+            self._holder.state.run_over(run, now)
         self._holder.state.unseen.discard(worker.name)
         worker.listed = False
         worker.unlisted_at = worker.unlisted_at or now
