--- /dev/null
+++ b/tests/features/pool.feature
@@ -0,0 +1,173 @@
+Feature: The holder of a pool starts each task once and loses none
+  A worker starts whatever it is told, so what its holder believes of it
+  decides. A start without an answer may be carried out seconds later.
+
+  Scenario: A worker is never given more than its room
+    Given a pool with 2 workers
+    And a job of 40 tasks of 1 core
+    When the pool is planned
+    Then 32 starts are ordered
+    And no worker has more than 16 cores in use
+
+  Scenario: What is being stopped still takes room
+    Given a pool with 1 workers
+    And a job of 17 tasks of 1 core
+    When the pool is planned
+    And one run is being stopped
+    And the pool is planned
+    Then 16 starts are ordered
+
+  Scenario: A step waits until all tasks of the earlier step are done
+    Given a pool with 1 workers
+    And a job of 2 tasks and then 3 tasks
+    When the pool is planned
+    And all runs are listed as running
+    And 1 of them is listed as done
+    And the pool is planned
+    Then 2 starts are ordered
+    When the rest are listed as done
+    And the pool is planned
+    Then 5 starts are ordered
+
+  Scenario Outline: An unanswered start, then <event>
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the start gets no answer
+    And <event>
+    And the pool is planned
+    Then the task may run <times> times at most
+    And <starts> starts are ordered
+
+    Examples:
+      | event                                              | times | starts |
+      | nothing more is heard for 1 seconds                | 1     | 1      |
+      | the worker lists nothing                           | 1     | 1      |
+      | the worker answers a stop and lists nothing        | 1     | 2      |
+      | the worker lists nothing after the start's deadline | 1     | 2      |
+      | the worker lists the run                           | 1     | 1      |
+      | the worker lists nothing in a new life             | 1     | 1      |
+      | the worker's lease has lapsed after 7 seconds      | 1     | 1      |
+      | the worker's lease has lapsed after 13 seconds     | 1     | 2      |
+
+  Scenario: A failed run that is listed again counts once
+    Given a pool with 1 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And its run is listed as failed
+    And another holder takes the pool and the end is listed again
+    Then the task has 1 failed run
+
+  Scenario: A job fails after as many failed runs as its queue allows
+    Given a pool with 1 workers
+    And a job of 1 tasks of 1 core
+    When the task fails 2 times
+    Then the job goes on
+    When the task fails 1 times
+    Then the job has failed
+
+  Scenario: After a take-over, tasks wait for workers that did not answer
+    Given a pool with 2 workers
+    And a job of 2 tasks of 1 core from before the take-over
+    And worker "w2" has not answered yet
+    When the pool is planned
+    Then 0 starts are ordered
+    When worker "w2" answers
+    And the pool is planned
+    Then 2 starts are ordered
+
+  Scenario: After a take-over, a worker that stays silent is waited for
+    Given a pool with 2 workers
+    And a job of 2 tasks of 1 core from before the take-over
+    And worker "w2" has not answered yet
+    When 6.0 seconds pass
+    And the pool is planned
+    Then 0 starts are ordered
+    When 1.0 seconds pass
+    And the pool is planned
+    Then 2 starts are ordered
+
+  Scenario: A lasting task is away until it is listed at work
+    Given a pool with 2 workers
+    And a job of 2 lasting tasks, of which 1 may miss
+    When the pool is planned
+    And the workers take all starts
+    Then 2 of its tasks are away
+    When all runs are listed as running at 40 per cent
+    Then 2 of its tasks are away
+    When all runs are listed as running at 100 per cent
+    Then 0 of its tasks are away
+
+  Scenario Outline: A leaving worker's lasting tasks while <away> others are away
+    Given a pool with 3 workers
+    And a job of 3 lasting tasks, of which 1 may miss
+    When the pool is planned
+    And all runs are listed as running at 100 per cent
+    And <away> of the others are away
+    And the worker of the first leaves for upkeep
+    And the pool is planned
+    Then <stops> stops are ordered
+
+    Examples:
+      | away | stops |
+      | 0    | 1     |
+      | 1    | 0     |
+
+  Scenario: A gang starts together or not at all
+    Given a pool with 1 workers
+    And a gang of 17 tasks of 1 core
+    When the pool is planned
+    Then 0 starts are ordered
+    When a worker joins
+    And the pool is planned
+    Then 17 starts are ordered
+    And all runs have the same number
+
+  Scenario: No more tasks of a step on one worker than it allows
+    Given a pool with 2 workers
+    And a job of 5 tasks with at most 2 on a worker
+    When the pool is planned
+    Then 4 starts are ordered
+
+  Scenario: Urgent work makes room by stopping what may wait
+    Given a pool with 1 workers
+    And a job of 16 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And a job of 1 tasks of priority 0 comes
+    And the pool is planned
+    Then 1 stops are ordered
+
+  Scenario: Nothing starts in a data centre that was taken out
+    Given a pool with 1 workers
+    And a job of 2 tasks of 1 core
+    When data centre "north" is taken out
+    And the pool is planned
+    Then 0 starts are ordered
+
+  Scenario: Nothing starts on a worker that drains
+    Given a pool with 1 workers
+    And a job of 2 tasks of 1 core
+    When worker "w1" drains
+    And the pool is planned
+    Then 0 starts are ordered
+
+  Scenario: A cancelled job starts nothing more and is stopped
+    Given a pool with 1 workers
+    And a job of 17 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And the job is cancelled
+    And the pool is planned
+    Then 16 starts are ordered
+    And 16 stops are ordered
+
+  Scenario: An occurrence starts when it is due, not before
+    Given a pool with 1 workers
+    And a job of 1 tasks that runs 3 times from second 1000 each 10
+    When it is second 999
+    And the pool is planned
+    Then 0 starts are ordered
+    When it is second 1011
+    And the pool is planned
+    Then 2 starts are ordered
--- /dev/null
+++ b/tests/features/steps/pool_steps.py
@@ -0,0 +1,382 @@
+"""Steps on the state and the planning of a pool."""
+
+import typing as t
+
+import behave
+
+from agaterudder.jobs import model
+from agaterudder.jobs import orders
+from agaterudder.jobs import planning
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+from agaterudder import resources
+from tests import job_builders
+
+Context = t.Any
+
+
+def _accept(context: Context, job: model.Job, recovered: bool = False) -> None:
+    context.state.accept(job, model.Progress(), 0, context.now, recovered)
+    context.state.create_due(0.0, context.now)
+
+
+def _runs(context: Context) -> list[runs.Run]:
+    return [
+        run
+        for worker in context.state.workers.values()
+        for run in worker.runs.values()
+    ]
+
+
+def _starts(context: Context) -> list[orders.Start]:
+    return [item for item in context.orders if isinstance(item, orders.Start)]
+
+
+def _clock(context: Context) -> float:
+    """Return what the workers' clocks show now."""
+    return job_builders.START_CLOCK + context.now - job_builders.START
+
+
+def _list(context: Context, progress: int = 0, born: int = 1) -> None:
+    """Let each worker list its runs as running."""
+    for worker in context.state.workers.values():
+        running = [
+            ports.Running(run.task_name, run.number, "", progress)
+            for run in worker.runs.values()
+        ]
+        listing = job_builders.listing(
+            running, clock=_clock(context), born=born
+        )
+        context.state.listed(worker, listing, context.now, context.now)
+
+
+def _end(context: Context, run: runs.Run, how: str) -> None:
+    worker = run.worker
+    others = [
+        ports.Running(other.task_name, other.number, "", 0)
+        for other in worker.runs.values()
+        if other is not run
+    ]
+    ended = ports.Ended(
+        worker.last_end + 1, run.task_name, run.number, how, ""
+    )
+    context.state.listed(
+        worker, job_builders.listing(others, [ended]), context.now, context.now
+    )
+
+
+def _listed_alone(context: Context, clock: float, born: int = 1) -> None:
+    context.state.listed(
+        context.run.worker,
+        job_builders.listing(clock=clock, born=born),
+        context.now,
+        context.now,
+    )
+
+
+@behave.given("a pool with {count:d} workers")
+def step_pool(context: Context, count: int) -> None:
+    context.now = job_builders.START
+    context.orders = []
+    context.workers = [
+        job_builders.worker(f"w{number + 1}") for number in range(count)
+    ]
+    context.state = job_builders.state(context.workers)
+
+
+@behave.given("a job of {count:d} tasks of 1 core")
+def step_job(context: Context, count: int) -> None:
+    _accept(context, job_builders.job(job_builders.step(count=count)))
+
+
+@behave.given("a job of {count:d} tasks of 1 core from before the take-over")
+def step_recovered_job(context: Context, count: int) -> None:
+    step = job_builders.step(count=count)
+    _accept(context, job_builders.job(step), recovered=True)
+
+
+@behave.given("a job of {first:d} tasks and then {second:d} tasks")
+def step_two_steps(context: Context, first: int, second: int) -> None:
+    steps = (
+        job_builders.step(count=first),
+        job_builders.step(count=second, after=(0,)),
+    )
+    _accept(context, job_builders.job(*steps))
+
+
+@behave.given("a job of {count:d} lasting tasks, of which {miss:d} may miss")
+def step_lasting(context: Context, count: int, miss: int) -> None:
+    step = job_builders.step(
+        count=count, long_running=True, may_miss=miss, most_per_worker=2
+    )
+    _accept(context, job_builders.job(step))
+
+
+@behave.given("a gang of {count:d} tasks of 1 core")
+def step_gang(context: Context, count: int) -> None:
+    step = job_builders.step(count=count, gang=True)
+    _accept(context, job_builders.job(step))
+
+
+@behave.given("a job of {count:d} tasks with at most {most:d} on a worker")
+def step_spread(context: Context, count: int, most: int) -> None:
+    step = job_builders.step(count=count, most_per_worker=most)
+    _accept(context, job_builders.job(step))
+
+
+@behave.given(
+    "a job of 1 tasks that runs {times:d} times from second {start:d}"
+    " each {interval:d}"
+)
+def step_timed(
+    context: Context, times: int, start: int, interval: int
+) -> None:
+    job = job_builders.job(
+        job_builders.step(count=1),
+        times=times,
+        start_at=float(start),
+        interval=float(interval),
+    )
+    _accept(context, job)
+
+
+@behave.when("it is second {second:d}")
+def step_wall(context: Context, second: int) -> None:
+    context.state.create_due(float(second), context.now)
+
+
+@behave.given('worker "{name}" has not answered yet')
+def step_unseen(context: Context, name: str) -> None:
+    context.state.workers[name].fenced = False
+    context.state.unseen.add(name)
+
+
+@behave.when('worker "{name}" answers')
+def step_seen(context: Context, name: str) -> None:
+    context.state.worker_seen(context.state.workers[name])
+
+
+@behave.when("the pool is planned")
+def step_plan(context: Context) -> None:
+    context.orders += planning.Plan(context.state, context.now).make()
+
+
+@behave.when("the workers take all starts")
+def step_taken(context: Context) -> None:
+    for run in _runs(context):
+        context.state.started(run, context.now)
+
+
+@behave.when("one run is being stopped")
+def step_stopping(context: Context) -> None:
+    run = _runs(context)[0]
+    run.state = runs.RunState.RUNNING
+    run.stop_reason = "test"
+
+
+@behave.when("all runs are listed as running")
+def step_running(context: Context) -> None:
+    _list(context)
+
+
+@behave.when("all runs are listed as running at {progress:d} per cent")
+def step_running_at(context: Context, progress: int) -> None:
+    _list(context, progress)
+
+
+@behave.when("1 of them is listed as done")
+def step_one_done(context: Context) -> None:
+    _end(context, _runs(context)[0], ports.END_DONE)
+
+
+@behave.when("the rest are listed as done")
+def step_rest_done(context: Context) -> None:
+    for run in _runs(context):
+        _end(context, run, ports.END_DONE)
+
+
+@behave.when("the start gets no answer")
+def step_unanswered(context: Context) -> None:
+    (context.run,) = _runs(context)
+    context.state.unanswered(context.run, "time-out", context.now)
+
+
+@behave.when("nothing more is heard for {seconds:g} seconds")
+@behave.when("{seconds:g} seconds pass")
+def step_pass(context: Context, seconds: float) -> None:
+    context.now += seconds
+
+
+@behave.when("the worker lists nothing")
+def step_lists_nothing(context: Context) -> None:
+    context.now += 1.0
+    _listed_alone(context, _clock(context))
+
+
+@behave.when("the worker answers a stop and lists nothing")
+def step_stopped(context: Context) -> None:
+    context.run.stop_answered_at = 0.9
+    context.now += 1.0
+    _listed_alone(context, _clock(context))
+
+
+@behave.when("the worker lists nothing after the start's deadline")
+def step_deadline(context: Context) -> None:
+    context.now += 7.0
+    _listed_alone(context, _clock(context))
+
+
+@behave.when("the worker lists the run")
+def step_lists_run(context: Context) -> None:
+    context.now += 1.0
+    _list(context)
+
+
+@behave.when("the worker lists nothing in a new life")
+def step_new_life(context: Context) -> None:
+    context.now += 1.0
+    _listed_alone(context, 1.0, born=2)
+
+
+@behave.when("the worker's lease has lapsed after {seconds:g} seconds")
+def step_lapsed(context: Context, seconds: float) -> None:
+    context.now += seconds
+    worker = context.run.worker
+    assert worker.lapsed(context.now)
+    context.state.worker_over(worker, "its lease has lapsed", context.now)
+
+
+@behave.when("its run is listed as failed")
+def step_fails(context: Context) -> None:
+    (context.run,) = _runs(context)
+    _list(context)
+    _end(context, context.run, ports.END_FAILED)
+
+
+@behave.when("another holder takes the pool and the end is listed again")
+def step_taken_over(context: Context) -> None:
+    (before,) = context.state.jobs.values()
+    stored = model.decode(model.encode(before.progress), model.Progress)
+    context.state = job_builders.state([job_builders.worker("w1")])
+    context.state.accept(before.job, stored, 1, context.now, True)
+    context.state.create_due(0.0, context.now)
+    ended = ports.Ended(
+        1, context.run.task_name, context.run.number, ports.END_FAILED, ""
+    )
+    context.state.listed(
+        context.state.workers["w1"],
+        job_builders.listing((), [ended]),
+        context.now,
+        context.now,
+    )
+
+
+@behave.when("the task fails {times:d} times")
+def step_fails_times(context: Context, times: int) -> None:
+    for _ in range(times):
+        context.execute_steps("When the pool is planned")
+        (run,) = _runs(context)
+        _list(context)
+        _end(context, run, ports.END_FAILED)
+
+
+@behave.when("{away:d} of the others are away")
+def step_away(context: Context, away: int) -> None:
+    for run in _runs(context)[1 : 1 + away]:
+        run.progress = 0
+
+
+@behave.when("the worker of the first leaves for upkeep")
+def step_leaves(context: Context) -> None:
+    _runs(context)[0].worker.leave("upkeep", context.now)
+
+
+@behave.when("a worker joins")
+def step_joins(context: Context) -> None:
+    context.state.adopt_worker(job_builders.worker("w9"))
+
+
+@behave.when("a job of 1 tasks of priority 0 comes")
+def step_urgent(context: Context) -> None:
+    low = job_builders.queue(priority=1)
+    high = job_builders.queue(name="urgent", priority=0)
+    context.state.queues = {low.name: low, high.name: high}
+    _accept(
+        context,
+        job_builders.job(
+            job_builders.step(count=1), job="00000000000000bb", queue="urgent"
+        ),
+    )
+
+
+@behave.when('data centre "{name}" is taken out')
+def step_taken_out(context: Context, name: str) -> None:
+    context.state.taken_out = frozenset({name})
+
+
+@behave.when('worker "{name}" drains')
+def step_drains(context: Context, name: str) -> None:
+    context.state.workers[name].leave("draining", context.now)
+
+
+@behave.when("the job is cancelled")
+def step_cancelled(context: Context) -> None:
+    (job,) = context.state.jobs
+    context.state.cancel(job, 0.0, context.now)
+
+
+@behave.then("{count:d} starts are ordered")
+def step_starts(context: Context, count: int) -> None:
+    assert len(_starts(context)) == count, len(_starts(context))
+
+
+@behave.then("{count:d} stops are ordered")
+def step_stops(context: Context, count: int) -> None:
+    stops = [item for item in context.orders if isinstance(item, orders.Stop)]
+    assert len(stops) == count, len(stops)
+
+
+@behave.then("no worker has more than {cores:d} cores in use")
+def step_room(context: Context, cores: int) -> None:
+    for worker in context.state.workers.values():
+        used = resources.total(run.size for run in worker.runs.values())
+        assert used.cores <= cores
+
+
+@behave.then("the task may run {times:d} times at most")
+def step_times(context: Context, times: int) -> None:
+    (job,) = context.state.jobs.values()
+    (task,) = job.steps["0.0"].tasks
+    assert len(task.runs) <= times
+    held = [run for run in _runs(context) if run.task_name == task.name]
+    assert len(held) <= times
+
+
+@behave.then("the task has {count:d} failed run")
+def step_failed_runs(context: Context, count: int) -> None:
+    (job,) = context.state.jobs.values()
+    assert [len(x) for x in job.progress.failures.values()] == [count]
+
+
+@behave.then("the job goes on")
+def step_goes_on(context: Context) -> None:
+    (job,) = context.state.jobs.values()
+    assert job.ending is None
+
+
+@behave.then("the job has failed")
+def step_failed(context: Context) -> None:
+    (job,) = context.state.jobs.values()
+    assert job.ending is not None
+    assert job.ending.state == model.STATE_FAILED
+
+
+@behave.then("{count:d} of its tasks are away")
+def step_count_away(context: Context, count: int) -> None:
+    (job,) = context.state.jobs.values()
+    assert job.steps["0.0"].away() == count
+
+
+@behave.then("all runs have the same number")
+def step_same_number(context: Context) -> None:
+    assert len({run.number for run in _runs(context)}) == 1
--- /dev/null
+++ b/tests/job_builders.py
@@ -0,0 +1,142 @@
+"""Builders of jobs, workers and pools for the tests of jobs."""
+
+import typing as t
+
+from agaterudder.jobs import deployment
+from agaterudder.jobs import fleet
+from agaterudder.jobs import model
+from agaterudder.jobs import pool
+from agaterudder.jobs import ports
+from agaterudder.jobs import rules
+from agaterudder.jobs import teamlimits
+from agaterudder import resources
+
+POOL = "count"
+QUEUE = "checks"
+EPOCH = 7
+# Present time when a test begins, and what workers' clocks then show.
+START = 10.0
+START_CLOCK = 100.0
+SIZE = resources.Vector(16.0, 32_000.0)
+
+
+class SilentLink:
+    """A link on which no test may send anything."""
+
+    def __getattr__(self, name: str) -> t.Any:
+        raise AssertionError(f"{name} was called")
+
+
+def step(**fields: t.Any) -> model.Step:
+    """Return a step of two tasks of one core, changed by the fields."""
+    values: dict[str, t.Any] = {
+        "count": 2,
+        "size": resources.Vector(1.0, 100.0),
+        "estimate_seconds": 1.0,
+    }
+    values.update(fields)
+    return model.Step(**values)
+
+
+def job(*steps: model.Step, **fields: t.Any) -> model.Job:
+    """Return a job of the steps, changed by the fields."""
+    request = model.Request(
+        "text",
+        steps or (step(),),
+        fields.pop("times", 0),
+        fields.pop("start_at", 0.0),
+        fields.pop("interval", 0.0),
+    )
+    values: dict[str, t.Any] = {
+        "job": "00000000000000aa",
+        "queue": QUEUE,
+        "team": "tally",
+        "accepted_at": 0.0,
+        "request": request,
+    }
+    values.update(fields)
+    return model.Job(**values)
+
+
+def entry(name: str = "w1", **fields: t.Any) -> ports.WorkerEntry:
+    """Return the entry of a ready worker, changed by the fields."""
+    values: dict[str, t.Any] = {
+        "worker": name,
+        "pool": POOL,
+        "address": "127.0.0.1:9",
+        "data_centre": "north",
+        "state": ports.WORKER_READY,
+        "size": SIZE,
+        "labels": ("a", "rack-1"),
+        "rack": "rack-1",
+        "born": 1,
+    }
+    values.update(fields)
+    return ports.WorkerEntry(**values)
+
+
+def worker(name: str = "w1", **fields: t.Any) -> fleet.WorkerState:
+    """Return a worker that takes work, at the start."""
+    link = t.cast(ports.Worker, SilentLink())
+    found = fleet.WorkerState(entry(name, **fields), link)
+    found.fenced = True
+    found.recorded = True
+    first = ports.Listing(found.born, START_CLOCK, (), ())
+    found.heard(first, START, START)
+    return found
+
+
+def queue(**fields: t.Any) -> rules.Queue:
+    """Return the queue of the jobs, changed by the fields."""
+    values: dict[str, t.Any] = {
+        "name": QUEUE,
+        "host": "north.example",
+        "prefix": "/checks/",
+        "pool": POOL,
+        "max_attempts": 3,
+        "stretch": 1.6,
+        "target_seconds": 0.6,
+    }
+    values.update(fields)
+    return rules.Queue(**values)
+
+
+def configuration(
+    version: int = 1,
+    teams: t.Sequence[rules.Team] = (rules.Team("tally", ("key-1",)),),
+    queues: t.Sequence[rules.Queue] = (),
+) -> rules.Configuration:
+    """Return a configuration of one pool and one queue."""
+    found = queues or (queue(),)
+    return rules.Configuration(
+        version,
+        {item.name: item for item in found},
+        {POOL: rules.Pool(POOL), "spare": rules.Pool("spare", standby=True)},
+        {team.name: team for team in teams},
+        10_000,
+    )
+
+
+def state(
+    workers: t.Sequence[fleet.WorkerState] = (),
+    configured: rules.Configuration | None = None,
+) -> pool.Pool:
+    """Return a pool with the workers, taken at the start."""
+    known = configured or configuration()
+    limits = teamlimits.TeamLimits(POOL)
+    limits.configure(known)
+    found = pool.Pool(POOL, EPOCH, deployment.Bounds(), limits, START)
+    found.queues = known.queues
+    for item in workers:
+        found.adopt_worker(item)
+    return found
+
+
+def listing(
+    running: t.Sequence[ports.Running] = (),
+    ended: t.Sequence[ports.Ended] = (),
+    clock: float = START_CLOCK,
+    born: int = 1,
+) -> ports.Listing:
+    """Return what a worker lists."""
+    return ports.Listing(born, clock, tuple(running), tuple(ended))
