--- /dev/null
+++ b/tests/features/front_door.feature
@@ -0,0 +1,87 @@
+Feature: A job is accepted once, and each answer is true
+  The store is the only register of jobs. What it did not answer is not
+  called a refusal.
+
+  Background:
+    Given a front door with a configuration that was confirmed just now
+
+  Scenario: A repeated submission stays one job
+    When job 1 is submitted
+    And job 1 is submitted
+    Then the answers are "Accepted, Accepted"
+    And the store has 1 job
+
+  Scenario: A job that ended is not accepted again
+    When job 1 is submitted
+    And job 1 ends as completed
+    And job 1 is submitted
+    Then the answers are "Accepted, Accepted"
+    And the store has 0 job
+    And the state of job 1 is "completed"
+
+  Scenario Outline: A submission whose store calls are <faults>
+    When the store's next answers are "<faults>"
+    And job 1 is submitted
+    And late calls to the store are carried out
+    Then the answers are "<answer>"
+    And the store has <jobs> job
+
+    Examples:
+      | faults       | answer         | jobs |
+      | lost         | Accepted       | 1    |
+      | late         | Accepted       | 1    |
+      | refused      | STORE_AWAY     | 0    |
+      | late,refused | CHANGE_UNKNOWN | 1    |
+      | lost,refused | CHANGE_UNKNOWN | 1    |
+
+  Scenario Outline: The key is <key>, the configuration <age> seconds old
+    When the key is "<key>"
+    And the configuration was confirmed <age> seconds ago
+    And job 1 is submitted
+    Then the answers are "<answer>"
+
+    Examples:
+      | key   | age | answer      |
+      | key-1 | 0.0 | Accepted    |
+      | key-1 | 2.4 | Accepted    |
+      | key-1 | 2.6 | STALE       |
+      | other | 0.0 | KEY_REFUSED |
+      | none  | 0.0 | KEY_REFUSED |
+
+  Scenario: A key that is withdrawn while the store answers
+    When the key is withdrawn during the store's answer
+    And job 1 is submitted
+    Then the answers are "OUTCOME_UNKNOWN"
+
+  Scenario: A queue that is open to all needs no key
+    Given the queue is open to all
+    When the key is "none"
+    And job 1 is submitted
+    Then the answers are "Accepted"
+
+  Scenario: A job that nobody submitted
+    When job 1 is cancelled
+    And the state of job 1 is asked for
+    Then the answers are "NOT_FOUND, NOT_FOUND"
+
+  Scenario: A job is cancelled
+    When job 1 is submitted
+    And job 1 is cancelled
+    Then the answers are "Accepted, Accepted"
+    And the store has the cancellation of job 1
+
+  Scenario: The number of jobs that have not begun, without a holder
+    When job 1 is submitted
+    And job 2 is submitted
+    And job 1 has begun
+    Then 1 job is pending
+
+  Scenario: The longest prefix of the path decides
+    Given queues at "/a/", "/a/b/" and "/c/" of "north.example"
+    Then the queues of these paths are
+      | host          | path       | queue |
+      | north.example | /a/1       | /a/   |
+      | north.example | /a/b/1     | /a/b/ |
+      | north.example | /c/b/1     | /c/   |
+      | north.example | /d/1       | none  |
+      | south.example | /a/1       | none  |
--- /dev/null
+++ b/tests/features/steps/front_door_steps.py
@@ -0,0 +1,197 @@
+"""Steps on what callers of jobs are told."""
+
+import typing as t
+from unittest import mock
+
+import behave
+
+from agaterudder import codes
+from agaterudder.jobs import beliefs
+from agaterudder.jobs import clock
+from agaterudder.jobs import frontdoor
+from agaterudder.jobs import model
+from agaterudder.jobs import ports
+from agaterudder.jobs import rules
+from agaterudder import metrics
+from tests import job_builders
+from tests import job_fakes
+
+Context = t.Any
+KEY_BOUND_SECONDS = 5.0
+DEADLINE_SECONDS = 3.0
+
+
+def _configure(context: Context, *queues: rules.Queue, keys: str) -> None:
+    context.version += 1
+    team = rules.Team("tally", (keys,))
+    context.beliefs._operators_changed(
+        (
+            ports.ConfigurationSet(
+                job_builders.configuration(context.version, (team,), queues)
+            ),
+        )
+    )
+
+
+def _call(context: Context, number: int) -> frontdoor.Call:
+    (queue,) = context.beliefs.configuration.queues.values()
+    return frontdoor.Call(
+        queue,
+        f"{number:016x}",
+        context.key,
+        context.now + DEADLINE_SECONDS,
+    )
+
+
+def _name(answer: t.Any) -> str:
+    if isinstance(answer, codes.Refused):
+        return answer.code.name
+    return type(answer).__name__
+
+
+@behave.given("a front door with a configuration that was confirmed just now")
+def step_door(context: Context) -> None:
+    context.now = 500.0
+    patch = mock.patch.object(clock, "now", lambda: context.now)
+    patch.start()
+    context.cleanups.append(patch.stop)
+    context.store = job_fakes.MemoryStore()
+    context.beliefs = beliefs.Beliefs(
+        t.cast(ports.Operators, None),
+        t.cast(ports.WorkerList, None),
+        KEY_BOUND_SECONDS,
+    )
+    context.version = 0
+    context.key = "key-1"
+    context.answers = []
+    _configure(context, keys="key-1")
+    context.beliefs.operators.confirmed_at = context.now
+    context.door = frontdoor.FrontDoor(
+        context.store,
+        context.beliefs,
+        lambda: context.store.clock,
+        metrics.Metrics(),
+    )
+
+
+@behave.given("the queue is open to all")
+def step_open(context: Context) -> None:
+    _configure(context, job_builders.queue(public=True), keys="key-1")
+
+
+@behave.given('queues at "{first}", "{second}" and "{third}" of "{host}"')
+def step_queues(
+    context: Context, first: str, second: str, third: str, host: str
+) -> None:
+    queues = [
+        job_builders.queue(name=prefix, prefix=prefix, host=host)
+        for prefix in (first, second, third)
+    ]
+    _configure(context, *queues, keys="key-1")
+
+
+@behave.when('the key is "{key}"')
+def step_key(context: Context, key: str) -> None:
+    context.key = "" if key == "none" else key
+
+
+@behave.when("the configuration was confirmed {age:g} seconds ago")
+def step_age(context: Context, age: float) -> None:
+    context.beliefs.operators.confirmed_at = context.now - age
+
+
+@behave.when("the key is withdrawn during the store's answer")
+def step_withdrawn(context: Context) -> None:
+    transact = context.store.transact
+
+    def withdraw(*arguments: t.Any, **named: t.Any) -> ports.Outcome:
+        outcome = transact(*arguments, **named)
+        _configure(context, keys="key-2")
+        return outcome
+
+    context.store.transact = withdraw
+
+
+@behave.when("job {number:d} is submitted")
+def step_submit(context: Context, number: int) -> None:
+    request = job_builders.job().request
+    answer = context.door.submit(_call(context, number), request)
+    context.answers.append(answer)
+
+
+@behave.when("job {number:d} is cancelled")
+def step_cancel(context: Context, number: int) -> None:
+    context.answers.append(context.door.cancel(_call(context, number)))
+
+
+@behave.when("the state of job {number:d} is asked for")
+def step_state(context: Context, number: int) -> None:
+    context.answers.append(context.door.state(_call(context, number)))
+
+
+@behave.when("job {number:d} ends as {state}")
+def step_ends(context: Context, number: int, state: str) -> None:
+    name = f"{number:016x}"
+    content = model.encode(model.Ended(state, 0.0))
+    context.store.transact(
+        job_builders.POOL,
+        [],
+        [ports.Put(model.ENDED_TABLE, name, content)],
+        [ports.Delete(model.jobs_table(job_builders.POOL), name)],
+    )
+
+
+@behave.when("job {number:d} has begun")
+def step_begun(context: Context, number: int) -> None:
+    put = ports.Put(model.PROGRESS_TABLE, f"{number:016x}", b"")
+    context.store.transact(job_builders.POOL, [], [put])
+
+
+@behave.when('the store\'s next answers are "{faults}"')
+def step_faults(context: Context, faults: str) -> None:
+    context.store.faults = faults.split(",")
+
+
+@behave.when("late calls to the store are carried out")
+def step_late(context: Context) -> None:
+    context.store.deliver_late()
+
+
+@behave.then('the answers are "{names}"')
+def step_answers(context: Context, names: str) -> None:
+    found = ", ".join(_name(answer) for answer in context.answers)
+    assert found == names, found
+
+
+@behave.then("the store has {count:d} job")
+def step_jobs(context: Context, count: int) -> None:
+    table = model.jobs_table(job_builders.POOL)
+    found = [key for key in context.store.rows if key[0] == table]
+    assert len(found) == count, found
+
+
+@behave.then("the store has the cancellation of job {number:d}")
+def step_cancellation(context: Context, number: int) -> None:
+    table = model.jobs_table(job_builders.POOL)
+    key = f"{number:016x}{model.CANCEL_SUFFIX}"
+    assert context.store.read(table, job_builders.POOL, key) is not None
+
+
+@behave.then('the state of job {number:d} is "{state}"')
+def step_has_state(context: Context, number: int, state: str) -> None:
+    answer = context.door.state(_call(context, number))
+    assert answer == frontdoor.JobState(state), answer
+
+
+@behave.then("{count:d} job is pending")
+def step_pending(context: Context, count: int) -> None:
+    answer = context.door.pending(_call(context, 0))
+    assert answer == frontdoor.QueueState(count), answer
+
+
+@behave.then("the queues of these paths are")
+def step_paths(context: Context) -> None:
+    for row in context.table:
+        found = context.door.queue(row["host"], row["path"])
+        name = "none" if isinstance(found, codes.Refused) else found.name
+        assert name == row["queue"], (row["path"], name)
--- /dev/null
+++ b/tests/features/steps/journal_steps.py
@@ -0,0 +1,172 @@
+"""Steps on the journal of a pool."""
+
+import typing as t
+
+import behave
+
+from agaterudder import codes
+from agaterudder.jobs import journal
+from agaterudder.jobs import model
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+from tests import job_builders
+from tests import job_fakes
+
+Context = t.Any
+MOST_TRIES = 20
+
+
+def _job(number: int) -> runs.JobRun:
+    job = job_builders.job(job=f"{number:016x}")
+    return runs.JobRun(job, 0.0, False)
+
+
+def _store(context: Context) -> bool:
+    """Store one batch as the holder of a pool does."""
+    batch = context.journal.batch(job_builders.POOL, context.epoch, 1.0)
+    outcome = context.store.transact(
+        job_builders.POOL, batch.checks, batch.puts, batch.deletes
+    )
+    match outcome:
+        case ports.Committed(version=version):
+            context.journal.committed(batch, version)
+        case ports.Conflicted(rows=rows):
+            context.journal.conflicted(batch, rows)
+        case codes.Refused():
+            context.journal.take_back(batch)
+    return isinstance(outcome, ports.Committed)
+
+
+@behave.given("a journal and a store")
+def step_journal(context: Context) -> None:
+    context.store = job_fakes.MemoryStore()
+    holder = ports.Put(model.HOLDERS_TABLE, model.HOLDER_KEY, b"a")
+    written = context.store.transact(job_builders.POOL, [], [holder])
+    context.epoch = ports.Check(
+        model.HOLDERS_TABLE, model.HOLDER_KEY, written.version
+    )
+    context.journal = journal.Journal()
+    context.job = _job(1)
+    table = model.jobs_table(job_builders.POOL)
+    put = ports.Put(table, context.job.job.job, b"job")
+    context.store.transact(job_builders.POOL, [], [put])
+
+
+@behave.when("a job makes progress")
+def step_progress(context: Context) -> None:
+    context.job.progress.done["0.0"] = [0]
+    context.journal.mark(context.job)
+
+
+@behave.when("the job makes more progress")
+def step_more(context: Context) -> None:
+    context.job.progress.done["0.0"] = [0, 1]
+    context.journal.mark(context.job)
+
+
+@behave.when("another job makes progress")
+def step_other(context: Context) -> None:
+    context.journal.mark(_job(2))
+
+
+@behave.when("{count:d} jobs make progress")
+def step_many(context: Context, count: int) -> None:
+    context.marks = {}
+    for number in range(count):
+        job = _job(number + 10)
+        context.journal.mark(job)
+        context.marks[job.job.job] = context.journal.marked
+
+
+@behave.when("the first batch is taken back")
+def step_taken_back(context: Context) -> None:
+    batch = context.journal.batch(job_builders.POOL, context.epoch, 1.0)
+    context.journal.take_back(batch)
+
+
+@behave.when("the job ends")
+def step_ends(context: Context) -> None:
+    context.job.ending = model.Ended(model.STATE_COMPLETED, 0.0)
+    context.journal.mark(context.job)
+
+
+@behave.when("the next answer is {fault}")
+def step_fault(context: Context, fault: str) -> None:
+    context.store.faults = [fault]
+
+
+@behave.when("the journal is stored")
+def step_store(context: Context) -> None:
+    _store(context)
+
+
+@behave.when("it is marked while its end is being stored")
+def step_marked_again(context: Context) -> None:
+    batch = context.journal.batch(job_builders.POOL, context.epoch, 1.0)
+    context.journal.mark(context.job)
+    outcome = context.store.transact(
+        job_builders.POOL, batch.checks, batch.puts, batch.deletes
+    )
+    context.journal.committed(batch, outcome.version)
+    context.ended_version = outcome.version
+
+
+@behave.when("the journal is stored until nothing is left")
+def step_store_all(context: Context) -> None:
+    tries = 0
+    while len(context.journal):
+        _store(context)
+        tries += 1
+        assert tries < MOST_TRIES, "the journal never gets empty"
+
+
+@behave.when("late calls are carried out")
+def step_late(context: Context) -> None:
+    context.store.deliver_late()
+
+
+def _tables(context: Context) -> set[str]:
+    name = context.job.job.job
+    return {table for table, _, key in context.store.rows if key == name}
+
+
+@behave.then("the store has progress of the job")
+def step_has_progress(context: Context) -> None:
+    assert model.PROGRESS_TABLE in _tables(context)
+
+
+@behave.then("the store has the later progress")
+def step_later(context: Context) -> None:
+    key = context.job.job.job
+    row = context.store.read(model.PROGRESS_TABLE, job_builders.POOL, key)
+    stored = model.decode(row.value, model.Progress)
+    assert stored.done == {"0.0": [0, 1]}
+
+
+@behave.then("the store has the end of the job and nothing else of it")
+def step_has_end(context: Context) -> None:
+    assert _tables(context) == {model.ENDED_TABLE}, _tables(context)
+
+
+@behave.then("the end of the job was written once")
+def step_once(context: Context) -> None:
+    key = context.job.job.job
+    row = context.store.read(model.ENDED_TABLE, job_builders.POOL, key)
+    assert row.version == context.ended_version
+
+
+@behave.then("no mark counts as stored")
+def step_none(context: Context) -> None:
+    assert context.journal.stored == 0
+
+
+@behave.then("only marks of stored jobs count as stored")
+def step_only(context: Context) -> None:
+    stored = {key for table, _, key in context.store.rows}
+    counted = {
+        name
+        for name, mark in context.marks.items()
+        if mark <= context.journal.stored
+    }
+    assert counted
+    assert counted <= stored
--- /dev/null
+++ b/tests/features/steps/ownership_steps.py
@@ -0,0 +1,186 @@
+"""Steps on who holds a pool."""
+
+import typing as t
+from unittest import mock
+
+import behave
+
+from agaterudder.jobs import clock
+from agaterudder.jobs import model
+from agaterudder.jobs import ownership
+from agaterudder.jobs import ports
+from tests import job_fakes
+
+Context = t.Any
+POOL = "count"
+LEASE_SECONDS = 2.0
+SPREAD_SECONDS = 1.0
+
+
+def _owner(context: Context, name: str) -> ownership.Owner:
+    return ownership.Owner(
+        name,
+        f"{name}-1",
+        context.store,
+        LEASE_SECONDS,
+        lambda: [POOL],
+        lambda lease: context.taken.append((name, lease)),
+        lambda lease, reason: context.lost.append((name, lease)),
+    )
+
+
+def _pass(context: Context, seconds: float) -> None:
+    context.now += seconds
+    context.store.clock += seconds
+
+
+def _look(context: Context, name: str) -> None:
+    """Look often enough for the delay before a claim to be over."""
+    owner = context.owners[name]
+    owner._look()
+    _pass(context, SPREAD_SECONDS)
+    owner._look()
+
+
+def _lease(context: Context, name: str) -> ownership.Lease:
+    return context.owners[name].leases[POOL]
+
+
+@behave.given('processes "a" and "b" and one pool')
+def step_processes(context: Context) -> None:
+    context.store = job_fakes.MemoryStore()
+    context.now = 500.0
+    context.taken = []
+    context.lost = []
+    patches = [
+        mock.patch.object(clock, "now", lambda: context.now),
+        mock.patch.object(ownership.gevent, "spawn", lambda *_: None),
+    ]
+    for patch in patches:
+        patch.start()
+        context.cleanups.append(patch.stop)
+    context.owners = {name: _owner(context, name) for name in "ab"}
+
+
+@behave.given('"{name}" holds the pool')
+def step_holds_first(context: Context, name: str) -> None:
+    _look(context, name)
+    context.first = _lease(context, name)
+    assert context.owners[name]._renew(context.first)
+
+
+@behave.when("both look for pools without a holder")
+def step_both(context: Context) -> None:
+    for name in "abab":
+        context.owners[name]._look()
+        _pass(context, 0.1)
+
+
+@behave.when('"{name}" looks for pools without a holder')
+def step_look(context: Context, name: str) -> None:
+    _look(context, name)
+
+
+@behave.when('{seconds:d} seconds pass in which "{name}" renews')
+def step_renewing(context: Context, seconds: int, name: str) -> None:
+    for _ in range(seconds):
+        _pass(context, 1.0)
+        assert context.owners[name]._renew(_lease(context, name))
+
+
+@behave.when("{seconds:d} seconds pass without a renewal")
+def step_no_renewal(context: Context, seconds: int) -> None:
+    _pass(context, float(seconds))
+
+
+@behave.when("time passes in steps of {seconds:g} seconds without a renewal")
+def step_steps(context: Context, seconds: float) -> None:
+    context.both = 0
+    context.free = 0
+    other = context.owners["b"]
+    for _ in range(100):
+        _pass(context, seconds)
+        row = context.store.read(
+            model.LEASES_TABLE, ownership.LEASE_PART, POOL
+        )
+        lease = model.decode(row.value, model.Lease)
+        free = context.store.clock >= lease.expires_at
+        context.free += free
+        context.both += free and context.first.valid(context.now)
+    assert other.leases == {}
+
+
+@behave.when('a renewal of "{name}" gets no answer and is late')
+def step_late(context: Context, name: str) -> None:
+    context.store.faults = ["late"]
+    assert not context.owners[name]._renew(context.first)
+
+
+@behave.when("the late call is carried out")
+def step_deliver(context: Context) -> None:
+    context.store.deliver_late()
+
+
+@behave.when('the answer to a renewal of "{name}" is lost')
+def step_lost(context: Context, name: str) -> None:
+    context.store.faults = ["lost"]
+    assert not context.owners[name]._renew(context.first)
+
+
+@behave.when('"{name}" renews')
+def step_renews(context: Context, name: str) -> None:
+    context.owners[name]._renew(context.first)
+
+
+@behave.when('"{name}" leaves')
+def step_leaves(context: Context, name: str) -> None:
+    context.owners[name].release_all()
+
+
+@behave.when('"{name}" stores progress under its epoch')
+def step_stores(context: Context, name: str) -> None:
+    check = ports.Check(
+        model.HOLDERS_TABLE, model.HOLDER_KEY, context.first.epoch
+    )
+    put = ports.Put(model.PROGRESS_TABLE, "job", b"x")
+    context.outcome = context.store.transact(POOL, [check], [put])
+
+
+@behave.then("one of them holds the pool")
+def step_one(context: Context) -> None:
+    held = [name for name in "ab" if context.owners[name].leases]
+    assert len(held) == 1, held
+
+
+@behave.then('"{name}" holds the pool')
+def step_holds(context: Context, name: str) -> None:
+    held = [name for name in "ab" if context.owners[name].leases]
+    assert held == [name], held
+
+
+@behave.then('"{name}" holds the pool with a higher epoch')
+def step_higher(context: Context, name: str) -> None:
+    assert _lease(context, name).epoch > context.first.epoch
+    row = context.store.read(model.LEASES_TABLE, ownership.LEASE_PART, POOL)
+    assert model.decode(row.value, model.Lease).vm == name
+
+
+@behave.then('"{name}" may order')
+def step_may(context: Context, name: str) -> None:
+    assert _lease(context, name).valid(context.now)
+
+
+@behave.then('"{name}" may order nothing')
+def step_may_not(context: Context, name: str) -> None:
+    assert not context.first.valid(context.now)
+
+
+@behave.then('there was no step at which "a" may order and the pool is free')
+def step_never_both(context: Context) -> None:
+    assert context.free > 0
+    assert context.both == 0
+
+
+@behave.then("nothing was stored")
+def step_nothing(context: Context) -> None:
+    assert isinstance(context.outcome, ports.Conflicted)
--- /dev/null
+++ b/tests/features/steps/platform_steps.py
@@ -0,0 +1,224 @@
+"""Steps on the adapter of the users' platform."""
+
+import pathlib
+import random
+import sys
+import tempfile
+import typing as t
+
+import behave
+import msgspec
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+sys.path.append(str(ROOT / "platform"))
+
+from agaterudder import exceptions  # noqa: E402
+from agaterudder.jobs import ports  # noqa: E402
+from agaterudder_platform import calls  # noqa: E402
+from agaterudder_platform import clients  # noqa: E402
+from agaterudder_platform import node  # noqa: E402
+from agaterudder_platform import wire  # noqa: E402
+
+Context = t.Any
+SETTINGS = """\
+node_name = "front-a-1"
+ip = "10.1.0.23"
+zone = "zone-a"
+internal_ports = [7000, 7015]
+[zones]
+zone-a = "south"
+[listen_addrs]
+frontend = "10.1.0.23:8340"
+readiness = "10.1.0.23:8343"
+[platform]
+address = "10.200.1.7:8344"
+[cloud_api]
+address = "10.200.0.82:8344"
+[bounds]
+lease_ms = 3000
+"""
+
+
+class OneReply:
+    """Gives the same answer to each call."""
+
+    def __init__(self, reply: calls.Reply) -> None:
+        self._reply = reply
+
+    def call(self, *arguments: t.Any) -> calls.Reply:
+        """Return the answer."""
+        return self._reply
+
+
+@behave.when("a client sends")
+def step_sends(context: Context) -> None:
+    context.request = wire.job_request(context.text.encode())
+
+
+@behave.when('a client sends the body "{body}"')
+@behave.when('a client sends the body ""')
+def step_sends_body(context: Context, body: str = "") -> None:
+    try:
+        context.request = wire.job_request(body.encode())
+    except wire.DECODE_ERRORS as error:
+        context.request = error
+
+
+@behave.then("it is refused as malformed")
+def step_malformed(context: Context) -> None:
+    assert isinstance(context.request, Exception), context.request
+
+
+@behave.then(
+    'step {number:d} has {count:d} tasks of {cores:g} cores near "{rack}"'
+)
+def step_near(
+    context: Context, number: int, count: int, cores: float, rack: str
+) -> None:
+    step = context.request.steps[number]
+    assert (step.count, step.size.cores) == (count, cores)
+    assert step.data_rack == rack
+    assert step.estimate_seconds == 0.9
+
+
+@behave.then(
+    "step {number:d} has {count:d} tasks of {cores:g} cores after step 0"
+)
+def step_after(
+    context: Context, number: int, count: int, cores: float
+) -> None:
+    step = context.request.steps[number]
+    assert (step.count, step.size.cores) == (count, cores)
+    assert step.after == (0,)
+    assert step.checkpointing
+
+
+@behave.when("the store has the registration")
+def step_registration(context: Context) -> None:
+    content = context.text.strip().encode("latin-1")
+    if content.startswith(b"\\x"):
+        content = b"\xff\xfe"
+    row = ports.Row("servers", "i-1", content, 1)
+    context.entry = wire.worker_entry(row)
+
+
+@behave.then("it names no worker")
+def step_no_worker(context: Context) -> None:
+    assert context.entry is None
+
+
+@behave.then('it names a worker in rack "{rack}"')
+@behave.then('it names a worker in rack ""')
+def step_worker(context: Context, rack: str = "") -> None:
+    assert context.entry.worker == "i-1"
+    assert context.entry.rack == rack
+
+
+@behave.when("a worker lists")
+def step_lists(context: Context) -> None:
+    reply = msgspec.json.decode(context.text.encode(), type=wire.HoldReply)
+    context.listing = wire.listing(reply)
+
+
+@behave.then("its clock shows {seconds:g} seconds in the life of {born:d}")
+def step_clock(context: Context, seconds: float, born: int) -> None:
+    assert context.listing.clock == seconds
+    assert context.listing.born == born
+
+
+@behave.then('it runs "{task}" run {run:d} at {progress:d} per cent')
+def step_runs(context: Context, task: str, run: int, progress: int) -> None:
+    (found,) = context.listing.running
+    assert (found.task, found.run, found.progress) == (task, run, progress)
+
+
+@behave.then('end {number:d} is "{how}"')
+def step_end(context: Context, number: int, how: str) -> None:
+    (found,) = context.listing.ended
+    assert (found.number, found.how) == (number, how)
+
+
+@behave.then("a worker's answers mean")
+def step_answers(context: Context) -> None:
+    for row in context.table:
+        client = clients.WorkerClient("i-1", "127.0.0.1:9")
+        reply = calls.Reply(int(row["status"]), row["body"].encode())
+        client._calls = t.cast(calls.Calls, OneReply(reply))
+        answer = client.stop("a.0.0.0", 1, 7, 1.0)
+        name = type(answer).__name__
+        if isinstance(answer, ports.Rejected):
+            name = f"{name} {answer.reason}"
+        assert name == row["meaning"], (row["status"], name)
+
+
+@behave.then(
+    "{count:d} random bodies with seed {seed:d} are decoded or refused"
+)
+def step_random(context: Context, count: int, seed: int) -> None:
+    generator = random.Random(seed)
+    sound = (
+        b'{"spec":"a","steps":[{"count":2,"after":[0],"cpu":5}],"times":2,'
+        b'"clock_ms":1,"running":[["a",1,"",4]],"finished":[],"version":1,'
+        b'"service":"p","address":"1:2","zone":"z","state":"ready",'
+        b'"capacity":{"cpu":1}}'
+    )
+    refused = 0
+    for _ in range(count):
+        body = bytearray(sound)
+        for _ in range(generator.randrange(1, 6)):
+            body[generator.randrange(len(body))] = generator.randrange(256)
+        for decode in (
+            wire.job_request,
+            wire.configuration,
+            wire.wave,
+            lambda content: wire.worker_entry(
+                ports.Row("servers", "i", content, 1)
+            ),
+        ):
+            try:
+                decode(bytes(body))
+            except wire.DECODE_ERRORS:
+                refused += 1
+    assert refused > 0
+
+
+@behave.given("the settings of the platform's pages")
+def step_settings(context: Context) -> None:
+    context.settings = SETTINGS
+
+
+@behave.when("a field is added that nobody knows")
+def step_unknown(context: Context) -> None:
+    context.settings = 'new_field = "x"\n' + context.settings
+
+
+@behave.when('the field "{name}" is taken out')
+def step_taken_out(context: Context, name: str) -> None:
+    lines = context.settings.splitlines(keepends=True)
+    context.settings = "".join(
+        line for line in lines if not line.startswith(f"{name} =")
+    )
+
+
+def _read(context: Context) -> t.Any:
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        file.write(context.settings)
+        file.flush()
+        return node.read(pathlib.Path(file.name))
+
+
+@behave.then("they can be read")
+def step_read(context: Context) -> None:
+    found = _read(context)
+    assert found.bounds.holder_lease == 3.0
+    assert found.data_centre == "zone-a"
+
+
+@behave.then('they are refused, naming "{name}"')
+def step_refused(context: Context, name: str) -> None:
+    try:
+        _read(context)
+    except exceptions.SettingsError as error:
+        assert name in str(error)
+    else:
+        raise AssertionError("they were read")
