--- a/src/agaterudder/jobs/machines.py
+++ b/src/agaterudder/jobs/machines.py
@@ -1,8 +1,9 @@
 """Orders for machines: who may give them, and what the fleet looks like.
 
 A row a machine says who ordered it last. Taking the row gives the fencing
-token: the version of the row, which only rises. Another process takes it
-only when the last one has been quiet for the lease of a holder.
+token: the version of the row, which only rises. A process does not take a
+machine back from another that took it from it less than a lease ago: two
+processes must not order a machine in turns.
 """
 
 import logging
@@ -20,17 +21,37 @@
 PART = "machines"
 # A list that was asked for so long ago is asked for again.
 VIEW_AGE_SECONDS = 0.4
-QUIET_MARGIN_SECONDS = 0.2
+TURN_MARGIN_SECONDS = 0.2
 
 
 class LastOrder(msgspec.Struct, frozen=True, array_like=True):
     """Who ordered a machine last.
 
     :ivar at: seconds of the store's clock, at most.
+    :ivar before: the process that ordered it before this one, and when.
     """
 
     vm: str
     at: float
+    before: str = ""
+    before_at: float = 0.0
+
+
+def following(
+    last: LastOrder | None, vm: str, at: float, turn_seconds: float
+) -> LastOrder | None:
+    """Return the order that a process may give next, None if it must wait.
+
+    :param last: the last order for the machine, None before the first.
+    :param at: present time, seconds of the store's clock.
+    """
+    if last is None:
+        return LastOrder(vm, at)
+    if last.vm == vm:
+        return LastOrder(vm, at, last.before, last.before_at)
+    if last.before == vm and at - last.before_at < turn_seconds:
+        return None
+    return LastOrder(vm, at, last.vm, last.at)
 
 
 class View:
@@ -94,23 +115,23 @@
 class MachineOrders:
     """Gives orders for machines on behalf of one process.
 
-    :param quiet_seconds: another process may order a machine when the
-        last one has been quiet for so long.
+    :param turn_seconds: least time between two orders of one process
+        for a machine that another ordered between them.
     """
 
-    __slots__ = ("_store", "_machines", "_vm", "_quiet")
+    __slots__ = ("_store", "_machines", "_vm", "_turn")
 
     def __init__(
         self,
         store: ports.Store,
         machines: ports.Machines,
         vm: str,
-        quiet_seconds: float,
+        turn_seconds: float,
     ) -> None:
         self._store = store
         self._machines = machines
         self._vm = vm
-        self._quiet = quiet_seconds + QUIET_MARGIN_SECONDS
+        self._turn = turn_seconds + TURN_MARGIN_SECONDS
 
     def claim(self, machine: str, store_clock: float) -> int | None:
         """Take the right to order a machine; return its fencing token.
@@ -124,11 +145,11 @@
                 "machine not claimed", extra={"machine": machine, "why": error}
             )
             return None
-        if row is not None:
-            last = model.decode(row.value, LastOrder)
-            if last.vm != self._vm and store_clock - last.at < self._quiet:
-                return None
-        content = model.encode(LastOrder(self._vm, store_clock))
+        last = None if row is None else model.decode(row.value, LastOrder)
+        order = following(last, self._vm, store_clock, self._turn)
+        if order is None:
+            return None
+        content = model.encode(order)
         outcome = self._store.transact(
             PART,
             [ports.Check(TABLE, machine, row.version if row else 0)],
--- a/src/agaterudder/jobs/resizing.py
+++ b/src/agaterudder/jobs/resizing.py
@@ -3,6 +3,8 @@
 import logging
 import typing as t
 
+import gevent
+
 from agaterudder.jobs import clock
 from agaterudder.jobs import fleet
 from agaterudder.jobs import machines
@@ -14,8 +16,6 @@
 
 # A machine that has not joined so long after its move is not waited for.
 JOIN_SECONDS = 4.0
-# After a look without a machine to take, look again.
-EMPTY_SECONDS = 0.6
 # A machine that another process ordered a moment ago is left alone.
 REFUSED_SECONDS = 1.0
 
@@ -85,8 +85,11 @@
         match sizing.decide(self._holder.state, len(self._moves), now):
             case sizing.Grow(count=count, reason=reason):
                 self._grow(count, reason)
-            case sizing.Shrink(worker=worker):
-                self._shrink(worker)
+            case sizing.Shrink(workers=workers):
+                moves = [
+                    gevent.spawn(self._shrink, worker) for worker in workers
+                ]
+                gevent.joinall(moves)
 
     def _forget_joined(self, now: float) -> None:
         joined = {
@@ -121,8 +124,11 @@
                 machine.machine,
             )
         )
-        for machine in free[:count]:
-            self._take(machine, reason)
+        moves = [
+            gevent.spawn(self._take, machine, reason)
+            for machine in free[:count]
+        ]
+        gevent.joinall(moves)
 
     def _take(self, machine: ports.Machine, reason: str) -> None:
         LOG.info(
--- a/src/agaterudder/jobs/sizing.py
+++ b/src/agaterudder/jobs/sizing.py
@@ -1,8 +1,7 @@
 """Decides how many machines a pool should have.
 
 Machines come from a pool on standby when work waits that the pool has no
-room for, and go back when they have been idle for longer than a move
-there and back costs.
+room for, and go back when they are idle.
 """
 
 import dataclasses
@@ -14,8 +13,9 @@
 # Work that waits beyond the room is worth a machine only in part: what
 # runs now ends before a machine arrives.
 BACKLOG_PART = 0.7
-# A move there and back is priced like some 2.3 s of an idle machine.
-IDLE_SECONDS = 2.4
+# Demand comes in turns: a machine that idles for this long in one pool is
+# sooner needed in another.
+IDLE_SECONDS = 0.6
 # A worker lost must leave room for its tasks.
 LEAST_WORKERS = 3
 CORES_OF_A_WORKER = 16.0
@@ -31,9 +31,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shrink:
-    """Give the machine of a worker back."""
+    """Give the machines of workers back."""
 
-    worker: fleet.WorkerState
+    workers: tuple[fleet.WorkerState, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,7 +57,8 @@
     short = (waiting - free) * BACKLOG_PART / each - coming
     if short > 0:
         return Grow(math.ceil(short), f"{waiting:.1f} cores wait")
-    if waiting > 0 or len(workers) + coming <= least_workers(state):
+    spare = len(workers) + coming - least_workers(state)
+    if waiting > 0 or spare <= 0:
         return Keep()
     idle = [
         worker
@@ -68,7 +69,8 @@
     ]
     if not idle:
         return Keep()
-    return Shrink(min(idle, key=lambda worker: worker.idle_since))
+    idle.sort(key=lambda worker: worker.idle_since)
+    return Shrink(tuple(idle[:spare]))
 
 
 def waiting_cores(state: pools.Pool) -> float:
