--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -37,6 +37,9 @@
     :ivar leaving: why it gets no more work, empty otherwise.
     :ivar draining: whether it said that it shuts down.
     :ivar ended: whether its life was ended by an order for its machine.
+    :ivar fill_percent: share of their speed for tasks that fill.
+    :ivar throttled_at: when that share was last changed.
+    :ivar calm_since: since when no serving task is near its target.
     :ivar idle_since: when its last run ended, or it joined.
     :ivar set_aside_until: gets no work before, as it fails what it starts.
     """
@@ -69,6 +72,9 @@
         "room_until",
         "idle_since",
         "ended",
+        "fill_percent",
+        "throttled_at",
+        "calm_since",
     )
 
     def __init__(self, entry: ports.WorkerEntry, link: ports.Worker) -> None:
@@ -99,6 +105,9 @@
         self.room_until = 0.0
         self.idle_since = 0.0
         self.ended = False
+        self.fill_percent = 100
+        self.throttled_at = 0.0
+        self.calm_since = 0.0
 
     @property
     def free(self) -> resources.Vector:
--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -604,6 +604,8 @@
             self.lease.epoch,
             ORDER_TIMEOUT_SECONDS,
         )
+        if isinstance(answer, ports.Done):
+            run.throttled_to = percent
         LOG.info(
             "throttle",
             extra={
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -16,11 +16,13 @@
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import rules
 from agaterudder.jobs import runs
+from agaterudder.jobs import throttling
 from agaterudder import resources
 
 LOG = logging.getLogger(__name__)
 
 STOP_AGAIN_SECONDS = 0.5
+THROTTLE_AGAIN_SECONDS = 0.3
 # Starts in one turn, so that a turn stays short.
 STARTS_PER_TURN = 120
 PREEMPT_AGAIN_SECONDS = 1.0
@@ -50,6 +52,7 @@
         state = self._state
         self._empty_leaving()
         self._stop_unwanted()
+        self._throttle()
         recovering = state.recovering(self._now)
         for step in self._in_order():
             if self._starts >= STARTS_PER_TURN:
@@ -105,6 +108,28 @@
             return False
         return self._now - run.stop_sent_at > STOP_AGAIN_SECONDS
 
+    # Throttling
+
+    def _throttle(self) -> None:
+        """Slow tasks that fill where they disturb tasks that serve."""
+        for worker in self._state.workers.values():
+            if not worker.mixed:
+                continue
+            percent = throttling.share(worker, self._now)
+            for run in worker.runs.values():
+                if self._throttle_due(run, percent):
+                    run.throttle_sent_at = self._now
+                    self._orders.append(orders.Throttle(run, percent))
+
+    def _throttle_due(self, run: runs.Run, percent: int) -> bool:
+        return (
+            run.task is not None
+            and run.task.step.step.uses_leftover
+            and run.state is runs.RunState.RUNNING
+            and run.throttled_to != percent
+            and self._now - run.throttle_sent_at > THROTTLE_AGAIN_SECONDS
+        )
+
     # Order of the steps
 
     def _in_order(self) -> list[runs.StepRun]:
@@ -231,6 +256,8 @@
         near = self._near(step, fitting, candidates)
         if not near:
             return None
+        if step.step.uses_leftover:
+            return min(near, key=self._disturbance)
         if step.step.long_running:
             return max(near, key=lambda worker: worker.free.cores)
         return min(
@@ -256,6 +283,18 @@
             return []
         return fitting
 
+    @staticmethod
+    def _disturbance(
+        worker: fleet.WorkerState,
+    ) -> tuple[int, int, float]:
+        """Order workers for tasks that fill: those that serve come last."""
+        serving = sum(
+            1
+            for run in worker.runs.values()
+            if run.task is not None and run.task.step.step.target_seconds > 0
+        )
+        return (serving, -worker.fill_percent, -worker.free.cores)
+
     @staticmethod
     def _within_spread(step: runs.StepRun, worker: fleet.WorkerState) -> bool:
         most = step.step.most_per_worker
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -47,6 +47,7 @@
         "checkpoint",
         "progress",
         "throttled_to",
+        "throttle_sent_at",
         "reading",
         "over_target_since",
         "stop_reason",
@@ -77,6 +78,7 @@
         self.checkpoint = ""
         self.progress = 0
         self.throttled_to = 100
+        self.throttle_sent_at = 0.0
         self.reading: float | None = None
         self.over_target_since = 0.0
         self.stop_reason = ""
--- a/src/agaterudder/serve.py
+++ b/src/agaterudder/serve.py
@@ -72,6 +72,7 @@
                 "cut": self.server.busy,
             },
         )
+        logs.flush()
 
 
 def serve(checked: settings.Settings) -> None:
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -171,3 +171,20 @@
     When it is second 1011
     And the pool is planned
     Then 2 starts are ordered
+
+  Scenario: Tasks that fill are slowed down while they disturb
+    Given a pool with 1 workers
+    And a job of a task that serves within 0.1 seconds beside 2 that fill
+    When the pool is planned
+    Then filling tasks are slowed to "50, 25, 0, 0" per cent when it serves in
+      | seconds | tail |
+      | 0.6     | 0.2  |
+      | 1.2     | 0.2  |
+      | 1.8     | 0.2  |
+      | 2.4     | 0.2  |
+    And filling tasks are slowed to "0, 0, 20, 40" per cent when it serves in
+      | seconds | tail |
+      | 3.0     | 0.05 |
+      | 4.0     | 0.05 |
+      | 5.0     | 0.05 |
+      | 6.0     | 0.05 |
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -140,6 +140,40 @@
     _accept(context, job)
 
 
+@behave.given(
+    "a job of a task that serves within {target:g} seconds"
+    " beside {count:d} that fill"
+)
+def step_mixed(context: Context, target: float, count: int) -> None:
+    steps = (
+        job_builders.step(count=1, long_running=True, target_seconds=target),
+        job_builders.step(count=count, long_running=True, uses_leftover=True),
+    )
+    _accept(context, job_builders.job(*steps))
+
+
+@behave.then(
+    'filling tasks are slowed to "{percents}" per cent when it serves in'
+)
+def step_slowed(context: Context, percents: str) -> None:
+    found = []
+    for row in context.table:
+        context.now = job_builders.START + float(row["seconds"])
+        _list(context, 100)
+        for run in _runs(context):
+            if run.task.step.step.target_seconds:
+                run.reading = float(row["tail"])
+        for order in planning.Plan(context.state, context.now).make():
+            if isinstance(order, orders.Throttle):
+                order.run.throttled_to = order.percent
+        found += {
+            run.throttled_to
+            for run in _runs(context)
+            if run.task.step.step.uses_leftover
+        }
+    assert found == [int(part) for part in percents.split(",")], found
+
+
 @behave.when("it is second {second:d}")
 def step_wall(context: Context, second: int) -> None:
     context.state.create_due(float(second), context.now)
