--- a/tests/features/steps/log_steps.py
+++ b/tests/features/steps/log_steps.py
@@ -60,20 +60,20 @@
             found += os.read(context.reader, READ_BYTES)
         except BlockingIOError:
             continue
-    context.text = found.decode()
+    context.output = found.decode()
 
 
 @behave.then("it gets all {count:d} warnings")
 def step_warnings(context: Context, count: int) -> None:
     for number in range(count):
-        assert f"warning {number}." in context.text, number
+        assert f"warning {number}." in context.output, number
 
 
 @behave.then("it is told how many lines were dropped")
 def step_dropped(context: Context) -> None:
     assert context.handler.dropped > 0
     told = f'msg="lines dropped" count={context.handler.dropped}'
-    assert told in context.text
+    assert told in context.output
 
 
 def _filter(context: Context, level: int, kind: str, count: int) -> None:
