Count unknown runs and an earlier holder's leases after a take-over

Reading the path of a take-over found two faults that give it: a run of a job that has ended since was taken to need no room, and a worker that went silent right after its first look by a new holder counted as lapsed at once, because only our own leases were counted. Ruled out: late orders (they carry a deadline), answers out of order (one look at a time). Change: nothing starts beside a run of unknown size; the first look counts as the longest lease.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -126,6 +126,7 @@
             and not silent
             and self.set_aside_until <= now
             and self.room_until <= now
+            and all(run.size_known for run in self.runs.values())
         )
 
     @property
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -335,6 +335,9 @@
         """Note what a worker lists; return the number of its last end."""
         if listing.born and listing.born != worker.born:
             self.worker_born(worker, listing.born, now)
+        if not worker.latest_deadline:
+            # An earlier holder may have given as much as can be given.
+            worker.latest_deadline = listing.clock + self.bounds.worker_lease
         worker.heard(listing, sent_at, now)
         for ended in listing.ended:
             if ended.number > worker.last_end:
@@ -372,6 +375,7 @@
         worker.add(run)
         if task is None:
             run.stop_reason = "its job is not known"
+            run.size_known = False
             self.unwanted.append(run)
             return run
         job = task.step.job
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -26,6 +26,8 @@
     """One run of a task on a worker; it takes room until it is over.
 
     :ivar task: the task, None when its job is not known any more.
+    :ivar size_known: False for a run that an earlier holder started of a
+        job that has ended since: nobody tells what it needs.
     :ivar deadline: end of the lease given with the start, seconds of the
         worker's clock.
     :ivar stop_reason: why it has to end, empty while it should go on.
@@ -54,6 +56,7 @@
         "stop_sent_at",
         "stop_answered_at",
         "size",
+        "size_known",
         "task_name",
     )
 
@@ -85,6 +88,7 @@
         self.stop_sent_at = 0.0
         self.stop_answered_at = 0.0
         self.size = size
+        self.size_known = True
 
     @property
     def spending(self) -> str:
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -188,3 +188,21 @@
       | 4.0     | 0.05 |
       | 5.0     | 0.05 |
       | 6.0     | 0.05 |
+
+  Scenario: A run of a job that is not known takes an unknown room
+    Given a pool with 1 workers
+    And a job of 2 tasks of 1 core
+    When worker "w1" lists a run of a job that is not known
+    And the pool is planned
+    Then 0 starts are ordered
+    And 1 stops are ordered
+    When worker "w1" lists the end of that run
+    And the pool is planned
+    Then 2 starts are ordered
+
+  Scenario: A lease that an earlier holder gave counts as well
+    Given a pool with 0 workers
+    And a job of 1 tasks of 1 core
+    When a worker that nobody has looked at lists a run of the job
+    Then its lease has not lapsed after 5.9 seconds of silence
+    And its lease has lapsed after 6.5 seconds of silence
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 
+from agaterudder.jobs import fleet
 from agaterudder.jobs import model
 from agaterudder.jobs import orders
 from agaterudder.jobs import planning
@@ -325,6 +326,43 @@
     _runs(context)[0].worker.leave("upkeep", context.now)
 
 
+@behave.when('worker "{name}" lists a run of a job that is not known')
+def step_unknown_run(context: Context, name: str) -> None:
+    running = ports.Running("00000000000000ff.0.0.0", 3, "", 0)
+    context.state.listed(
+        context.state.workers[name],
+        job_builders.listing([running], clock=_clock(context)),
+        context.now,
+        context.now,
+    )
+
+
+@behave.when('worker "{name}" lists the end of that run')
+def step_unknown_end(context: Context, name: str) -> None:
+    (run,) = _runs(context)
+    _end(context, run, ports.END_STOPPED)
+
+
+@behave.when("a worker that nobody has looked at lists a run of the job")
+def step_first_look(context: Context) -> None:
+    link = t.cast(ports.Worker, job_builders.SilentLink())
+    context.worker = fleet.WorkerState(job_builders.entry(), link)
+    context.state.adopt_worker(context.worker)
+    running = ports.Running("00000000000000aa.0.0.0", 3, "", 0)
+    listing = job_builders.listing([running], clock=_clock(context))
+    context.state.listed(context.worker, listing, context.now, context.now)
+
+
+@behave.then("its lease has not lapsed after {seconds:g} seconds of silence")
+def step_not_lapsed(context: Context, seconds: float) -> None:
+    assert not context.worker.lapsed(context.now + seconds)
+
+
+@behave.then("its lease has lapsed after {seconds:g} seconds of silence")
+def step_has_lapsed(context: Context, seconds: float) -> None:
+    assert context.worker.lapsed(context.now + seconds)
+
+
 @behave.when("a worker joins")
 def step_joins(context: Context) -> None:
     context.state.adopt_worker(job_builders.worker("w9"))
