Finish begun jobs first; jobs beyond a team's rate come last

Ruled out: shortest work first, which would starve the largest tenth. Change: begun jobs before new ones, a new job with under 0.25 s to spare counts as late, jobs beyond the rate last.

--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -1,8 +1,9 @@
 """Decides what starts where, and what has to stop, in one pool.
 
-Steps are taken by priority, then those whose job can still be in time,
-the one with the least time left first. A step of a team above its share
-comes after the others when the pool is full.
+Steps are taken by priority, then those whose job can still be in time:
+jobs that have begun before new ones, so that a full pool finishes what it
+has, and the one with the least time left first. Jobs that a team sends
+beyond its rate come last, teams above their share after the others.
 """
 
 import collections
@@ -23,6 +24,8 @@
 
 STOP_AGAIN_SECONDS = 0.5
 THROTTLE_AGAIN_SECONDS = 0.3
+# A job that has not begun and has less time to spare will not be in time.
+BEGIN_LAXITY_SECONDS = 0.25
 # Starts in one turn, so that a turn stays short.
 STARTS_PER_TURN = 120
 PREEMPT_AGAIN_SECONDS = 1.0
@@ -143,13 +146,22 @@
 
     def _rank(
         self, step: runs.StepRun, shares: t.Mapping[str, float]
-    ) -> tuple[int, bool, bool, float]:
+    ) -> tuple[int, bool, bool, bool, bool, float]:
         queue = self._queue(step)
         if step.step.long_running:
-            return (queue.priority, False, False, step.ready_at)
+            return (queue.priority, False, False, False, False, step.ready_at)
+        job = step.job
         laxity = self._laxity(step, queue)
-        over_share = shares.get(step.job.job.team, 0.0) > 1.0
-        return (queue.priority, laxity < 0.0, over_share, laxity)
+        late = laxity < (0.0 if job.started else BEGIN_LAXITY_SECONDS)
+        over_share = shares.get(job.job.team, 0.0) > 1.0
+        return (
+            queue.priority,
+            job.beyond_share,
+            late,
+            not job.started,
+            over_share,
+            laxity,
+        )
 
     def _laxity(self, step: runs.StepRun, queue: rules.Queue) -> float:
         """Return the time left before the objective can't be met."""
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -12,6 +12,7 @@
 from agaterudder.jobs import journal
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
+from agaterudder.jobs import rates
 from agaterudder.jobs import rules
 from agaterudder.jobs import runs
 from agaterudder.jobs import teamlimits
@@ -51,6 +52,7 @@
         "unseen",
         "_run_count",
         "unwanted",
+        "_rates",
     )
 
     def __init__(
@@ -81,6 +83,7 @@
         self.unseen: set[str] = set()
         self._run_count = 0
         self.unwanted: list[runs.Run] = []
+        self._rates: dict[str, rates.Rate] = {}
 
     # Jobs
 
@@ -99,6 +102,9 @@
         found.progress = progress
         found.row_version = row_version
         found.started = row_version > 0
+        found.beyond_share = not self._rates.setdefault(
+            job.team, rates.Rate()
+        ).take(self.limits.weight(job.team), accepted_at)
         self.jobs[job.job] = found
         self.unready[job.job] = found
 
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -257,6 +257,7 @@
     :ivar row_version: version of its row of progress, 0 without one.
     :ivar recovered: was accepted before this holder took the pool, so
         that its tasks may run where nobody can look yet.
+    :ivar beyond_share: its team sends more jobs a second than its weight.
     :ivar ending: the end that is to be stored, None while it goes on.
     :ivar ending_stored: nothing more is stored of it.
     """
@@ -273,6 +274,7 @@
         "ending",
         "ending_stored",
         "cancelled",
+        "beyond_share",
     )
 
     def __init__(
@@ -288,6 +290,7 @@
         self.started = False
         self.ending: model.Ended | None = None
         self.ending_stored = False
+        self.beyond_share = False
         self.cancelled = False
 
     def due_at(self, occurrence: int) -> float:
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -206,3 +206,17 @@
     When a worker that nobody has looked at lists a run of the job
     Then its lease has not lapsed after 5.9 seconds of silence
     And its lease has lapsed after 6.5 seconds of silence
+
+  Scenario Outline: With room for one task, of <first> and <second>
+    Given a pool with room for 1 task
+    And a job "a" that <first>
+    And a job "b" that <second>
+    When the pool is planned
+    Then only job "a" has a run
+
+    Examples:
+      | first                    | second                            |
+      | came 0.5 seconds ago     | came just now                     |
+      | came just now            | came 9 seconds ago                |
+      | came just now            | came 1.1 seconds ago              |
+      | came just now            | is the third within a second      |
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -9,6 +9,8 @@
 from agaterudder.jobs import orders
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
+from agaterudder.jobs import rates
+from agaterudder.jobs import rules
 from agaterudder.jobs import runs
 from agaterudder import resources
 from tests import job_builders
@@ -85,6 +87,57 @@
     context.state = job_builders.state(context.workers)
 
 
+@behave.given("a pool with room for 1 task")
+def step_small_pool(context: Context) -> None:
+    context.now = job_builders.START
+    context.orders = []
+    size = resources.Vector(1.0, 1_000.0)
+    context.state = job_builders.state(
+        [job_builders.worker("w1", size=size)],
+        job_builders.configuration(
+            teams=(
+                rules.Team("tally", weight=2.0),
+                rules.Team("grants", weight=2.0),
+            )
+        ),
+    )
+
+
+@behave.given('a job "{name}" that came {age:g} seconds ago')
+def step_aged(context: Context, name: str, age: float) -> None:
+    _come(context, name, context.now - age)
+
+
+@behave.given('a job "{name}" that came just now')
+def step_new(context: Context, name: str) -> None:
+    _come(context, name, context.now)
+
+
+@behave.given('a job "{name}" that is the third within a second')
+def step_third(context: Context, name: str) -> None:
+    for _ in range(2):
+        context.state._rates.setdefault("grants", rates.Rate()).take(
+            2.0, context.now - 0.1
+        )
+    _come(context, name, context.now - 0.1, "grants")
+
+
+def _come(
+    context: Context, name: str, accepted_at: float, team: str = "tally"
+) -> None:
+    job = job_builders.job(
+        job_builders.step(count=1), job=name * 16, team=team
+    )
+    context.state.accept(job, model.Progress(), 0, accepted_at, False)
+    context.state.create_due(0.0, accepted_at)
+
+
+@behave.then('only job "{name}" has a run')
+def step_only_run(context: Context, name: str) -> None:
+    found = {run.task_name.partition(".")[0] for run in _runs(context)}
+    assert found == {name * 16}, found
+
+
 @behave.given("a job of {count:d} tasks of 1 core")
 def step_job(context: Context, count: int) -> None:
     _accept(context, job_builders.job(job_builders.step(count=count)))
