A failed task waits for a worker that did not fail it

A worker that fails all it starts would use up a sound job's attempts so. Change: workers that failed a task are taken again only when all have; ends other than done are logged.

--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -251,20 +251,14 @@
         candidates: list[fleet.WorkerState],
     ) -> fleet.WorkerState | None:
         need = self._state.room_of(step)
+        others = [
+            worker for worker in candidates if worker.name not in task.avoid
+        ]
         fitting = [
             worker
-            for worker in candidates
-            if need.fits_in(worker.free)
-            and (worker.name not in task.avoid or len(candidates) == 1)
-            and self._within_spread(step, worker)
+            for worker in others or candidates
+            if need.fits_in(worker.free) and self._within_spread(step, worker)
         ]
-        if not fitting and task.avoid:
-            fitting = [
-                worker
-                for worker in candidates
-                if need.fits_in(worker.free)
-                and self._within_spread(step, worker)
-            ]
         near = self._near(step, fitting, candidates)
         if not near:
             return None
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -418,7 +418,8 @@
             if ended.checkpoint:
                 run.checkpoint = ended.checkpoint
             self.run_over(run, now)
-        LOG.debug(
+        LOG.log(
+            logging.DEBUG if ended.how == ports.END_DONE else logging.INFO,
             "run ended",
             extra={
                 "task": ended.task,
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -220,3 +220,15 @@
       | came just now            | came 9 seconds ago                |
       | came just now            | came 1.1 seconds ago              |
       | came just now            | is the third within a second      |
+
+  Scenario: A failed task waits for a worker that did not fail it
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And its run is listed as failed
+    And the other worker has no room
+    And the pool is planned
+    Then 1 starts are ordered
+    When the other worker has room again
+    And the pool is planned
+    Then 2 starts are ordered
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -416,6 +416,21 @@
     assert context.worker.lapsed(context.now + seconds)
 
 
+@behave.when("the other worker has no room")
+def step_full(context: Context) -> None:
+    (context.other,) = [
+        worker
+        for worker in context.state.workers.values()
+        if worker is not context.run.worker
+    ]
+    context.other.used = context.other.entry.size
+
+
+@behave.when("the other worker has room again")
+def step_room_again(context: Context) -> None:
+    context.other.used = resources.ZERO
+
+
 @behave.when("a worker joins")
 def step_joins(context: Context) -> None:
     context.state.adopt_worker(job_builders.worker("w9"))
