--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -62,8 +62,6 @@
         "draining",
         "set_aside_until",
         "failures_in_a_row",
-        "slow_factor",
-        "finished_runs",
         "runs",
         "used",
         "clock",
@@ -95,8 +93,6 @@
         self.draining = False
         self.set_aside_until = 0.0
         self.failures_in_a_row = 0
-        self.slow_factor = 1.0
-        self.finished_runs = 0
         self.runs: dict[tuple[str, int], runs.Run] = {}
         self.used = resources.ZERO
         self.clock = 0.0
@@ -225,7 +221,6 @@
         self.clock_at = 0.0
         self.failures_in_a_row = 0
         self.set_aside_until = 0.0
-        self.slow_factor = 1.0
 
 
 def racks(workers: list[WorkerState]) -> dict[str, list[WorkerState]]:
--- a/src/agaterudder/jobs/frontdoor.py
+++ b/src/agaterudder/jobs/frontdoor.py
@@ -108,6 +108,9 @@
                 outcome = codes.Refused(
                     codes.Result.OUTCOME_UNKNOWN, again.reason
                 )
+        self._metrics.count(
+            "submissions", team=caller.team, outcome=_code(outcome)
+        )
         LOG.info(
             "submit",
             extra={
@@ -307,6 +310,12 @@
         return [queue.pool, *(name for name in others if name != queue.pool)]
 
 
+def _code(outcome: t.Any) -> str:
+    if isinstance(outcome, codes.Refused):
+        return outcome.code.name
+    return "ACCEPTED"
+
+
 def _name(outcome: t.Any) -> str:
     if isinstance(outcome, codes.Refused):
         return f"{outcome.code.name}: {outcome.reason}"
--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -739,6 +739,13 @@
         now = clock.now()
         workers = state.workers.values()
         usable = [worker for worker in workers if worker.takes_work(now)]
+        waiting = round(sizing.waiting_cores(state), 1)
+        self._metrics.gauge("pool_jobs", len(state.jobs), pool=self.pool)
+        self._metrics.gauge("pool_usable", len(usable), pool=self.pool)
+        self._metrics.gauge("pool_waiting_cores", waiting, pool=self.pool)
+        self._metrics.gauge(
+            "pool_unstored", len(state.journal), pool=self.pool
+        )
         LOG.info(
             "pool status",
             extra={
@@ -747,7 +754,7 @@
                 "workers": len(state.workers),
                 "usable": len(usable),
                 "free": round(sum(w.free.cores for w in usable), 1),
-                "waiting": round(sizing.waiting_cores(state), 1),
+                "waiting": waiting,
                 "runs": sum(len(worker.runs) for worker in workers),
                 "unstored": len(state.journal),
                 "lease": round(self.lease.valid_until - now, 2),
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -17,6 +17,7 @@
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import rules
 from agaterudder.jobs import runs
+from agaterudder.jobs import stragglers
 from agaterudder.jobs import throttling
 from agaterudder import resources
 
@@ -54,6 +55,7 @@
         """Return the orders of this turn."""
         state = self._state
         self._empty_leaving()
+        self._move_stragglers()
         self._stop_unwanted()
         self._throttle()
         recovering = state.recovering(self._now)
@@ -83,6 +85,26 @@
             ):
                 run.stop_reason = f"worker leaves: {worker.leaving}"
 
+    def _move_stragglers(self) -> None:
+        """Start tasks again that a slow or stuck worker holds up."""
+        state = self._state
+        for step in state.ready.values():
+            if step.finished or step.step.long_running:
+                continue
+            for run in [run for task in step.tasks for run in task.runs]:
+                if not stragglers.held_up(run, state.bounds.stop):
+                    continue
+                need = state.room_of(step)
+                if any(
+                    need.fits_in(other.free)
+                    for other in self._usable
+                    if other is not run.worker
+                ):
+                    assert run.task is not None
+                    run.task.moves += 1
+                    run.task.avoid.add(run.worker.name)
+                    run.stop_reason = "its worker is slow"
+
     def _has_place(self, worker: fleet.WorkerState) -> bool:
         """Return whether each lasting task fits on some other worker."""
         steps = [
@@ -266,9 +288,7 @@
             return min(near, key=self._disturbance)
         if step.step.long_running:
             return max(near, key=lambda worker: worker.free.cores)
-        return min(
-            near, key=lambda worker: (worker.slow_factor, worker.free.cores)
-        )
+        return min(near, key=lambda worker: worker.free.cores)
 
     def _near(
         self,
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -369,6 +369,7 @@
         if item.checkpoint:
             run.checkpoint = item.checkpoint
         run.progress = item.progress
+        run.listed_at = now
         run.reading = item.reading
 
     def _adopt(
@@ -469,7 +470,7 @@
         if run is not None and run.working_since and not task.checkpoint:
             seconds = now - run.working_since
             self.estimates.learn(step, seconds)
-            worker.finished_runs += 1
+            step.durations.append((worker.name, seconds))
         worker.failures_in_a_row = 0
         members = step.tasks if step.step.gang else [task]
         for member in members:
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -34,6 +34,7 @@
     :ivar stop_sent_at: when a stop was last sent, 0 before.
     :ivar stop_answered_at: when the worker answered a stop, 0 before.
     :ivar progress: per cent of its work; 100 for a lasting task at work.
+    :ivar listed_at: when its progress was last listed.
     :ivar throttled_to: share of its speed that it was last told to use.
     """
 
@@ -48,6 +49,7 @@
         "working_since",
         "checkpoint",
         "progress",
+        "listed_at",
         "throttled_to",
         "throttle_sent_at",
         "reading",
@@ -80,6 +82,7 @@
         self.working_since = 0.0
         self.checkpoint = ""
         self.progress = 0
+        self.listed_at = 0.0
         self.throttled_to = 100
         self.throttle_sent_at = 0.0
         self.reading: float | None = None
@@ -121,6 +124,7 @@
     :ivar runs: runs that are not known to be over.
     :ivar avoid: workers on which it failed.
     :ivar not_before: its next start waits until then.
+    :ivar moves: how often it was started again for a slow worker.
     """
 
     __slots__ = (
@@ -133,6 +137,7 @@
         "avoid",
         "not_before",
         "preempted_at",
+        "moves",
     )
 
     def __init__(self, name: str, step: "StepRun", index: int) -> None:
@@ -145,6 +150,7 @@
         self.avoid: set[str] = set()
         self.not_before = 0.0
         self.preempted_at = 0.0
+        self.moves = 0
 
     @property
     def waiting(self) -> bool:
@@ -158,6 +164,7 @@
     :ivar ready_at: when all earlier steps were seen to be done, 0 before.
     :ivar tickets: what the placement policy allowed, None before.
     :ivar asking: whether the policy is being asked.
+    :ivar durations: workers of the tasks that are done, and seconds.
     """
 
     __slots__ = (
@@ -170,6 +177,7 @@
         "ready_at",
         "tickets",
         "asking",
+        "durations",
     )
 
     def __init__(
@@ -183,6 +191,7 @@
         self.ready_at = 0.0
         self.tickets: Tickets | None = None
         self.asking = False
+        self.durations: list[tuple[str, float]] = []
         self.tasks = [
             Task(
                 model.task_name(job.job.job, occurrence, number, index),
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -232,3 +232,21 @@
     When the other worker has room again
     And the pool is planned
     Then 2 starts are ordered
+
+  Scenario Outline: A task at <progress> per cent after 2 s, others took <others> s
+    Given a pool with 2 workers
+    And a job of 20 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And <others> seconds pass
+    And all but one of the first worker are done
+    And it is listed at <progress> per cent after 2 seconds
+    And the pool is planned
+    Then <stops> stops are ordered
+
+    Examples:
+      | others | progress | stops |
+      | 1.0    | 0        | 1     |
+      | 1.0    | 10       | 1     |
+      | 1.0    | 70       | 0     |
+      | 1.9    | 40       | 0     |
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -431,6 +431,19 @@
     context.other.used = resources.ZERO
 
 
+@behave.when("all but one of the first worker are done")
+def step_all_but_one(context: Context) -> None:
+    context.run, *others = _runs(context)
+    for run in others:
+        _end(context, run, ports.END_DONE)
+
+
+@behave.when("it is listed at {progress:d} per cent after 2 seconds")
+def step_straggles(context: Context, progress: int) -> None:
+    context.now = job_builders.START + 2.0
+    _list(context, progress)
+
+
 @behave.when("a worker joins")
 def step_joins(context: Context) -> None:
     context.state.adopt_worker(job_builders.worker("w9"))
