--- /dev/null
+++ b/src/agaterudder/jobs/inbox.py
@@ -0,0 +1,139 @@
+"""Takes what callers stored for a pool: jobs and cancellations."""
+
+import logging
+
+import msgspec
+
+from agaterudder.jobs import clock
+from agaterudder.jobs import context as contexts
+from agaterudder.jobs import following
+from agaterudder.jobs import model
+from agaterudder.jobs import ports
+from agaterudder.jobs import wallclock
+
+LOG = logging.getLogger(__name__)
+
+WAIT_SECONDS = 2.0
+
+
+class _Rows:
+    """The stored jobs and cancellations of a pool, to be followed."""
+
+    __slots__ = ("_store", "_table", "_pool")
+
+    def __init__(self, store: ports.Store, pool: str) -> None:
+        self._store = store
+        self._pool = pool
+        self._table = model.jobs_table(pool)
+
+    def whole(self) -> tuple[tuple[ports.Row, ...], int]:
+        """Return all rows, and their version."""
+        scan = self._store.scan(self._table, self._pool)
+        return scan.rows, scan.version
+
+    def changes(
+        self, after: int, wait_seconds: float
+    ) -> tuple[tuple[ports.Row, ...], int] | ports.HistoryLost:
+        """Wait for changed rows."""
+        found = self._store.changes(self._table, after, wait_seconds)
+        if isinstance(found, ports.HistoryLost):
+            return found
+        return found.rows, found.version
+
+
+class Inbox:
+    """Follows the stored jobs of a pool."""
+
+    __slots__ = ("_context", "_follower")
+
+    def __init__(self, context: contexts.Context) -> None:
+        self._context = context
+        self._follower = following.Follower(
+            f"jobs of {context.pool}",
+            _Rows(context.store, context.pool),
+            self._whole,
+            self._changed,
+            WAIT_SECONDS,
+        )
+
+    def run(self) -> None:
+        """Follow for ever."""
+        self._follower.run()
+
+    def recover(self) -> None:
+        """Take what is stored, with its progress.
+
+        :raises CallFailed: when the store did not answer.
+        """
+        now = clock.now()
+        pool = self._context.pool
+        store = self._context.store
+        scan = store.scan(model.jobs_table(pool), pool)
+        progress = {
+            row.key: row for row in store.scan(model.PROGRESS_TABLE, pool).rows
+        }
+        self._take_rows(scan.rows, scan.clock, progress, True)
+        self._follower.start_from(scan.version, now)
+        self._context.state.create_due(wallclock.now(), now)
+
+    def _whole(self, rows: tuple[ports.Row, ...]) -> None:
+        """Take all rows after the history was lost."""
+        self._changed(rows)
+
+    def _changed(self, rows: tuple[ports.Row, ...]) -> None:
+        present = tuple(row for row in rows if row.version)
+        self._take_rows(present, self._context.store_clock(), {}, False)
+        self._context.plan.set()
+
+    def _take_rows(
+        self,
+        rows: tuple[ports.Row, ...],
+        store_clock: float,
+        progress: dict[str, ports.Row],
+        recovered: bool,
+    ) -> None:
+        now = clock.now()
+        for row in rows:
+            if row.key.endswith(model.CANCEL_SUFFIX):
+                continue
+            self._take_job(row, store_clock, progress, recovered, now)
+        for row in rows:
+            if row.key.endswith(model.CANCEL_SUFFIX):
+                self._take_cancel(row, store_clock, now)
+
+    def _take_job(
+        self,
+        row: ports.Row,
+        store_clock: float,
+        progress: dict[str, ports.Row],
+        recovered: bool,
+        now: float,
+    ) -> None:
+        try:
+            job = model.decode(row.value, model.Job)
+            stored = progress.get(row.key)
+            known = (
+                model.decode(stored.value, model.Progress)
+                if stored is not None
+                else model.Progress()
+            )
+        except msgspec.MsgspecError as error:
+            LOG.warning(
+                "row left out",
+                extra={"table": row.table, "row": row.key, "why": error},
+            )
+            return
+        age = min(max(store_clock - job.accepted_at, 0.0), now)
+        version = stored.version if stored is not None else 0
+        self._context.state.accept(job, known, version, now - age, recovered)
+
+    def _take_cancel(
+        self, row: ports.Row, store_clock: float, now: float
+    ) -> None:
+        name = row.key.removesuffix(model.CANCEL_SUFFIX)
+        if name in self._context.state.jobs:
+            self._context.state.cancel(name, store_clock, now)
+        else:
+            table = model.jobs_table(self._context.pool)
+            self._context.state.journal.remove(ports.Delete(table, row.key))
+        self._context.write.set()
--- /dev/null
+++ b/src/agaterudder/jobs/ordering.py
@@ -0,0 +1,182 @@
+"""Carries out the orders of a pool's planning."""
+
+import logging
+
+import gevent
+import gevent.pool
+
+from agaterudder.jobs import clock
+from agaterudder.jobs import context as contexts
+from agaterudder.jobs import orders
+from agaterudder.jobs import ports
+from agaterudder.jobs import roster as rosters
+from agaterudder.jobs import runs
+
+LOG = logging.getLogger(__name__)
+
+TIMEOUT_SECONDS = 0.8
+ORDERS_AT_ONCE = 256
+POLICY_RETRY_SECONDS = 0.1
+# The policy takes one question at a time; ours may wait behind others.
+POLICY_PATIENCE = 4
+
+
+class Ordering:
+    """Sends orders to workers and notes their answers."""
+
+    __slots__ = ("_context", "_roster", "_policy", "_tasks")
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        roster: rosters.Roster,
+        policy: ports.Policy | None,
+    ) -> None:
+        self._context = context
+        self._roster = roster
+        self._policy = policy
+        self._tasks = gevent.pool.Pool(ORDERS_AT_ONCE)
+
+    def spawn(self, order: orders.Order) -> None:
+        """Carry an order out beside the others."""
+        self._tasks.spawn(self._carry_out, order)
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        gevent.killall(list(self._tasks.greenlets), block=False)
+
+    def _carry_out(self, order: orders.Order) -> None:
+        match order:
+            case orders.Start():
+                self._start_run(order)
+            case orders.Stop(run=run):
+                self._stop_run(run)
+            case orders.Throttle(run=run, percent=percent):
+                self._throttle(run, percent)
+            case orders.AskPolicy():
+                self._ask_policy(order)
+        self._context.plan.set()
+
+    def _start_run(self, order: orders.Start) -> None:
+        run = order.run
+        if not self._context.may_order() or run.task is None:
+            self._context.state.rejected(
+                run, "not sent: no lease", clock.now()
+            )
+            return
+        job = run.task.step.job
+        sent_at = clock.now()
+        answer = run.worker.link.start(
+            ports.StartOrder(
+                run.task_name,
+                run.number,
+                job.job.request.text,
+                run.deadline,
+                self._context.lease.epoch,
+                order.checkpoint,
+                order.ticket,
+            ),
+            TIMEOUT_SECONDS,
+        )
+        now = clock.now()
+        self._context.metrics.observe(
+            "worker_start", now - sent_at, pool=self._context.pool
+        )
+        match answer:
+            case ports.Started():
+                self._context.state.started(run, now)
+                self._roster.wake(run.worker)
+            case ports.Rejected(reason=ports.REJECTED_FENCED):
+                self._context.state.rejected(run, ports.REJECTED_FENCED, now)
+                self._context.deposed("a worker met a higher epoch")
+            case ports.Rejected(reason=reason):
+                self._context.state.rejected(run, reason, now)
+            case ports.NoAnswer(reason=reason, sent=False):
+                run.worker.failed_at = run.worker.failed_at or now
+                self._context.state.rejected(run, f"not sent: {reason}", now)
+            case ports.NoAnswer(reason=reason):
+                self._context.state.unanswered(run, reason, now)
+                self._roster.wake(run.worker)
+
+    def _stop_run(self, run: runs.Run) -> None:
+        if not self._context.may_order():
+            return
+        LOG.info(
+            "stop",
+            extra={
+                "task": run.task_name,
+                "run": run.number,
+                "worker": run.worker.name,
+                "why": run.stop_reason,
+            },
+        )
+        answer = run.worker.link.stop(
+            run.task_name,
+            run.number,
+            self._context.lease.epoch,
+            TIMEOUT_SECONDS,
+        )
+        match answer:
+            case ports.Done():
+                run.stop_answered_at = clock.now()
+                self._roster.wake(run.worker)
+            case ports.Rejected(reason=ports.REJECTED_FENCED):
+                self._context.deposed("a worker met a higher epoch")
+            case ports.Rejected(reason=ports.REJECTED_OTHER_LIFE):
+                self._context.state.run_over(run, clock.now())
+            case other:
+                LOG.info(
+                    "stop not answered",
+                    extra={"task": run.task_name, "why": other},
+                )
+
+    def _throttle(self, run: runs.Run, percent: int) -> None:
+        if not self._context.may_order():
+            return
+        answer = run.worker.link.throttle(
+            run.task_name,
+            run.number,
+            percent,
+            self._context.lease.epoch,
+            TIMEOUT_SECONDS,
+        )
+        if isinstance(answer, ports.Done):
+            run.throttled_to = percent
+        LOG.info(
+            "throttle",
+            extra={
+                "task": run.task_name,
+                "percent": percent,
+                "answer": type(answer).__name__,
+            },
+        )
+
+    def _ask_policy(self, order: orders.AskPolicy) -> None:
+        step = order.step
+        queue = self._context.state.queues.get(step.job.job.queue)
+        try:
+            if self._policy is None or queue is None or queue.policy is None:
+                LOG.warning("no placement policy", extra={"step": step.name})
+                return
+            expected = queue.policy.decide + queue.policy.each * len(
+                order.workers
+            )
+            asked_at = clock.now()
+            answer = self._policy.ask(
+                step.name,
+                order.workers,
+                expected * POLICY_PATIENCE + TIMEOUT_SECONDS,
+            )
+        finally:
+            step.asking = False
+        if isinstance(answer, ports.NoAnswer):
+            LOG.info(
+                "policy not answered",
+                extra={"step": step.name, "why": answer.reason},
+            )
+            gevent.sleep(POLICY_RETRY_SECONDS)
+            return
+        valid = answer.valid_seconds or queue.policy.valid
+        step.tickets = runs.Tickets(
+            set(order.workers), answer.by_worker, asked_at + valid
+        )
--- /dev/null
+++ b/src/agaterudder/jobs/roster.py
@@ -0,0 +1,260 @@
+"""Workers of a pool: who is registered, and who was used.
+
+The workers that a pool uses are stored before a task starts on them, so
+that the next holder knows where tasks may run.
+"""
+
+import logging
+import typing as t
+
+import gevent
+import msgspec
+
+from agaterudder.jobs import beliefs
+from agaterudder.jobs import clock
+from agaterudder.jobs import context as contexts
+from agaterudder.jobs import fleet
+from agaterudder.jobs import machines
+from agaterudder.jobs import model
+from agaterudder.jobs import ports
+from agaterudder.jobs import workerloop
+
+LOG = logging.getLogger(__name__)
+
+WORKERS_KEY = "workers"
+RETRY_SECONDS = 0.1
+
+
+class KnownWorker(msgspec.Struct, frozen=True, array_like=True):
+    """A worker that tasks of a pool were started on."""
+
+    worker: str
+    address: str
+    data_centre: str
+    born: int
+
+
+class Roster:
+    """Keeps the workers of a pool.
+
+    :param connect: returns the link to a worker.
+    :param longest_lease: longest lease of a worker, seconds.
+    """
+
+    __slots__ = (
+        "_holder",
+        "_context",
+        "_beliefs",
+        "_connect",
+        "_view",
+        "_longest_lease",
+        "_loops",
+        "_recorded",
+        "_recorded_version",
+        "_ended_lives",
+    )
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        known: beliefs.Beliefs,
+        connect: t.Callable[[ports.WorkerEntry], ports.Worker],
+        view: machines.View,
+        longest_lease: float,
+        holder: workerloop.PoolHolder,
+    ) -> None:
+        self._holder = holder
+        self._context = context
+        self._beliefs = known
+        self._connect = connect
+        self._view = view
+        self._longest_lease = longest_lease
+        self._loops: dict[str, workerloop.WorkerLoop] = {}
+        self._recorded: dict[str, KnownWorker] = {}
+        self._recorded_version = 0
+        self._ended_lives: dict[str, int] = {}
+
+    def recover(self) -> None:
+        """Take the workers that earlier holders used.
+
+        :raises CallFailed: when the store did not answer.
+        """
+        row = self._context.store.read(
+            model.HOLDERS_TABLE, self._context.pool, WORKERS_KEY
+        )
+        if row is not None:
+            self._recorded_version = row.version
+            found = model.decode(row.value, list[KnownWorker])
+            self._recorded = {item.worker: item for item in found}
+        self._recover_workers()
+
+    def stop(self) -> None:
+        """Stop looking at the workers."""
+        for loop in self._loops.values():
+            loop.stop()
+
+    def wake(self, worker: fleet.WorkerState) -> None:
+        """Look at a worker soon."""
+        loop = self._loops.get(worker.name)
+        if loop is not None:
+            loop.wake()
+
+    def _recover_workers(self) -> None:
+        listed = self._beliefs.workers
+        for item in self._recorded.values():
+            entry = listed.get(item.worker) or ports.WorkerEntry(
+                item.worker,
+                self._context.pool,
+                item.address,
+                item.data_centre,
+                ports.WORKER_DRAINING,
+                fleet.NO_ROOM,
+                (),
+                "",
+                item.born,
+            )
+            worker = self._add_worker(entry)
+            worker.recorded = True
+            self._context.state.unseen.add(worker.name)
+
+    def match(self) -> None:
+        """Match the workers with their registrations."""
+        listed = {
+            name: entry
+            for name, entry in self._beliefs.workers.items()
+            if entry.pool == self._context.pool
+            and self._ended_lives.get(name) != entry.born
+        }
+        self._ended_lives = {
+            name: born
+            for name, born in self._ended_lives.items()
+            if name in self._beliefs.workers
+        }
+        for name, entry in listed.items():
+            worker = self._context.state.workers.get(name)
+            if worker is None:
+                worker = self._add_worker(entry)
+            elif worker.entry != entry:
+                self._update_worker(worker, entry)
+            worker.listed = True
+        now = clock.now()
+        for worker in list(self._context.state.workers.values()):
+            if worker.name not in listed and worker.listed:
+                LOG.info("worker not listed", extra={"worker": worker.name})
+                worker.listed = False
+                worker.unlisted_at = now
+                self.wake(worker)
+        if any(not w.recorded for w in self._context.state.workers.values()):
+            self._context.record.set()
+
+    def _add_worker(self, entry: ports.WorkerEntry) -> fleet.WorkerState:
+        worker = fleet.WorkerState(entry, self._connect(entry))
+        _note_draining(worker, entry)
+        worker.idle_since = clock.now()
+        self._context.state.adopt_worker(worker)
+        loop = workerloop.WorkerLoop(worker, self._holder, self._longest_lease)
+        self._loops[worker.name] = loop
+        loop.start()
+        return worker
+
+    def _update_worker(
+        self, worker: fleet.WorkerState, entry: ports.WorkerEntry
+    ) -> None:
+        if entry.address != worker.entry.address:
+            worker.link.close()
+            worker.link = self._connect(entry)
+        if entry.born > worker.born:
+            self._context.state.worker_born(worker, entry.born, clock.now())
+        worker.entry = entry
+        _note_draining(worker, entry)
+        self.wake(worker)
+
+    def forget_worker(self, worker: fleet.WorkerState) -> None:
+        """Forget a worker that is gone and runs nothing."""
+        if worker.ended:
+            self._ended_lives[worker.name] = worker.born
+        self._context.state.workers.pop(worker.name, None)
+        self._context.state.unseen.discard(worker.name)
+        self._loops.pop(worker.name, None)
+        self._context.record.set()
+        self._context.plan.set()
+
+    def life_over(self, worker: fleet.WorkerState, since: float) -> str:
+        """Return why a silent worker's life is over, empty if it is not."""
+        return self._view.life_over(worker.name, since)
+
+    def worker_ended(self, worker: fleet.WorkerState, reason: str) -> None:
+        """Note that all that ran on a worker was ended."""
+        now = clock.now()
+        self._context.state.worker_over(worker, reason, now)
+        for run in list(worker.runs.values()):
+            # The machine's next worker has another name.
+            self._context.state.run_over(run, now)
+        worker.fenced = False
+        worker.ended = True
+        self.wake(worker)
+        self._context.plan.set()
+
+    def record_for_ever(self) -> None:
+        """Store which workers this pool uses, before it starts there."""
+        while True:
+            self._context.record.wait()
+            self._context.record.clear()
+            while not self._record_workers():
+                gevent.sleep(RETRY_SECONDS)
+            self._context.plan.set()
+
+    def _record_workers(self) -> bool:
+        present = list(self._context.state.workers.values())
+        wanted = {
+            worker.name: KnownWorker(
+                worker.name,
+                worker.entry.address,
+                worker.entry.data_centre,
+                worker.born,
+            )
+            for worker in present
+        }
+        outcome = self._context.store.transact(
+            self._context.pool,
+            [
+                self._context.epoch,
+                ports.Check(
+                    model.HOLDERS_TABLE, WORKERS_KEY, self._recorded_version
+                ),
+            ],
+            [
+                ports.Put(
+                    model.HOLDERS_TABLE,
+                    WORKERS_KEY,
+                    model.encode(list(wanted.values())),
+                )
+            ],
+        )
+        match outcome:
+            case ports.Committed(version=version):
+                self._recorded = wanted
+                self._recorded_version = version
+                for worker in present:
+                    worker.recorded = True
+                return True
+            case ports.Conflicted(rows=rows):
+                self._context.check_fenced_off(rows)
+                self._recorded_version = next(
+                    (row.version for row in rows if row.key == WORKERS_KEY), 0
+                )
+                return False
+            case _:
+                return False
+
+
+def _note_draining(
+    worker: fleet.WorkerState, entry: ports.WorkerEntry
+) -> None:
+    draining = entry.state == ports.WORKER_DRAINING
+    if draining and not worker.draining:
+        LOG.info("worker drains", extra={"worker": worker.name})
+        worker.leave("draining", clock.now())
+    if not draining and worker.draining:
+        worker.leaving = ""
+    worker.draining = draining
--- /dev/null
+++ b/src/agaterudder/jobs/storing.py
@@ -0,0 +1,149 @@
+"""Stores the progress of a pool, and tells others of it."""
+
+import logging
+
+import gevent
+import gevent.event
+
+from agaterudder import codes
+from agaterudder.jobs import clock
+from agaterudder.jobs import context as contexts
+from agaterudder.jobs import model
+from agaterudder.jobs import ports
+from agaterudder.jobs import sizing
+
+LOG = logging.getLogger(__name__)
+
+BATCH_SECONDS = 0.025
+TURN_SECONDS = 0.1
+RETRY_SECONDS = 0.1
+PENDING_SECONDS = 1.0
+
+
+class Storing:
+    """Writes the journal of a pool in batches."""
+
+    __slots__ = ("_context", "_stored")
+
+    def __init__(self, context: contexts.Context) -> None:
+        self._context = context
+        self._stored = gevent.event.Event()
+
+    def wait_stored(self, mark: int, timeout: float) -> bool:
+        """Wait until marks up to one are stored; return whether they are."""
+        self._context.write.set()
+        until = clock.now() + timeout
+        while self._context.state.journal.stored < mark:
+            left = until - clock.now()
+            if left <= 0:
+                return False
+            self._stored.clear()
+            self._stored.wait(left)
+        return True
+
+    def write_for_ever(self) -> None:
+        """Store what is not stored, in batches."""
+        while True:
+            self._context.write.wait(TURN_SECONDS)
+            self._context.write.clear()
+            gevent.sleep(BATCH_SECONDS)
+            while (
+                len(self._context.state.journal) and not self._context.stopped
+            ):
+                if not self._write_batch():
+                    gevent.sleep(RETRY_SECONDS)
+
+    def _write_batch(self) -> bool:
+        """Store one batch; return whether it is stored."""
+        journal = self._context.state.journal
+        batch = journal.batch(
+            self._context.pool,
+            self._context.epoch,
+            self._context.store_clock(),
+        )
+        outcome = self._context.store.transact(
+            self._context.pool, batch.checks, batch.puts, batch.deletes
+        )
+        match outcome:
+            case ports.Committed(version=version):
+                for job in journal.committed(batch, version):
+                    self._context.state.ended_stored(job)
+                self._stored.set()
+                return True
+            case ports.Conflicted(rows=rows):
+                self._context.check_fenced_off(rows)
+                LOG.info(
+                    "progress conflicts",
+                    extra={
+                        "pool": self._context.pool,
+                        "jobs": [job.job.job for job in batch.jobs],
+                        "rows": [(row.key, row.version) for row in rows],
+                    },
+                )
+                journal.conflicted(batch, rows)
+                return False
+            case codes.Refused() as refused:
+                LOG.info(
+                    "progress not stored",
+                    extra={
+                        "pool": self._context.pool,
+                        "jobs": len(batch.jobs),
+                        "why": refused.reason,
+                    },
+                )
+                journal.take_back(batch)
+                return False
+
+    def publish_for_ever(self) -> None:
+        """Tell of pending jobs, and log the state of the pool."""
+        while True:
+            self._tell_status()
+            content = model.encode(
+                model.Pending(
+                    self._context.store_clock(), self._context.state.pending()
+                )
+            )
+            if self._context.may_order():
+                self._context.store.transact(
+                    model.pending_part(self._context.pool),
+                    [],
+                    [
+                        ports.Put(
+                            model.PENDING_TABLE, model.PENDING_KEY, content
+                        )
+                    ],
+                )
+            gevent.sleep(PENDING_SECONDS)
+
+    def _tell_status(self) -> None:
+        state = self._context.state
+        now = clock.now()
+        workers = state.workers.values()
+        usable = [worker for worker in workers if worker.takes_work(now)]
+        waiting = round(sizing.waiting_cores(state), 1)
+        self._context.metrics.gauge(
+            "pool_jobs", len(state.jobs), pool=self._context.pool
+        )
+        self._context.metrics.gauge(
+            "pool_usable", len(usable), pool=self._context.pool
+        )
+        self._context.metrics.gauge(
+            "pool_waiting_cores", waiting, pool=self._context.pool
+        )
+        self._context.metrics.gauge(
+            "pool_unstored", len(state.journal), pool=self._context.pool
+        )
+        LOG.info(
+            "pool status",
+            extra={
+                "pool": self._context.pool,
+                "jobs": len(state.jobs),
+                "workers": len(state.workers),
+                "usable": len(usable),
+                "free": round(sum(w.free.cores for w in usable), 1),
+                "waiting": waiting,
+                "runs": sum(len(worker.runs) for worker in workers),
+                "unstored": len(state.journal),
+                "lease": round(self._context.lease.valid_until - now, 2),
+            },
+        )
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -8,12 +8,11 @@
 
 from agaterudder.jobs import clock
 from agaterudder.jobs import fleet
+from agaterudder.jobs import ownership
+from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 
-if t.TYPE_CHECKING:
-    from agaterudder.jobs import holder as holders
-
 LOG = logging.getLogger(__name__)
 
 LOOK_WAIT_SECONDS = 1.6
@@ -30,6 +29,31 @@
 UNLISTED_SECONDS = 2.0
 
 
+class PoolHolder(t.Protocol):
+    """What the look at a worker needs of the holder of its pool."""
+
+    lease: ownership.Lease
+    state: pools.Pool
+
+    def may_order(self) -> bool:
+        """Return whether workers may be ordered now."""
+
+    def deposed(self, reason: str) -> None:
+        """Stop, as a higher epoch was met."""
+
+    def heard(self) -> None:
+        """Plan soon, and store what is not stored."""
+
+    def wait_stored(self, mark: int, timeout: float) -> bool:
+        """Wait until marks up to one are stored; return whether they are."""
+
+    def forget_worker(self, worker: fleet.WorkerState) -> None:
+        """Forget a worker that is gone and runs nothing."""
+
+    def life_over(self, worker: fleet.WorkerState, since: float) -> str:
+        """Return why a silent worker's life is over, empty if it is not."""
+
+
 class WorkerLoop:
     """The task that owns the looks at one worker."""
 
@@ -45,7 +69,7 @@
     def __init__(
         self,
         worker: fleet.WorkerState,
-        holder: "holders.Holder",
+        holder: PoolHolder,
         lease_seconds: float,
     ) -> None:
         self._worker = worker
