--- /dev/null
+++ b/tests/features/fleet.feature
@@ -0,0 +1,76 @@
+Feature: Machines are maintained and moved without breaking a promise
+
+  Scenario: No more machines of a wave are down than it allows
+    Given a wave of 5 machines with at most 1 down at once
+    And two pools that hold 3 and 2 of them, without a load
+    When both pools have had 400 turns
+    Then at most 1 machines were down at once
+    And each machine had its upkeep once
+    And the wave was reported as completed once, at the end
+
+  Scenario: A wave goes on with the next holder of the pool
+    Given a wave of 3 machines with at most 1 down at once
+    And two pools that hold 3 and 0 of them, without a load
+    When both pools have had 2 turns
+    And the first pool gets another holder
+    And both pools have had 400 turns
+    Then at most 1 machines were down at once
+    And each machine had its upkeep once
+
+  Scenario: Answers of the machines' API are lost
+    Given a wave of 3 machines with at most 1 down at once
+    And two pools that hold 3 and 0 of them, without a load
+    And each second answer of the machines' API is lost
+    When both pools have had 400 turns
+    Then at most 1 machines were down at once
+    And each machine had its upkeep once
+
+  Scenario: A machine is not ordered before its worker is empty
+    Given a wave of 1 machines with at most 1 down at once
+    And two pools that hold 1 and 0 of them, with a load
+    When both pools have had 20 turns
+    Then no machine had its upkeep
+    When the load has gone
+    And both pools have had 20 turns
+    Then each machine had its upkeep once
+
+  Scenario Outline: Orders for one machine by <orders>
+    Then the last of these orders is <answer>: "<orders>"
+
+    Examples:
+      | orders           | answer  |
+      | a@0              | allowed |
+      | a@0 a@1          | allowed |
+      | a@0 b@1          | allowed |
+      | a@0 b@1 a@2      | refused |
+      | a@0 b@1 b@2 a@3  | refused |
+      | a@0 b@1 a@4      | allowed |
+      | a@0 b@1 c@2      | allowed |
+
+  Scenario Outline: <workers> workers with <free> cores free each, <waiting> cores wait
+    Given a pool of <workers> workers, each with <free> cores free
+    And work of <waiting> cores that waits
+    Then the pool should <answer>
+
+    Examples:
+      | workers | free | waiting | answer   |
+      | 3       | 4    | 0       | keep     |
+      | 3       | 4    | 10      | keep     |
+      | 3       | 0    | 16      | grow 1   |
+      | 3       | 0    | 90      | grow 4   |
+      | 1       | 4    | 0       | grow 1   |
+      | 3       | 16   | 0       | shrink 1 |
+      | 6       | 16   | 0       | shrink 4 |
+      | 2       | 16   | 0       | keep     |
+
+  Scenario: Pools share a team's upper limit without exceeding it
+    Given three pools of a team that may use 100 cores
+    When they ask and hand back at random with seed 3, answers being lost
+    Then never were more than 100 cores granted in all
+    And no pool spent more than its grant
+
+  Scenario: A hand-back without an answer counts at once
+    Given three pools of a team that may use 100 cores
+    When the first is granted 100 cores and hands them back without an answer
+    And the second asks for 60 cores
+    Then never were more than 100 cores granted in all
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -233,20 +233,34 @@
     And the pool is planned
     Then 2 starts are ordered
 
-  Scenario Outline: A task at <progress> per cent after 2 s, others took <others> s
+  Scenario Outline: At <progress> % after <after> s, others took <others> s
     Given a pool with 2 workers
     And a job of 20 tasks of 1 core
     When the pool is planned
     And all runs are listed as running
     And <others> seconds pass
     And all but one of the first worker are done
-    And it is listed at <progress> per cent after 2 seconds
+    And it is listed at <progress> per cent after <after> seconds
     And the pool is planned
     Then <stops> stops are ordered
 
     Examples:
-      | others | progress | stops |
-      | 1.0    | 0        | 1     |
-      | 1.0    | 10       | 1     |
-      | 1.0    | 70       | 0     |
-      | 1.9    | 40       | 0     |
+      | others | after | progress | stops |
+      | 1.0    | 2.0   | 0        | 1     |
+      | 1.0    | 2.0   | 10       | 1     |
+      | 1.0    | 2.0   | 70       | 0     |
+      | 1.9    | 2.0   | 40       | 0     |
+      | 5.0    | 6.0   | 41       | 0     |
+      | 5.0    | 6.0   | 20       | 1     |
+
+  Scenario: A task is started again for a slow worker once only
+    Given a pool with 2 workers
+    And a job of 20 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And 1.0 seconds pass
+    And all but one of the first worker are done
+    And it was started again before
+    And it is listed at 0 per cent after 2.0 seconds
+    And the pool is planned
+    Then 0 stops are ordered
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -438,9 +438,14 @@
         _end(context, run, ports.END_DONE)
 
 
-@behave.when("it is listed at {progress:d} per cent after 2 seconds")
-def step_straggles(context: Context, progress: int) -> None:
-    context.now = job_builders.START + 2.0
+@behave.when("it was started again before")
+def step_moved(context: Context) -> None:
+    context.run.task.moves = 1
+
+
+@behave.when("it is listed at {progress:d} per cent after {after:g} seconds")
+def step_straggles(context: Context, progress: int, after: float) -> None:
+    context.now = job_builders.START + after
     _list(context, progress)
 
 
