--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -71,6 +71,7 @@
 
   Scenario: A hand-back without an answer counts at once
     Given three pools of a team that may use 100 cores
-    When the first is granted 100 cores and hands them back without an answer
+    When the first is granted 100 cores and hands them back, unanswered
     And the second asks for 60 cores
     Then never were more than 100 cores granted in all
+    And the second was granted 60 cores
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -303,7 +303,7 @@
 
 
 @behave.when(
-    "the first is granted {cores:g} cores and hands them back without an answer"
+    "the first is granted {cores:g} cores and hands them back, unanswered"
 )
 def step_hands_back(context: Context, cores: float) -> None:
     size = resources.Vector(cores)
@@ -323,6 +323,12 @@
     _note_grants(context)
 
 
+@behave.then("the second was granted {cores:g} cores")
+def step_second(context: Context, cores: float) -> None:
+    holding = context.limits[1]._account("tally").holding
+    assert holding.grant.cores == cores, holding.grant
+
+
 @behave.then("never were more than {cores:d} cores granted in all")
 def step_granted(context: Context, cores: int) -> None:
     assert max(context.granted) <= cores, max(context.granted)
