--- a/tests/run.py
+++ b/tests/run.py
@@ -23,6 +23,7 @@
 }
 AT_ONCE = 4
 MOST_SECONDS = 900
+MOST_OUTPUT = 4_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +69,7 @@
     """Run one feature; return the outcome of each scenario."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         command = ["behave", "--format", "json", "--outfile", report.name]
+        command += ["--format", "plain"]
         command += ["--no-summary", "--no-capture", str(path)]
         done = subprocess.run(
             [sys.executable, "-m", *command],
@@ -82,7 +84,7 @@
     except ValueError:
         return [Outcome(path.name, False, done.stdout + done.stderr)]
     outcomes = [
-        _scenario(path.stem, scenario)
+        _scenario(path.stem, scenario, done.stdout)
         for feature in features
         for scenario in feature.get("elements", ())
         if scenario["type"] == "scenario"
@@ -92,7 +94,9 @@
     return outcomes
 
 
-def _scenario(feature: str, scenario: dict) -> Outcome:  # type: ignore
+def _scenario(
+    feature: str, scenario: dict, output: str  # type: ignore
+) -> Outcome:
     steps = scenario.get("steps", ())
     messages = [
         f"{step['keyword']} {step['name']}: {step['result']['status']} "
@@ -102,6 +106,9 @@
     ]
     name = f"{feature}: {scenario['name']}"
     passed = scenario.get("status") == "passed" and bool(steps)
+    if not passed:
+        # The report has no traceback of a step that ended with an error.
+        messages.append(output.partition(scenario["name"])[2][:MOST_OUTPUT])
     return Outcome(name, passed, "\n".join(messages))
 
 
