Stand-ins listen below the ports of outgoing connections

Ruled out: slowness (a start takes 2.5 s beside the same load) and the program. Change: ports are chosen below the system's range for outgoing connections (32768 and up); the log's end is shown when a VM does not get ready.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -22,6 +23,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_SECONDS = 20.0
+SERVER_PORTS = (10_240, 32_768)
+LOG_TAIL_CHARACTERS = 600
 OPERATOR = "ane"
 OPERATOR_SECRET = "operator-secret-of-the-stand-in"
 OPERATOR_SALT = "00112233445566778899aabbccddeeff"
@@ -59,10 +62,21 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
+    """Return ports on loopback that were free a moment ago.
+
+    They lie below those that the system gives to outgoing connections,
+    so that no connection takes one before its server listens.
+    """
+    generator = random.SystemRandom()
+    sockets: list[socket.socket] = []
+    while len(sockets) < count:
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", generator.randrange(*SERVER_PORTS)))
+        except OSError:
+            sock.close()
+            continue
+        sockets.append(sock)
     ports = [sock.getsockname()[1] for sock in sockets]
     for sock in sockets:
         sock.close()
@@ -253,7 +267,11 @@
 
     def wait_ready(self, vm: str) -> None:
         """Wait until an entry VM says that it is ready."""
-        self._wait(self.entries[vm], "/readyz")
+        try:
+            self._wait(self.entries[vm], "/readyz")
+        except TimeoutError as error:
+            last = self.log(vm)[-LOG_TAIL_CHARACTERS:]
+            raise TimeoutError(f"{vm} is not ready: {last}") from error
 
     def _wait(self, address: str, path: str) -> None:
         deadline = time.monotonic() + START_SECONDS
