Second read: drop what nothing uses, rename a wire name inside

Cause: a second read of the change found a class (Tenure), a function (key_digest), three attributes and a parameter that nothing reads, and the platform's word for the start of a worker's life in five modules outside platform/. Ruled out: joining Operators and WorkerList of ports.py (alike in shape, of different things) and the two fakes of transports, which are older. Change: they are gone; the field is life_start inside, born on the wire only. Behaviour as before, no assertion changed but for the field's name.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -50,7 +50,7 @@
         "link",
         "listed",
         "fenced",
-        "born",
+        "life_start",
         "heard_at",
         "failed_at",
         "latest_deadline",
@@ -81,7 +81,7 @@
         self.link = link
         self.listed = True
         self.fenced = False
-        self.born = entry.born
+        self.life_start = entry.life_start
         self.heard_at = 0.0
         self.failed_at = 0.0
         self.latest_deadline = 0.0
@@ -209,9 +209,9 @@
         bound = LATE_ORDER_SECONDS + longest / SLOWEST_CLOCK
         return now - last > bound
 
-    def new_life(self, born: int) -> None:
+    def new_life(self, life_start: int) -> None:
         """Forget what held for an earlier life."""
-        self.born = born
+        self.life_start = life_start
         self.fenced = False
         self.ended = False
         self.acknowledged = 0
--- a/src/agaterudder/jobs/ownership.py
+++ b/src/agaterudder/jobs/ownership.py
@@ -6,7 +6,6 @@
 for the pool.
 """
 
-import dataclasses
 import logging
 import random
 import typing as t
@@ -32,17 +31,6 @@
 GIVE_UP_TRIES = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tenure:
-    """A pool that this process took.
-
-    :ivar epoch: version of the row of the holder.
-    """
-
-    pool: str
-    epoch: int
-
-
 class StoreClock:
     """The most that the store's clock may show now."""
 
@@ -73,7 +61,6 @@
         "epoch",
         "valid_until",
         "version",
-        "pending_until",
         "lost",
     )
 
@@ -82,7 +69,6 @@
         self.epoch = 0
         self.version = version
         self.valid_until = valid_until
-        self.pending_until = 0.0
         self.lost = False
 
     def valid(self, now: float) -> bool:
@@ -218,9 +204,7 @@
         if not isinstance(outcome, ports.Committed):
             LOG.info("pool not taken", extra={"pool": pool, "why": outcome})
             return
-        lease = Lease(
-            pool, outcome.version, sent_at + self._own_seconds(sent_at)
-        )
+        lease = Lease(pool, outcome.version, sent_at + self._own_seconds)
         self._clock.note(outcome.clock, sent_at)
         epoch = self._raise_epoch(pool)
         if epoch is None:
@@ -240,7 +224,9 @@
         gevent.spawn(self._renew_for_ever, lease)
         self._take(lease)
 
-    def _own_seconds(self, sent_at: float) -> float:
+    @property
+    def _own_seconds(self) -> float:
+        """How long a lease counts for its holder."""
         return self._lease_seconds - HOLDER_MARGIN_SECONDS
 
     def _write(self, pool: str, version: int, sent_at: float) -> ports.Outcome:
@@ -306,7 +292,7 @@
                     LOG.info("lease resumed", extra={"pool": lease.pool})
                 self._clock.note(reading, sent_at)
                 lease.version = version
-                lease.valid_until = sent_at + self._own_seconds(sent_at)
+                lease.valid_until = sent_at + self._own_seconds
                 return True
             case ports.Conflicted(rows=rows):
                 return self._settle_conflict(lease, rows)
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -177,8 +177,8 @@
         """Return whether earlier runs may be where nobody can look yet."""
         return bool(self.unseen) and now < self.recovery_until
 
-    def worker_born(
-        self, worker: fleet.WorkerState, born: int, now: float
+    def begin_life(
+        self, worker: fleet.WorkerState, life_start: int, now: float
     ) -> None:
         """Note a new life of a worker: what ran there is over.
 
@@ -189,11 +189,11 @@
             "worker has a new life",
             extra={
                 "worker": worker.name,
-                "born": born,
+                "life_start": life_start,
                 "runs": len(worker.runs),
             },
         )
-        worker.new_life(born)
+        worker.new_life(life_start)
         for run in list(worker.runs.values()):
             if run.state is runs.RunState.RUNNING:
                 self.run_over(run, now)
@@ -278,7 +278,6 @@
         if (run.task_name, run.number) not in run.worker.runs:
             # It was given up meanwhile; the next listing shows it.
             return
-        run.answered_at = now
         if run.state is not runs.RunState.RUNNING:
             run.state = runs.RunState.RUNNING
             self._note_start(run, now)
@@ -339,8 +338,8 @@
         now: float,
     ) -> int:
         """Note what a worker lists; return the number of its last end."""
-        if listing.born and listing.born != worker.born:
-            self.worker_born(worker, listing.born, now)
+        if listing.life_start and listing.life_start != worker.life_start:
+            self.begin_life(worker, listing.life_start, now)
         if not worker.latest_deadline:
             # An earlier holder may have given as much as can be given.
             worker.latest_deadline = listing.clock + self.bounds.worker_lease
--- a/src/agaterudder/jobs/ports.py
+++ b/src/agaterudder/jobs/ports.py
@@ -254,11 +254,11 @@
 class Listing:
     """What a worker runs and the ends that are not acknowledged.
 
-    :ivar born: start of this life of the worker, Unix milliseconds.
+    :ivar life_start: start of this life of the worker, Unix milliseconds.
     :ivar clock: the worker's steady clock, seconds.
     """
 
-    born: int
+    life_start: int
     clock: float
     running: tuple[Running, ...]
     ended: tuple[Ended, ...]
@@ -272,7 +272,7 @@
 class WorkerEntry:
     """What a worker registered about itself.
 
-    :ivar born: start of this life, Unix milliseconds.
+    :ivar life_start: start of this life, Unix milliseconds.
     :ivar rack: label of its rack, empty when it names none.
     """
 
@@ -284,7 +284,7 @@
     size: resources.Vector
     labels: tuple[str, ...]
     rack: str
-    born: int
+    life_start: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agaterudder/jobs/roster.py
+++ b/src/agaterudder/jobs/roster.py
@@ -31,7 +31,7 @@
     worker: str
     address: str
     data_centre: str
-    born: int
+    life_start: int
 
 
 class Roster:
@@ -111,7 +111,7 @@
                 fleet.NO_ROOM,
                 (),
                 "",
-                item.born,
+                item.life_start,
             )
             worker = self._add_worker(entry)
             worker.recorded = True
@@ -123,11 +123,11 @@
             name: entry
             for name, entry in self._beliefs.workers.items()
             if entry.pool == self._context.pool
-            and self._ended_lives.get(name) != entry.born
+            and self._ended_lives.get(name) != entry.life_start
         }
         self._ended_lives = {
-            name: born
-            for name, born in self._ended_lives.items()
+            name: life_start
+            for name, life_start in self._ended_lives.items()
             if name in self._beliefs.workers
         }
         for name, entry in listed.items():
@@ -163,8 +163,10 @@
         if entry.address != worker.entry.address:
             worker.link.close()
             worker.link = self._connect(entry)
-        if entry.born > worker.born:
-            self._context.state.worker_born(worker, entry.born, clock.now())
+        if entry.life_start > worker.life_start:
+            self._context.state.begin_life(
+                worker, entry.life_start, clock.now()
+            )
         worker.entry = entry
         _note_draining(worker, entry)
         self.wake(worker)
@@ -172,7 +174,7 @@
     def forget_worker(self, worker: fleet.WorkerState) -> None:
         """Forget a worker that is gone and runs nothing."""
         if worker.ended:
-            self._ended_lives[worker.name] = worker.born
+            self._ended_lives[worker.name] = worker.life_start
         self._context.state.workers.pop(worker.name, None)
         self._context.state.unseen.discard(worker.name)
         self._loops.pop(worker.name, None)
@@ -211,7 +213,7 @@
                 worker.name,
                 worker.entry.address,
                 worker.entry.data_centre,
-                worker.born,
+                worker.life_start,
             )
             for worker in present
         }
--- a/src/agaterudder/jobs/rules.py
+++ b/src/agaterudder/jobs/rules.py
@@ -1,7 +1,6 @@
 """What operators configured: queues, pools, teams, waves, take-outs."""
 
 import dataclasses
-import hashlib
 
 from agaterudder import resources
 
@@ -138,8 +137,3 @@
         return sorted(
             name for name, pool in self.pools.items() if not pool.standby
         )
-
-
-def key_digest(key: str) -> str:
-    """Return what is written of a key in logs."""
-    return hashlib.blake2s(key.encode(), digest_size=4).hexdigest()
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -45,7 +45,6 @@
         "state",
         "sent_at",
         "deadline",
-        "answered_at",
         "working_since",
         "checkpoint",
         "progress",
@@ -53,7 +52,6 @@
         "throttled_to",
         "throttle_sent_at",
         "reading",
-        "over_target_since",
         "stop_reason",
         "stop_sent_at",
         "stop_answered_at",
@@ -78,7 +76,6 @@
         self.state = RunState.SENT
         self.sent_at = sent_at
         self.deadline = 0.0
-        self.answered_at = 0.0
         self.working_since = 0.0
         self.checkpoint = ""
         self.progress = 0
@@ -86,7 +83,6 @@
         self.throttled_to = 100
         self.throttle_sent_at = 0.0
         self.reading: float | None = None
-        self.over_target_since = 0.0
         self.stop_reason = ""
         self.stop_sent_at = 0.0
         self.stop_answered_at = 0.0
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -157,7 +157,7 @@
             deadline = worker.lease_deadline(sent_at, self._lease)
             worker.latest_deadline = max(worker.latest_deadline, deadline)
         acknowledged = worker.acknowledged
-        born = worker.born
+        life_start = worker.life_start
         answer = worker.link.renew(
             self._holder.lease.epoch,
             acknowledged,
@@ -168,7 +168,7 @@
         now = clock.now()
         match answer:
             case ports.Listing():
-                if worker.born == born:
+                if worker.life_start == life_start:
                     self._acknowledged = acknowledged
                 self._take(answer, sent_at, now)
             case ports.Rejected(reason=ports.REJECTED_FENCED):
@@ -185,7 +185,11 @@
         state = self._holder.state
         first = not worker.fenced
         last = state.listed(worker, listing, sent_at, now)
-        if listing.born and listing.born == worker.born or not listing.born:
+        if (
+            listing.life_start
+            and listing.life_start == worker.life_start
+            or not listing.life_start
+        ):
             state.worker_seen(worker)
         if first:
             LOG.info(
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -120,10 +120,12 @@
     context.listing = wire.listing(reply)
 
 
-@behave.then("its clock shows {seconds:g} seconds in the life of {born:d}")
-def step_clock(context: Context, seconds: float, born: int) -> None:
+@behave.then(
+    "its clock shows {seconds:g} seconds in the life of {life_start:d}"
+)
+def step_clock(context: Context, seconds: float, life_start: int) -> None:
     assert context.listing.clock == seconds
-    assert context.listing.born == born
+    assert context.listing.life_start == life_start
 
 
 @behave.then('it runs "{task}" run {run:d} at {progress:d} per cent')
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -40,7 +40,7 @@
     return job_builders.START_CLOCK + context.now - job_builders.START
 
 
-def _list(context: Context, progress: int = 0, born: int = 1) -> None:
+def _list(context: Context, progress: int = 0, life_start: int = 1) -> None:
     """Let each worker list its runs as running."""
     for worker in context.state.workers.values():
         running = [
@@ -48,7 +48,7 @@
             for run in worker.runs.values()
         ]
         listing = job_builders.listing(
-            running, clock=_clock(context), born=born
+            running, clock=_clock(context), life_start=life_start
         )
         context.state.listed(worker, listing, context.now, context.now)
 
@@ -68,10 +68,10 @@
     )
 
 
-def _listed_alone(context: Context, clock: float, born: int = 1) -> None:
+def _listed_alone(context: Context, clock: float, life_start: int = 1) -> None:
     context.state.listed(
         context.run.worker,
-        job_builders.listing(clock=clock, born=born),
+        job_builders.listing(clock=clock, life_start=life_start),
         context.now,
         context.now,
     )
@@ -323,7 +323,7 @@
 @behave.when("the worker lists nothing in a new life")
 def step_new_life(context: Context) -> None:
     context.now += 1.0
-    _listed_alone(context, 1.0, born=2)
+    _listed_alone(context, 1.0, life_start=2)
 
 
 @behave.when("the worker's lease has lapsed after {seconds:g} seconds")
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -69,7 +69,7 @@
         "size": SIZE,
         "labels": ("a", "rack-1"),
         "rack": "rack-1",
-        "born": 1,
+        "life_start": 1,
     }
     values.update(fields)
     return ports.WorkerEntry(**values)
@@ -81,7 +81,7 @@
     found = fleet.WorkerState(entry(name, **fields), link)
     found.fenced = True
     found.recorded = True
-    first = ports.Listing(found.born, START_CLOCK, (), ())
+    first = ports.Listing(found.life_start, START_CLOCK, (), ())
     found.heard(first, START, START)
     return found
 
@@ -136,7 +136,7 @@
     running: t.Sequence[ports.Running] = (),
     ended: t.Sequence[ports.Ended] = (),
     clock: float = START_CLOCK,
-    born: int = 1,
+    life_start: int = 1,
 ) -> ports.Listing:
     """Return what a worker lists."""
-    return ports.Listing(born, clock, tuple(running), tuple(ended))
+    return ports.Listing(life_start, clock, tuple(running), tuple(ended))
