Size pools by offered load and lead time

Workers of taken-out data centres and silent workers counted as room, and work beyond a team's rate took machines. Ruled out: slow moves (1.5 s of 1.6 s are the move itself). Change: the rate of the latest arrivals, capped by the room that their tasks can take, decides with the work that waits what is short when a machine ordered now joins. Machines in taken-out centres are not ordered, pools order standby machines in unlike order.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -110,16 +110,19 @@
         """Room that no run takes."""
         return self.entry.size - self.used
 
+    def silent(self, now: float) -> bool:
+        """Return whether looks have stayed unanswered for a while."""
+        return bool(self.failed_at and now - self.heard_at > SILENT_SECONDS)
+
     def takes_work(self, now: float) -> bool:
         """Return whether tasks may be started here now."""
-        silent = self.failed_at and now - self.heard_at > SILENT_SECONDS
         return (
             self.listed
             and not self.ended
             and self.fenced
             and self.recorded
             and not self.leaving
-            and not silent
+            and not self.silent(now)
             and self.set_aside_until <= now
             and self.room_until <= now
             and all(run.size_known for run in self.runs.values())
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -6,6 +6,7 @@
 
 import logging
 
+from agaterudder.jobs import demand
 from agaterudder.jobs import deployment
 from agaterudder.jobs import estimates
 from agaterudder.jobs import fleet
@@ -52,6 +53,7 @@
         "unseen",
         "_run_count",
         "unwanted",
+        "demand",
         "_rates",
     )
 
@@ -83,6 +85,7 @@
         self.unseen: set[str] = set()
         self._run_count = 0
         self.unwanted: list[runs.Run] = []
+        self.demand = demand.Demand()
         self._rates: dict[str, rates.Rate] = {}
 
     # Jobs
@@ -120,9 +123,12 @@
         """Create the occurrences that are due."""
         for name in list(self.unready):
             job = self.unready[name]
-            for step in job.create_due(wall, now):
+            created = job.create_due(wall, now)
+            for step in created:
                 if not step.finished:
                     self.ready[step.name] = step
+            if created and not job.beyond_share and not job.recovered:
+                self.demand.note(self._arrival(created, now))
             if job.created >= job.job.occurrences:
                 del self.unready[name]
             self._check_finished(job, 0.0)
@@ -253,6 +259,19 @@
             return resources.Vector(0.0, size.memory, size.accelerators)
         return size
 
+    def _arrival(
+        self, steps: list[runs.StepRun], now: float
+    ) -> demand.Arrival:
+        """Return what steps that were created ask for."""
+        work = width = resources.ZERO
+        for step in steps:
+            if step.step.long_running:
+                continue
+            room = self.room_of(step).scaled(len(step.tasks))
+            work = work + room.scaled(self.estimates.seconds(step))
+            width = width.larger(room)
+        return demand.Arrival(now, work, width)
+
     def run_over(self, run: runs.Run, now: float) -> None:
         """Note that a run is over, whatever its end was."""
         run.worker.remove(run, now)
--- a/src/agaterudder/jobs/resizing.py
+++ b/src/agaterudder/jobs/resizing.py
@@ -2,6 +2,7 @@
 
 import logging
 import typing as t
+import zlib
 
 import gevent
 
@@ -115,21 +116,37 @@
             for pool in self._holder.standby_pools()
             for machine in self._view.in_pool(pool)
             if machine.state == ports.MACHINE_UP
+            and machine.data_centre not in self._holder.state.taken_out
             and now - self._refused.get(machine.machine, 0.0) > REFUSED_SECONDS
             and machine.machine not in self._moves
         ]
-        free.sort(
-            key=lambda machine: (
-                machine.machine in self._holder.wave_machines(),
-                machine.machine,
-            )
-        )
+        free.sort(key=self._rank)
         moves = [
             gevent.spawn(self._take, machine, reason)
             for machine in free[:count]
         ]
         gevent.joinall(moves)
 
+    def _rank(self, machine: ports.Machine) -> tuple[bool, bool, int]:
+        """Order machines: those that can work soon and long come first.
+
+        The last part differs from pool to pool, so that two pools seldom
+        order the same machine.
+        """
+        state = self._holder.state
+        now = clock.now()
+        cut_off = any(
+            worker.entry.data_centre == machine.data_centre
+            and worker.silent(now)
+            for worker in state.workers.values()
+        )
+        name = f"{self._holder.pool} {machine.machine}"
+        return (
+            cut_off,
+            machine.machine in self._holder.wave_machines(),
+            zlib.crc32(name.encode()),
+        )
+
     def _take(self, machine: ports.Machine, reason: str) -> None:
         LOG.info(
             "machine wanted",
--- a/src/agaterudder/jobs/sizing.py
+++ b/src/agaterudder/jobs/sizing.py
@@ -1,7 +1,9 @@
 """Decides how many machines a pool should have.
 
-Machines come from a pool on standby when work waits that the pool has no
-room for, and go back when they are idle.
+Machines come from a pool on standby when more work arrives than the pool
+can do, early enough to be there when it is needed, and go back when they
+are idle. Amounts are counted in workers: the part of a worker's room that
+is taken, times the seconds for work.
 """
 
 import dataclasses
@@ -9,16 +11,21 @@
 
 from agaterudder.jobs import fleet
 from agaterudder.jobs import pool as pools
-
-# Work that waits beyond the room is worth a machine only in part: what
-# runs now ends before a machine arrives.
-BACKLOG_PART = 0.7
+from agaterudder.jobs import runs
+from agaterudder import resources
+
+# Between the order of a move and the first task, beside the move itself.
+JOIN_SECONDS = 0.2
+# Work that is behind when a machine joins is to be done within this time.
+CATCH_UP_SECONDS = 1.5
+# A machine is not worth its move for less than this part of its room.
+LEAST_PART = 0.5
 # Demand comes in turns: a machine that idles for this long in one pool is
 # sooner needed in another.
 IDLE_SECONDS = 0.6
 # A worker lost must leave room for its tasks.
 LEAST_WORKERS = 2
-CORES_OF_A_WORKER = 16.0
+WORKER_SIZE = resources.Vector(16.0, 32_000.0, 8.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +48,29 @@
     """Change nothing."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What a pool has to do, and with how much.
+
+    :ivar offered: work that arrives a second, in workers.
+    :ivar waiting: work of the tasks that wait, in seconds of a worker.
+    :ivar room: workers for tasks that end, those that join included.
+    """
+
+    offered: float
+    waiting: float
+    room: float
+
+    def short(self, join_seconds: float) -> float:
+        """Return the workers that are missing, negative for too many.
+
+        :param join_seconds: until a machine that is ordered now can work.
+        """
+        missing = self.offered - self.room
+        behind = self.waiting + missing * join_seconds
+        return missing + max(behind, 0.0) / CATCH_UP_SECONDS
+
+
 def decide(state: pools.Pool, coming: int, now: float) -> Grow | Shrink | Keep:
     """Decide on the size of a pool.
 
@@ -51,17 +81,31 @@
         for worker in state.workers.values()
         if worker.listed and not worker.leaving
     ]
-    waiting = waiting_cores(state)
-    free = sum(worker.free.cores for worker in workers if worker.fenced)
-    each = _cores_of_a_worker(workers)
-    short = (waiting - free) * BACKLOG_PART / each - coming
-    spare = len(workers) + coming - least_workers(state)
-    if spare < 0:
-        return Grow(-spare, "lasting tasks need workers to spread over")
-    if short > 0:
-        return Grow(math.ceil(short), f"{waiting:.1f} cores wait")
-    if waiting > 0 or spare <= 0:
+    usable = [worker for worker in workers if _serves(state, worker, now)]
+    present = len(usable) + coming
+    spread = workers_to_spread(state)
+    if present < spread:
+        return Grow(
+            spread - present, "lasting tasks need workers to spread over"
+        )
+    load = load_of(state, usable, coming, now)
+    short = load.short(state.bounds.move + JOIN_SECONDS)
+    if load.offered + load.waiting > 0 and short > LEAST_PART:
+        return Grow(
+            math.ceil(short - LEAST_PART),
+            f"{load.offered:.1f} come a second, {load.waiting:.1f} wait, "
+            f"room for {load.room:.1f}",
+        )
+    floor = max(spread, LEAST_WORKERS)
+    spare = min(present - floor, math.floor(-short))
+    if load.waiting > 0 or spare <= 0:
         return Keep()
+    return _give_back(usable, spare, now)
+
+
+def _give_back(
+    workers: list[fleet.WorkerState], most: int, now: float
+) -> Shrink | Keep:
     idle = [
         worker
         for worker in workers
@@ -72,30 +116,90 @@
     if not idle:
         return Keep()
     idle.sort(key=lambda worker: worker.idle_since)
-    return Shrink(tuple(idle[:spare]))
+    return Shrink(tuple(idle[:most]))
+
+
+def _serves(state: pools.Pool, worker: fleet.WorkerState, now: float) -> bool:
+    """Return whether a worker has, or will soon have, room for tasks."""
+    return (
+        not worker.ended
+        and not worker.silent(now)
+        and worker.entry.data_centre not in state.taken_out
+    )
+
+
+def load_of(
+    state: pools.Pool,
+    workers: list[fleet.WorkerState],
+    coming: int,
+    now: float,
+) -> Load:
+    """Return the load of a pool with its usable workers."""
+    size = _size_of(workers)
+    lasting = busy = work = wanted = resources.ZERO
+    for worker in workers:
+        for run in worker.runs.values():
+            if run.task is None or run.task.step.step.long_running:
+                lasting = lasting + run.size
+            else:
+                busy = busy + run.size
+    for step in state.ready.values():
+        count = _waiting(step) if _counts(step) else 0
+        room = state.room_of(step).scaled(count)
+        if step.step.long_running:
+            lasting = lasting + room
+        else:
+            wanted = wanted + room
+            work = work + room.scaled(state.estimates.seconds(step))
+    rate = state.demand.rate(now)
+    join_seconds = state.bounds.move + JOIN_SECONDS
+    # A few large jobs are no steady load: no more room can be taken than
+    # their tasks ask for.
+    most = busy + wanted + rate.width.scaled(join_seconds)
+    return Load(
+        rate.work.smaller(most).dominant_share(size),
+        work.dominant_share(size),
+        len(workers) + coming - lasting.dominant_share(size),
+    )
 
 
 def waiting_cores(state: pools.Pool) -> float:
     """Return the cores that waiting tasks ask for."""
     return sum(
-        state.room_of(step).cores
+        state.room_of(step).cores * _waiting(step)
         for step in state.ready.values()
         if step.ready_at and step.job.ending is None
-        for task in step.tasks
-        if task.waiting
     )
 
 
-def least_workers(state: pools.Pool) -> int:
+def _counts(step: runs.StepRun) -> bool:
+    """Return whether machines are taken for the tasks of a step."""
+    return (
+        bool(step.ready_at)
+        and step.job.ending is None
+        and not step.job.beyond_share
+    )
+
+
+def _waiting(step: runs.StepRun) -> int:
+    return sum(1 for task in step.tasks if task.waiting)
+
+
+def workers_to_spread(state: pools.Pool) -> int:
     """Return the fewest workers that lasting tasks can be spread over."""
-    needed = [
-        math.ceil(step.step.count / step.step.most_per_worker)
-        for step in state.ready.values()
-        if step.step.long_running and step.step.most_per_worker
-    ]
-    return max([LEAST_WORKERS, *needed])
+    return max(
+        (
+            math.ceil(step.step.count / step.step.most_per_worker)
+            for step in state.ready.values()
+            if step.step.long_running and step.step.most_per_worker
+        ),
+        default=0,
+    )
 
 
-def _cores_of_a_worker(workers: list[fleet.WorkerState]) -> float:
-    sizes = [worker.entry.size.cores for worker in workers]
-    return max(sizes, default=CORES_OF_A_WORKER) or CORES_OF_A_WORKER
+def _size_of(workers: list[fleet.WorkerState]) -> resources.Vector:
+    """Return the room of a worker of the pool, the largest there is."""
+    largest = resources.ZERO
+    for worker in workers:
+        largest = largest.larger(worker.entry.size)
+    return largest if largest.cores > 0 else WORKER_SIZE
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -239,6 +239,56 @@
     context.state.create_due(0.0, now)
 
 
+@behave.given("work of {cores:g} cores that waits, beyond its team's rate")
+def step_waits_beyond(context: Context, cores: float) -> None:
+    step_waits(context, cores)
+    for found in context.state.jobs.values():
+        found.beyond_share = True
+
+
+@behave.given(
+    "{jobs:d} jobs of 8 cores for 1 second that came one each {gap:g} seconds"
+)
+def step_came(context: Context, jobs: int, gap: float) -> None:
+    last = job_builders.START + 1.0
+    step = job_builders.step(count=8)
+    for number in range(jobs):
+        now = last - gap * (jobs - 1 - number)
+        job = job_builders.job(step, job=f"{number:016x}", team=f"t{number}")
+        context.state.accept(job, model.Progress(), 0, now, False)
+        context.state.create_due(0.0, now)
+
+
+@behave.given("all of them are done")
+def step_all_done(context: Context) -> None:
+    context.state.ready.clear()
+
+
+@behave.given("a lasting job that needs {workers:d} workers")
+def step_lasting_job(context: Context, workers: int) -> None:
+    step = job_builders.step(
+        count=2 * workers, long_running=True, most_per_worker=2
+    )
+    now = job_builders.START
+    context.state.accept(
+        job_builders.job(step), model.Progress(), 0, now, False
+    )
+    context.state.create_due(0.0, now)
+
+
+@behave.given("one of the workers is silent")
+def step_silent(context: Context) -> None:
+    worker = context.state.workers["w0"]
+    worker.failed_at = worker.heard_at = job_builders.START - 1.0
+
+
+@behave.given("one of the workers is in a taken-out centre")
+def step_taken_out(context: Context) -> None:
+    worker = context.state.workers["w0"]
+    worker.entry = job_builders.entry("w0", data_centre="south")
+    context.state.taken_out = frozenset(["south"])
+
+
 @behave.then("the pool should {answer}")
 def step_size(context: Context, answer: str) -> None:
     found = sizing.decide(context.state, 0, job_builders.START + 1.0)
