Pace waves by the time that is left; empty workers that join meanwhile

Ruled out: the wave's own cap (35 at once), the rate of the machines' API. Change: as many at once as the time left asks for, within the wave's cap; several begin with one write; unknown workers are waited for up to 2 s and their machines come last. Tests: fleet.feature; three of the new scenarios seen to fail before.

--- a/src/agaterudder/jobs/maintenance.py
+++ b/src/agaterudder/jobs/maintenance.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 import typing as t
 
 import msgspec
@@ -23,9 +24,12 @@
 
 TABLE = "waves"
 PART = "waves"
-# Machines of one pool that are emptied or down at once.
-MOST_AT_ONCE = 1
-MOST_AT_ONCE_STANDBY = 8
+# Machines of one pool that are emptied or down at once while there is time;
+# of a pool on standby, this part of them.
+AT_ONCE = 1
+STANDBY_PART = 0.33
+# A machine that just joined the pool is known to its holder after a while.
+JOIN_SECONDS = 2.0
 # What one machine takes, for judging whether time is short.
 MACHINE_SECONDS = 5.0
 HURRY_MARGIN_SECONDS = 6.0
@@ -50,14 +54,16 @@
 class _Step:
     """How far the upkeep of one machine is.
 
+    :ivar begun_at: since when its worker is emptied.
     :ivar ordered_at: when its upkeep was confirmed, 0 before.
     """
 
-    __slots__ = ("machine", "worker", "ordered_at")
+    __slots__ = ("machine", "worker", "begun_at", "ordered_at")
 
-    def __init__(self, machine: str, worker: str) -> None:
+    def __init__(self, machine: str, worker: str, begun_at: float) -> None:
         self.machine = machine
         self.worker = worker
+        self.begun_at = begun_at
         self.ordered_at = 0.0
 
 
@@ -156,8 +162,9 @@
             if name in own:
                 self._go_on(wave, own[name])
         due = self._due(wave, record, own)
-        if due and self._may_begin(wave, record, len(due)):
-            self._begin(wave, row, record, due[0])
+        count = self._may_begin(wave, record, len(own), len(due))
+        if count:
+            self._begin(wave, row, record, due[:count])
         if not due and not record.down:
             self._check_completed(wave, record)
 
@@ -196,56 +203,70 @@
         ]
         return sorted(due, key=self._load)
 
-    def _load(self, machine: ports.Machine) -> tuple[int, float]:
+    def _load(self, machine: ports.Machine) -> tuple[bool, int, float]:
         worker = self._holder.worker_state(machine.worker)
         if worker is None:
-            return (0, 0.0)
-        return (worker.lasting, worker.used.cores)
-
-    def _may_begin(self, wave: rules.Wave, record: Record, due: int) -> bool:
-        if len(record.down) >= wave.most_down:
-            return False
-        standby = self._holder.standby
-        most = MOST_AT_ONCE_STANDBY if standby else MOST_AT_ONCE
-        if len(self._steps) >= most:
-            return False
+            # It was just taken from standby, to be used.
+            return (bool(machine.worker), 0, 0.0)
+        return (False, worker.lasting, worker.used.cores)
+
+    def _may_begin(
+        self, wave: rules.Wave, record: Record, own: int, due: int
+    ) -> int:
+        """Return on how many more machines the upkeep may begin now.
+
+        :param own: machines of the pool.
+        :param due: those whose turn may come.
+        """
+        at_once = AT_ONCE
+        if self._holder.standby:
+            at_once = max(math.ceil(own * STANDBY_PART), AT_ONCE)
         spent = self._holder.store_clock() - record.since
-        left = wave.seconds - spent
-        hurry = left < due * MACHINE_SECONDS + HURRY_MARGIN_SECONDS
-        return hurry or self._holder.waiting_part() < QUIET_PART
+        left = wave.seconds - spent - HURRY_MARGIN_SECONDS
+        rounds = max(left / MACHINE_SECONDS, 1.0)
+        hurry = due > at_once * rounds
+        if not hurry and self._holder.waiting_part() >= QUIET_PART:
+            return 0
+        at_once = max(at_once, math.ceil(due / rounds))
+        return max(
+            0,
+            min(
+                wave.most_down - len(record.down),
+                at_once - len(self._steps),
+                due,
+            ),
+        )
 
     def _begin(
         self,
         wave: rules.Wave,
         row: ports.Row | None,
         record: Record,
-        machine: ports.Machine,
+        chosen: list[ports.Machine],
     ) -> None:
-        record.down.append(machine.machine)
+        record.down.extend(machine.machine for machine in chosen)
         if not self._write(wave, row, record):
             return
         if row is None:
             self._operators.report_wave(wave.number, False)
-        LOG.info(
-            "upkeep begins",
-            extra={
-                "wave": wave.number,
-                "machine": machine.machine,
-                "worker": machine.worker,
-                "down": len(record.down),
-                "most": wave.most_down,
-            },
-        )
-        self._step(machine)
+        for machine in chosen:
+            LOG.info(
+                "upkeep begins",
+                extra={
+                    "wave": wave.number,
+                    "machine": machine.machine,
+                    "worker": machine.worker,
+                    "down": len(record.down),
+                    "most": wave.most_down,
+                },
+            )
+            self._step(machine)
 
     def _step(self, machine: ports.Machine) -> _Step:
         step = self._steps.get(machine.machine)
         if step is None:
-            step = _Step(machine.machine, machine.worker)
+            step = _Step(machine.machine, machine.worker, clock.now())
             self._steps[machine.machine] = step
-            worker = self._holder.worker_state(machine.worker)
-            if worker is not None:
-                self._holder.leave(worker, "upkeep")
         return step
 
     # Going on
@@ -257,10 +278,20 @@
             if up and self._view.asked_at > step.ordered_at:
                 self._finish(wave, step)
             return
-        worker = self._holder.worker_state(step.worker)
-        if worker is not None and not worker.empty_enough:
-            return
-        self._order(wave, step, worker)
+        if self._emptied(step, machine):
+            worker = self._holder.worker_state(step.worker)
+            self._order(wave, step, worker)
+
+    def _emptied(self, step: _Step, machine: ports.Machine) -> bool:
+        """Return whether nothing runs on a machine; empty its worker."""
+        step.worker = machine.worker
+        worker = self._holder.worker_state(machine.worker)
+        if worker is not None:
+            if not worker.leaving:
+                self._holder.leave(worker, "upkeep")
+            return worker.empty_enough
+        joins = bool(machine.worker) and not self._holder.standby
+        return not joins or clock.now() - step.begun_at > JOIN_SECONDS
 
     def _order(
         self,
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -34,6 +34,39 @@
     And both pools have had 20 turns
     Then each machine had its upkeep once
 
+  Scenario: A worker that joins as the upkeep begins is emptied first
+    Given a wave of 1 machines with at most 1 down at once
+    And two pools that hold 1 and 0 of them, with a load
+    And the first pool does not know its workers yet
+    When both pools have had 2 turns
+    And the first pool gets to know its workers
+    And both pools have had 20 turns
+    Then no machine had its upkeep
+    When the load has gone
+    And both pools have had 20 turns
+    Then each machine had its upkeep once
+
+  Scenario: A worker that never registers does not hold up its machine
+    Given a wave of 1 machines with at most 1 down at once
+    And two pools that hold 1 and 0 of them, without a load
+    And the first pool does not know its workers yet
+    When both pools have had 40 turns
+    Then each machine had its upkeep once
+
+  Scenario Outline: A wave of <count> machines in <seconds> seconds, <pool>
+    Given a wave of <count> machines with at most 20 down at once
+    And it is to be done within <seconds> seconds
+    And a pool <pool> that holds all of them
+    When it has had turns for <seconds> seconds
+    Then at most <most> machines were down at once
+    And each machine had its upkeep once
+
+    Examples:
+      | count | seconds | pool       | most |
+      | 4     | 40      | in use     | 1    |
+      | 12    | 26      | in use     | 6    |
+      | 60    | 26      | on standby | 20   |
+
   Scenario Outline: Orders for one machine by <orders>
     Then the last of these orders is <answer>: "<orders>"
 
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -84,6 +84,7 @@
     def __init__(self, context: Context, pool: str) -> None:
         self._context = context
         self.pool = pool
+        self.knows_workers = True
         self._workers: dict[str, fleet.WorkerState] = {}
 
     def may_order(self) -> bool:
@@ -92,6 +93,8 @@
 
     def worker_state(self, worker: str) -> fleet.WorkerState | None:
         """Return a worker with a run while there is a load."""
+        if not self.knows_workers:
+            return None
         found = self._workers.setdefault(worker, job_builders.worker(worker))
         found.runs = {("t", 1): None} if self._context.loaded else {}
         return found
@@ -114,8 +117,12 @@
         return self._context.now
 
 
-def _maintenance(context: Context, pool: str) -> maintenance.Maintenance:
+def _maintenance(
+    context: Context, pool: str, standby: bool = False
+) -> maintenance.Maintenance:
     holder = FakeHolder(context, pool)
+    holder.standby = standby
+    context.holders[pool] = holder
     mock_load = mock.patch.object(
         maintenance.Maintenance, "_load", lambda self, machine: (0, 0.0)
     )
@@ -143,6 +150,7 @@
     context.cleanups.append(patch.stop)
     context.store = job_fakes.MemoryStore()
     context.operators = FakeOperators()
+    context.holders = {}
     names = tuple(f"m{number}" for number in range(count))
     context.wave = rules.Wave(WAVE, names, 100.0, most)
 
@@ -161,6 +169,39 @@
     }
 
 
+@behave.given("it is to be done within {seconds:d} seconds")
+def step_within(context: Context, seconds: int) -> None:
+    wave = context.wave
+    context.wave = rules.Wave(
+        wave.number, wave.machines, float(seconds), wave.most_down
+    )
+
+
+@behave.given("a pool {use} that holds all of them")
+def step_one_pool(context: Context, use: str) -> None:
+    context.loaded = False
+    context.machines = FakeMachines(
+        context, dict.fromkeys(context.wave.machines, "one")
+    )
+    upkeep = _maintenance(context, "one", use == "on standby")
+    context.upkeep = {"one": upkeep}
+
+
+@behave.when("it has had turns for {seconds:d} seconds")
+def step_turns_for(context: Context, seconds: int) -> None:
+    step_turns(context, int(seconds / TURN_SECONDS))
+
+
+@behave.given("the first pool does not know its workers yet")
+def step_unknown(context: Context) -> None:
+    context.holders["one"].knows_workers = False
+
+
+@behave.when("the first pool gets to know its workers")
+def step_known(context: Context) -> None:
+    context.holders["one"].knows_workers = True
+
+
 @behave.given("each second answer of the machines' API is lost")
 def step_lost(context: Context) -> None:
     context.machines.lose = True
