Look at a pool when its lease ends; retake an earlier life's pools at once

After any kill a pool waited up to 0.5 s beyond the end of its lease for a look, and 0.5 s more for the claim. Ruled out: start-up (0.1 s), recovery after the claim (0.08 s). Change: the pause between looks ends when a lease ends or a claim is due; a process retakes at once what an earlier life of the same VM at the same address held; a claim that failed waits 0.5 s. Tests: ownership.feature, three scenarios.

--- a/src/agaterudder/jobs/ownership.py
+++ b/src/agaterudder/jobs/ownership.py
@@ -20,6 +20,8 @@
 LOG = logging.getLogger(__name__)
 
 LOOK_SECONDS = 0.5
+# While there is nothing to look at yet, or a claim is due.
+SHORT_LOOK_SECONDS = 0.02
 RENEW_SECONDS = 0.6
 RETRY_SECONDS = 0.15
 RENEW_TIMEOUT_SECONDS = 0.7
@@ -143,7 +145,30 @@
                     self._look()
                 except exceptions.CallFailed as error:
                     LOG.debug("leases not read", extra={"why": error})
-            gevent.sleep(LOOK_SECONDS)
+                    gevent.sleep(LOOK_SECONDS)
+                    continue
+            gevent.sleep(self.pause(clock.now()))
+
+    def pause(self, now: float) -> float:
+        """Return how long to wait before the next look.
+
+        A pool is looked at as soon as its lease is over by the rows that
+        are known, or its claim is due.
+        """
+        pools = self._pools()
+        if not pools:
+            return SHORT_LOOK_SECONDS
+        at = self._clock.at_most(now)
+        ends = [
+            model.decode(row.value, model.Lease).expires_at - at
+            for pool, row in self._rows.items()
+            if pool in pools
+            and pool not in self._leases
+            and pool not in self._not_before
+        ]
+        claims = [due - now for due in self._not_before.values()]
+        soonest = min([*ends, *claims], default=LOOK_SECONDS)
+        return min(max(soonest, SHORT_LOOK_SECONDS), LOOK_SECONDS)
 
     def _look(self) -> None:
         at = self._read_leases()
@@ -189,6 +214,8 @@
         """Return whether a pool has no holder and it is our turn."""
         if row is not None:
             lease = model.decode(row.value, model.Lease)
+            if self._ended_life(lease):
+                return True
             if at < lease.expires_at:
                 self._not_before.pop(pool, None)
                 return False
@@ -197,18 +224,27 @@
         delay += self._random.random() * DELAY_SPREAD_SECONDS
         return now >= self._not_before.setdefault(pool, now + delay)
 
+    def _ended_life(self, lease: model.Lease) -> bool:
+        """Return whether an earlier process of this VM held a lease.
+
+        This process could start only after that one had ended.
+        """
+        return lease.vm == self._vm and lease.incarnation != self._incarnation
+
     def _claim(self, pool: str, row: ports.Row | None) -> None:
         self._not_before.pop(pool, None)
         sent_at = clock.now()
         outcome = self._write(pool, row.version if row else 0, sent_at)
         if not isinstance(outcome, ports.Committed):
             LOG.info("pool not taken", extra={"pool": pool, "why": outcome})
+            self._not_before[pool] = clock.now() + LOOK_SECONDS
             return
         lease = Lease(pool, outcome.version, sent_at + self._own_seconds)
         self._clock.note(outcome.clock, sent_at)
         epoch = self._raise_epoch(pool)
         if epoch is None:
             self._give_up(lease)
+            self._not_before[pool] = clock.now() + LOOK_SECONDS
             return
         lease.epoch = epoch
         LOG.info(
--- a/src/agaterudder/jobs/service.py
+++ b/src/agaterudder/jobs/service.py
@@ -56,7 +56,9 @@
             settings.bounds.key_withdrawal,
         )
         self.owner = ownership.Owner(
-            settings.vm,
+            # A VM that replaces another may have its name, at an address of
+            # its own.
+            f"{settings.vm} {settings.frontend}",
             self.incarnation,
             outside.store,
             settings.bounds.holder_lease * HOLDER_LEASE_PART,
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -60,3 +60,26 @@
     And "b" looks for pools without a holder
     And "a" stores progress under its epoch
     Then nothing was stored
+
+  Scenario: A pool is looked at when its lease is over, not later
+    Given processes "a" and "b" and one pool
+    And "a" holds the pool
+    When "b" looks once
+    And time passes as "b" waits between its looks, 20 times at most
+    Then "b" holds the pool with a higher epoch
+    And it took 2.2 seconds at most
+
+  Scenario: A process that starts takes the pools of its earlier life at once
+    Given processes "a" and "b" and one pool
+    And "a" holds the pool
+    When "a" is killed and starts again
+    And "a" looks once
+    Then "a" holds the pool with a higher epoch
+
+  Scenario: A pool that could not be claimed is not claimed again at once
+    Given processes "a" and "b" and one pool
+    And "a" holds the pool
+    When 3 seconds pass without a renewal
+    And the store refuses all transactions
+    And time passes as "b" waits between its looks, 10 times at most
+    Then "b" tried at most once each 0.4 seconds
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -17,10 +17,10 @@
 SPREAD_SECONDS = 1.0
 
 
-def _owner(context: Context, name: str) -> ownership.Owner:
+def _owner(context: Context, name: str, life: int = 1) -> ownership.Owner:
     return ownership.Owner(
         name,
-        f"{name}-1",
+        f"{name}-{life}",
         context.store,
         LEASE_SECONDS,
         lambda: [POOL],
@@ -69,6 +69,47 @@
     assert context.owners[name]._renew(context.first)
 
 
+@behave.when('"{name}" looks once')
+def step_look_once(context: Context, name: str) -> None:
+    context.owners[name]._look()
+
+
+@behave.when(
+    'time passes as "{name}" waits between its looks, {times:d} times at most'
+)
+def step_waits_between(context: Context, name: str, times: int) -> None:
+    owner = context.owners[name]
+    context.began_at = context.now
+    for _ in range(times):
+        _pass(context, owner.pause(context.now))
+        owner._look()
+        if owner.leases:
+            return
+
+
+@behave.when('"{name}" is killed and starts again')
+def step_starts_again(context: Context, name: str) -> None:
+    context.owners[name] = _owner(context, name, 2)
+
+
+@behave.when("the store refuses all transactions")
+def step_refuses(context: Context) -> None:
+    context.store.faults = ["refused"] * 100
+
+
+@behave.then('"{name}" tried at most once each {seconds:g} seconds')
+def step_tried(context: Context, name: str, seconds: float) -> None:
+    assert not context.owners[name].leases
+    tried = 100 - len(context.store.faults)
+    passed = context.now - context.began_at
+    assert 1 < tried <= 1 + passed / seconds, (tried, passed)
+
+
+@behave.then("it took {seconds:g} seconds at most")
+def step_took(context: Context, seconds: float) -> None:
+    assert context.now - context.began_at <= seconds, context.now
+
+
 @behave.when("both look for pools without a holder")
 def step_both(context: Context) -> None:
     for name in "abab":
