--- a/src/agaterudder/jobs/demand.py
+++ b/src/agaterudder/jobs/demand.py
@@ -55,11 +55,14 @@
         The oldest arrival only begins the span, so that one job alone is
         no rate.
         """
-        recent = [
-            arrival
-            for arrival in self._arrivals
-            if now - arrival.at <= WINDOW_SECONDS
-        ]
+        recent = sorted(
+            (
+                arrival
+                for arrival in self._arrivals
+                if now - arrival.at <= WINDOW_SECONDS
+            ),
+            key=lambda arrival: arrival.at,
+        )
         if len(recent) < 2:
             return Rate()
         span = max(now - recent[0].at, LEAST_SPAN_SECONDS)
--- a/src/agaterudder/jobs/journal.py
+++ b/src/agaterudder/jobs/journal.py
@@ -40,6 +40,8 @@
 class Journal:
     """Jobs whose progress is not stored yet, in order.
 
+    A job keeps the oldest mark that is not stored.
+
     :ivar marked: number of the last mark.
     :ivar stored: marks up to here are stored.
     """
@@ -60,7 +62,7 @@
         if job.ending_stored:
             return
         self.marked += 1
-        self._dirty[job] = self.marked
+        self._dirty.setdefault(job, self.marked)
 
     def remove(self, row: ports.Delete) -> None:
         """Remove a row that belongs to no job any more."""
@@ -116,7 +118,7 @@
 
     def take_back(self, batch: Batch) -> None:
         """Take back a batch that may or may not be stored."""
-        self._dirty = {**batch.marks, **self._dirty}
+        self._dirty = {**batch.marks, **self._dirty, **batch.marks}
 
 
 def _add(
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -128,7 +128,8 @@
                 if not step.finished:
                     self.ready[step.name] = step
             if created and not job.beyond_share and not job.recovered:
-                self.demand.note(self._arrival(created, now))
+                at = now if job.job.request.times else job.accepted_at
+                self.demand.note(self._arrival(created, at))
             if job.created >= job.job.occurrences:
                 del self.unready[name]
             self._check_finished(job, 0.0)
@@ -259,9 +260,7 @@
             return resources.Vector(0.0, size.memory, size.accelerators)
         return size
 
-    def _arrival(
-        self, steps: list[runs.StepRun], now: float
-    ) -> demand.Arrival:
+    def _arrival(self, steps: list[runs.StepRun], at: float) -> demand.Arrival:
         """Return what steps that were created ask for."""
         work = width = resources.ZERO
         for step in steps:
@@ -270,7 +269,7 @@
             room = self.room_of(step).scaled(len(step.tasks))
             work = work + room.scaled(self.estimates.seconds(step))
             width = width.larger(room)
-        return demand.Arrival(now, work, width)
+        return demand.Arrival(at, work, width)
 
     def run_over(self, run: runs.Run, now: float) -> None:
         """Note that a run is over, whatever its end was."""
--- a/tests/features/journal.feature
+++ b/tests/features/journal.feature
@@ -53,3 +53,15 @@
     Then no mark counts as stored
     When the journal is stored
     Then only marks of stored jobs count as stored
+
+  Scenario: An older mark of a job that is marked again is not stored sooner
+    When 40 jobs make progress
+    And the first that is not in the first batch makes progress again
+    And the journal is stored
+    Then only marks of stored jobs count as stored
+
+  Scenario: An older mark of a job that is marked while its batch fails
+    When 40 jobs make progress
+    And the first batch is taken back after its first job made progress again
+    And 18 of the others are stored first
+    Then no mark counts as stored
--- a/tests/features/steps/journal_steps.py
+++ b/tests/features/steps/journal_steps.py
@@ -72,12 +72,34 @@
 @behave.when("{count:d} jobs make progress")
 def step_many(context: Context, count: int) -> None:
     context.marks = {}
-    for number in range(count):
-        job = _job(number + 10)
+    context.jobs = [_job(number + 10) for number in range(count)]
+    for job in context.jobs:
         context.journal.mark(job)
         context.marks[job.job.job] = context.journal.marked
 
 
+@behave.when("the first that is not in the first batch makes progress again")
+def step_next_again(context: Context) -> None:
+    context.journal.mark(context.jobs[journal.MOST_JOBS])
+
+
+@behave.when(
+    "the first batch is taken back after its first job made progress again"
+)
+def step_taken_back_again(context: Context) -> None:
+    batch = context.journal.batch(job_builders.POOL, context.epoch, 1.0)
+    context.journal.mark(context.jobs[0])
+    context.journal.take_back(batch)
+
+
+@behave.when("{count:d} of the others are stored first")
+def step_others_first(context: Context, count: int) -> None:
+    dirty = context.journal._dirty
+    first = context.jobs[0]
+    dirty[first] = dirty.pop(first)
+    _store(context)
+
+
 @behave.when("the first batch is taken back")
 def step_taken_back(context: Context) -> None:
     batch = context.journal.batch(job_builders.POOL, context.epoch, 1.0)
