Gather lasting tasks on few workers and give the others back; waves seen early

Change: lasting tasks prefer workers that have some; a worker that ran nothing else for 2 s is emptied, one task of a step at a time as for upkeep, and given back, or used again when work comes or no other place is found within 3 s. The row of a wave is written when it is first seen. Tests: fleet.feature (outlines of emptying and of waves of busy pools, the latter seen to fail before), pool.feature; the outline on leaving workers now says that its tasks are one on a worker, as it needs.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -41,6 +41,7 @@
     :ivar throttled_at: when that share was last changed.
     :ivar calm_since: since when no serving task is near its target.
     :ivar idle_since: when its last run ended, or it joined.
+    :ivar busy_at: when a run last began or ended here.
     :ivar set_aside_until: gets no work before, as it fails what it starts.
     """
 
@@ -69,6 +70,7 @@
         "unlisted_at",
         "room_until",
         "idle_since",
+        "busy_at",
         "ended",
         "fill_percent",
         "throttled_at",
@@ -100,6 +102,7 @@
         self.unlisted_at = 0.0
         self.room_until = 0.0
         self.idle_since = 0.0
+        self.busy_at = 0.0
         self.ended = False
         self.fill_percent = 100
         self.throttled_at = 0.0
@@ -163,6 +166,7 @@
     def add(self, run: runs.Run) -> None:
         """Take room for a run."""
         self.runs[(run.task_name, run.number)] = run
+        self.busy_at = max(self.busy_at, run.sent_at)
         self.used = self.used + run.size
 
     def remove(self, run: runs.Run, now: float) -> None:
@@ -170,6 +174,7 @@
         if self.runs.pop((run.task_name, run.number), None) is None:
             return
         self.used = self.used - run.size
+        self.busy_at = now
         if not self.runs:
             self.used = resources.ZERO
             self.idle_since = now
--- a/src/agaterudder/jobs/maintenance.py
+++ b/src/agaterudder/jobs/maintenance.py
@@ -150,6 +150,11 @@
         if not self._view.refresh():
             return
         row, record = self._read(wave)
+        if row is None:
+            # Its time runs from when it was seen, not from the first upkeep.
+            if self._write(wave, None, record):
+                self._operators.report_wave(wave.number, False)
+            return
         if record.completed:
             self._finished.add(wave.number)
             return
@@ -223,10 +228,10 @@
             at_once = max(math.ceil(own * STANDBY_PART), AT_ONCE)
         spent = self._holder.store_clock() - record.since
         left = wave.seconds - spent - HURRY_MARGIN_SECONDS
-        rounds = max(left / MACHINE_SECONDS, 1.0)
-        hurry = due > at_once * rounds
+        hurry = left <= MACHINE_SECONDS * math.ceil(due / at_once)
         if not hurry and self._holder.waiting_part() >= QUIET_PART:
             return 0
+        rounds = max(left / MACHINE_SECONDS, 1.0)
         at_once = max(at_once, math.ceil(due / rounds))
         return max(
             0,
@@ -247,8 +252,6 @@
         record.down.extend(machine.machine for machine in chosen)
         if not self._write(wave, row, record):
             return
-        if row is None:
-            self._operators.report_wave(wave.number, False)
         for machine in chosen:
             LOG.info(
                 "upkeep begins",
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -287,7 +287,11 @@
         if step.step.uses_leftover:
             return min(near, key=self._disturbance)
         if step.step.long_running:
-            return max(near, key=lambda worker: worker.free.cores)
+            # On few workers, so that the others can be given back.
+            return max(
+                near,
+                key=lambda worker: (worker.lasting > 0, worker.free.cores),
+            )
         return min(near, key=lambda worker: worker.free.cores)
 
     def _near(
@@ -312,14 +316,19 @@
     @staticmethod
     def _disturbance(
         worker: fleet.WorkerState,
-    ) -> tuple[int, int, float]:
+    ) -> tuple[int, bool, int, float]:
         """Order workers for tasks that fill: those that serve come last."""
         serving = sum(
             1
             for run in worker.runs.values()
             if run.task is not None and run.task.step.step.target_seconds > 0
         )
-        return (serving, -worker.fill_percent, -worker.free.cores)
+        return (
+            serving,
+            not worker.lasting,
+            -worker.fill_percent,
+            -worker.free.cores,
+        )
 
     @staticmethod
     def _within_spread(step: runs.StepRun, worker: fleet.WorkerState) -> bool:
--- a/src/agaterudder/jobs/resizing.py
+++ b/src/agaterudder/jobs/resizing.py
@@ -91,6 +91,19 @@
                     gevent.spawn(self._shrink, worker) for worker in workers
                 ]
                 gevent.joinall(moves)
+            case sizing.Empty(worker=worker):
+                LOG.info(
+                    "worker not needed",
+                    extra={
+                        "pool": self._holder.pool,
+                        "worker": worker.name,
+                        "lasting": worker.lasting,
+                    },
+                )
+                self._holder.leave(worker, sizing.NOT_NEEDED)
+            case sizing.Stay(worker=worker):
+                worker.busy_at = now
+                self._holder.stay(worker)
 
     def _forget_joined(self, now: float) -> None:
         joined = {
@@ -186,7 +199,7 @@
         )
         if machine is None or worker.runs:
             return
-        self._holder.leave(worker, "not needed")
+        self._holder.leave(worker, sizing.NOT_NEEDED)
         if worker.runs or not self._move(machine, standby[0]):
             self._holder.stay(worker)
             return
--- a/src/agaterudder/jobs/sizing.py
+++ b/src/agaterudder/jobs/sizing.py
@@ -23,8 +23,14 @@
 # Demand comes in turns: a machine that idles for this long in one pool is
 # sooner needed in another.
 IDLE_SECONDS = 0.6
+# A worker that has run nothing but lasting tasks for this long is emptied;
+# each of them is away for about a second.
+LASTING_ONLY_SECONDS = 2.0
+# Lasting tasks that found no other place within this time stay.
+EMPTYING_SECONDS = 3.0
 # A worker lost must leave room for its tasks.
 LEAST_WORKERS = 2
+NOT_NEEDED = "not needed"
 WORKER_SIZE = resources.Vector(16.0, 32_000.0, 8.0)
 
 
@@ -43,6 +49,20 @@
     workers: tuple[fleet.WorkerState, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Empty:
+    """Move the lasting tasks of a worker to others, to give it back."""
+
+    worker: fleet.WorkerState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stay:
+    """Use a worker again that was to be given back."""
+
+    worker: fleet.WorkerState
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Keep:
     """Change nothing."""
@@ -71,7 +91,10 @@
         return missing + max(behind, 0.0) / CATCH_UP_SECONDS
 
 
-def decide(state: pools.Pool, coming: int, now: float) -> Grow | Shrink | Keep:
+Decision = Grow | Shrink | Empty | Stay | Keep
+
+
+def decide(state: pools.Pool, coming: int, now: float) -> Decision:
     """Decide on the size of a pool.
 
     :param coming: machines that were ordered and have not joined yet.
@@ -84,13 +107,17 @@
     usable = [worker for worker in workers if _serves(state, worker, now)]
     present = len(usable) + coming
     spread = workers_to_spread(state)
+    load = load_of(state, usable, coming, now)
+    short = load.short(state.bounds.move + JOIN_SECONDS)
+    wanted = load.offered + load.waiting > 0 and short > LEAST_PART
+    emptied = _emptied(state)
+    if emptied is not None:
+        return _go_on(emptied, present < spread or wanted, now)
     if present < spread:
         return Grow(
             spread - present, "lasting tasks need workers to spread over"
         )
-    load = load_of(state, usable, coming, now)
-    short = load.short(state.bounds.move + JOIN_SECONDS)
-    if load.offered + load.waiting > 0 and short > LEAST_PART:
+    if wanted:
         return Grow(
             math.ceil(short - LEAST_PART),
             f"{load.offered:.1f} come a second, {load.waiting:.1f} wait, "
@@ -103,9 +130,30 @@
     return _give_back(usable, spare, now)
 
 
+def _emptied(state: pools.Pool) -> fleet.WorkerState | None:
+    """Return the worker that is being emptied to be given back."""
+    return next(
+        (
+            worker
+            for worker in state.workers.values()
+            if worker.leaving == NOT_NEEDED
+            and worker.listed
+            and not worker.ended
+        ),
+        None,
+    )
+
+
+def _go_on(worker: fleet.WorkerState, wanted: bool, now: float) -> Decision:
+    """Decide on a worker that is being emptied."""
+    if wanted or now - worker.leaving_since > EMPTYING_SECONDS:
+        return Stay(worker)
+    return Keep() if worker.runs else Shrink((worker,))
+
+
 def _give_back(
     workers: list[fleet.WorkerState], most: int, now: float
-) -> Shrink | Keep:
+) -> Shrink | Empty | Keep:
     idle = [
         worker
         for worker in workers
@@ -113,10 +161,20 @@
         and worker.fenced
         and now - worker.idle_since > IDLE_SECONDS
     ]
-    if not idle:
+    if idle:
+        idle.sort(key=lambda worker: worker.idle_since)
+        return Shrink(tuple(idle[:most]))
+    lasting = [
+        worker
+        for worker in workers
+        if worker.fenced
+        and worker.runs
+        and worker.lasting == len(worker.runs)
+        and now - worker.busy_at > LASTING_ONLY_SECONDS
+    ]
+    if not lasting:
         return Keep()
-    idle.sort(key=lambda worker: worker.idle_since)
-    return Shrink(tuple(idle[:most]))
+    return Empty(min(lasting, key=lambda worker: worker.lasting))
 
 
 def _serves(state: pools.Pool, worker: fleet.WorkerState, now: float) -> bool:
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -67,6 +67,20 @@
       | 12    | 26      | in use     | 6    |
       | 60    | 26      | on standby | 20   |
 
+  Scenario Outline: A wave of <count> machines of a pool whose work waits
+    Given a wave of <count> machines with at most 20 down at once
+    And it is to be done within 26 seconds
+    And a pool in use that holds all of them
+    And its work always waits
+    When it has had turns for 26 seconds
+    Then each machine had its upkeep once
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+      | 12    |
+
   Scenario Outline: Orders for one machine by <orders>
     Then the last of these orders is <answer>: "<orders>"
 
@@ -110,6 +124,21 @@
       | 8    | 0.2 | grow 4  |
       | 8    | 0.1 | grow 9  |
 
+  Scenario Outline: Lasting tasks alone on each of <workers> workers, <event>
+    Given a pool of <workers> workers, each with 16 cores free
+    And a lasting job that needs 2 workers, its 4 tasks spread over them
+    And <event>
+    Then the pool should <answer>
+
+    Examples:
+      | workers | event                                | answer  |
+      | 4       | nothing else ran for 3 seconds       | empty 1 |
+      | 4       | nothing else ran for 1 seconds       | keep    |
+      | 2       | nothing else ran for 3 seconds       | keep    |
+      | 4       | one is being emptied for 1 seconds   | keep    |
+      | 4       | one is being emptied for 4 seconds   | stay 1  |
+      | 4       | one is empty after 1 seconds         | shrink 1 |
+
   Scenario: Work beyond a team's rate takes no machine from standby
     Given a pool of 3 workers, each with 0 cores free
     And work of 90 cores that waits, beyond its team's rate
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -99,8 +99,8 @@
     Then 0 of its tasks are away
 
   Scenario Outline: A leaving worker's lasting tasks while <away> others are away
-    Given a pool with 3 workers
-    And a job of 3 lasting tasks, of which 1 may miss
+    Given a pool with 4 workers
+    And a job of 3 lasting tasks, one on a worker, of which 1 may miss
     When the pool is planned
     And all runs are listed as running at 100 per cent
     And <away> of the others are away
@@ -113,6 +113,13 @@
       | 0    | 1     |
       | 1    | 0     |
 
+  Scenario: Lasting tasks gather on few workers
+    Given a pool with 4 workers
+    And a job of 4 lasting tasks, of which 1 may miss
+    When the pool is planned
+    Then 4 starts are ordered
+    And 2 workers have a run
+
   Scenario: A gang starts together or not at all
     Given a pool with 1 workers
     And a gang of 17 tasks of 1 core
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -85,6 +85,7 @@
         self._context = context
         self.pool = pool
         self.knows_workers = True
+        self.waiting = 0.0
         self._workers: dict[str, fleet.WorkerState] = {}
 
     def may_order(self) -> bool:
@@ -109,8 +110,8 @@
         """Do nothing."""
 
     def waiting_part(self) -> float:
-        """Return that nothing waits."""
-        return 0.0
+        """Return the waiting work as the test says."""
+        return self.waiting
 
     def store_clock(self) -> float:
         """Return the present time."""
@@ -187,6 +188,11 @@
     context.upkeep = {"one": upkeep}
 
 
+@behave.given("its work always waits")
+def step_always_waits(context: Context) -> None:
+    context.holders["one"].waiting = 1.0
+
+
 @behave.when("it has had turns for {seconds:d} seconds")
 def step_turns_for(context: Context, seconds: int) -> None:
     step_turns(context, int(seconds / TURN_SECONDS))
@@ -265,7 +271,9 @@
     for worker in context.state.workers.values():
         used = resources.Vector(job_builders.SIZE.cores - free)
         if used.cores:
-            run = mock.Mock(size=used, task_name="t", number=1, task=None)
+            run = mock.Mock(
+                size=used, task_name="t", number=1, task=None, sent_at=0.0
+            )
             worker.add(run)
 
 
@@ -317,6 +325,37 @@
     context.state.create_due(0.0, now)
 
 
+@behave.given(
+    "a lasting job that needs 2 workers, its 4 tasks spread over them"
+)
+def step_spread_out(context: Context) -> None:
+    step_lasting_job(context, 2)
+    (step,) = context.state.ready.values()
+    workers = itertools.cycle(context.state.workers.values())
+    for number, (task, worker) in enumerate(zip(step.tasks, workers)):
+        context.state.begin(task, worker, number + 1, 0.0)
+
+
+@behave.given("nothing else ran for {seconds:d} seconds")
+def step_only_lasting(context: Context, seconds: int) -> None:
+    for worker in context.state.workers.values():
+        worker.busy_at = job_builders.START + 1.0 - seconds
+
+
+@behave.given("one is being emptied for {seconds:d} seconds")
+def step_emptied(context: Context, seconds: int) -> None:
+    step_only_lasting(context, 3)
+    context.state.workers["w0"].leave(
+        sizing.NOT_NEEDED, job_builders.START + 1.0 - seconds
+    )
+
+
+@behave.given("one is empty after {seconds:d} seconds")
+def step_empty(context: Context, seconds: int) -> None:
+    step_emptied(context, seconds)
+    context.state.workers["w0"].runs.clear()
+
+
 @behave.given("one of the workers is silent")
 def step_silent(context: Context) -> None:
     worker = context.state.workers["w0"]
@@ -338,6 +377,10 @@
             said = f"grow {count}"
         case sizing.Shrink(workers=workers):
             said = f"shrink {len(workers)}"
+        case sizing.Empty():
+            said = "empty 1"
+        case sizing.Stay():
+            said = "stay 1"
         case _:
             said = "keep"
     assert said == answer, said
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -132,6 +132,12 @@
     context.state.create_due(0.0, accepted_at)
 
 
+@behave.then("{count:d} workers have a run")
+def step_workers_used(context: Context, count: int) -> None:
+    used = {run.worker.name for run in _runs(context)}
+    assert len(used) == count, used
+
+
 @behave.then('only job "{name}" has a run')
 def step_only_run(context: Context, name: str) -> None:
     found = {run.task_name.partition(".")[0] for run in _runs(context)}
@@ -166,6 +172,17 @@
     _accept(context, job_builders.job(step))
 
 
+@behave.given(
+    "a job of {count:d} lasting tasks, one on a worker,"
+    " of which {miss:d} may miss"
+)
+def step_lasting_apart(context: Context, count: int, miss: int) -> None:
+    step = job_builders.step(
+        count=count, long_running=True, may_miss=miss, most_per_worker=1
+    )
+    _accept(context, job_builders.job(step))
+
+
 @behave.given("a gang of {count:d} tasks of 1 core")
 def step_gang(context: Context, count: int) -> None:
     step = job_builders.step(count=count, gang=True)
