Take no machines for work that a team's limit forbids; give idle ones back

Idle workers in taken-out data centres were kept as well. Change: of a team's waiting work only what its limit leaves counts; idle workers go back whatever else waits, except while a pool recovers; those in taken-out centres always. Tests: fleet.feature, five cases.

--- a/src/agaterudder/jobs/sizing.py
+++ b/src/agaterudder/jobs/sizing.py
@@ -6,6 +6,7 @@
 is taken, times the seconds for work.
 """
 
+import collections
 import dataclasses
 import math
 
@@ -123,9 +124,14 @@
             f"{load.offered:.1f} come a second, {load.waiting:.1f} wait, "
             f"room for {load.room:.1f}",
         )
+    useless = _idle(
+        [worker for worker in workers if worker not in usable], now
+    )
+    if useless:
+        return Shrink(tuple(useless))
     floor = max(spread, LEAST_WORKERS)
     spare = min(present - floor, math.floor(-short))
-    if load.waiting > 0 or spare <= 0:
+    if spare <= 0 or state.recovering(now):
         return Keep()
     return _give_back(usable, spare, now)
 
@@ -154,15 +160,8 @@
 def _give_back(
     workers: list[fleet.WorkerState], most: int, now: float
 ) -> Shrink | Empty | Keep:
-    idle = [
-        worker
-        for worker in workers
-        if not worker.runs
-        and worker.fenced
-        and now - worker.idle_since > IDLE_SECONDS
-    ]
+    idle = _idle(workers, now)
     if idle:
-        idle.sort(key=lambda worker: worker.idle_since)
         return Shrink(tuple(idle[:most]))
     lasting = [
         worker
@@ -177,6 +176,22 @@
     return Empty(min(lasting, key=lambda worker: worker.lasting))
 
 
+def _idle(
+    workers: list[fleet.WorkerState], now: float
+) -> list[fleet.WorkerState]:
+    """Return the workers that are idle, the longest first."""
+    idle = [
+        worker
+        for worker in workers
+        if not worker.runs
+        and worker.fenced
+        and not worker.ended
+        and not worker.silent(now)
+        and now - worker.idle_since > IDLE_SECONDS
+    ]
+    return sorted(idle, key=lambda worker: worker.idle_since)
+
+
 def _serves(state: pools.Pool, worker: fleet.WorkerState, now: float) -> bool:
     """Return whether a worker has, or will soon have, room for tasks."""
     return (
@@ -201,14 +216,11 @@
                 lasting = lasting + run.size
             else:
                 busy = busy + run.size
-    for step in state.ready.values():
-        count = _waiting(step) if _counts(step) else 0
-        room = state.room_of(step).scaled(count)
-        if step.step.long_running:
-            lasting = lasting + room
-        else:
-            wanted = wanted + room
-            work = work + room.scaled(state.estimates.seconds(step))
+    for team, waiting in _waiting_by_team(state).items():
+        lasting = lasting + waiting.lasting
+        part = waiting.room.part_within(state.limits.headroom(team))
+        wanted = wanted + waiting.room.scaled(part)
+        work = work + waiting.work.scaled(part)
     rate = state.demand.rate(now)
     join_seconds = state.bounds.move + JOIN_SECONDS
     # A few large jobs are no steady load: no more room can be taken than
@@ -221,6 +233,34 @@
     )
 
 
+class _Waiting:
+    """What waits of one team: room of its tasks, and their work."""
+
+    __slots__ = ("lasting", "room", "work")
+
+    def __init__(self) -> None:
+        self.lasting = resources.ZERO
+        self.room = resources.ZERO
+        self.work = resources.ZERO
+
+
+def _waiting_by_team(state: pools.Pool) -> dict[str, _Waiting]:
+    found: dict[str, _Waiting] = collections.defaultdict(_Waiting)
+    for step in state.ready.values():
+        count = _waiting(step) if _counts(step) else 0
+        if not count:
+            continue
+        room = state.room_of(step).scaled(count)
+        waiting = found[step.job.job.team]
+        if step.step.long_running:
+            waiting.lasting = waiting.lasting + room
+        else:
+            seconds = state.estimates.seconds(step)
+            waiting.room = waiting.room + room
+            waiting.work = waiting.work + room.scaled(seconds)
+    return found
+
+
 def waiting_cores(state: pools.Pool) -> float:
     """Return the cores that waiting tasks ask for."""
     return sum(
--- a/src/agaterudder/jobs/teamlimits.py
+++ b/src/agaterudder/jobs/teamlimits.py
@@ -21,15 +21,19 @@
 
 
 class _Account:
-    """One team's grant in this pool."""
+    """One team's grant in this pool.
 
-    __slots__ = ("holding", "needed", "needed_at", "lowered")
+    :ivar exhausted: whether the last request found the limit granted.
+    """
+
+    __slots__ = ("holding", "needed", "needed_at", "lowered", "exhausted")
 
     def __init__(self) -> None:
         self.holding = escrow.Holding()
         self.needed: escrow.Need | None = None
         self.needed_at = 0.0
         self.lowered = False
+        self.exhausted = False
 
 
 class TeamLimits:
@@ -70,6 +74,17 @@
         holding.limit_is(self._teams[team].limit)
         return size.fits_in(holding.free)
 
+    def headroom(self, team: str) -> resources.Vector:
+        """Return the most that a team may use here beyond what it uses."""
+        if not self.limited(team):
+            return resources.UNLIMITED
+        account = self._account(team)
+        holding = account.holding
+        if account.exhausted:
+            return holding.free.larger(resources.ZERO)
+        used = holding.spent + holding.reserved
+        return (self._teams[team].limit - used).larger(resources.ZERO)
+
     def spend(self, team: str, run: str, size: resources.Vector) -> bool:
         """Take the size of a run from the grant; return whether it fits."""
         if not self.limited(team):
@@ -174,6 +189,7 @@
         row, pot = self._read(store, team)
         pot = escrow.relimited(pot, self._teams[team].limit, self._version)
         larger = escrow.enlarged(pot, self._pool, need)
+        account.exhausted = not isinstance(larger, escrow.Pot)
         if not isinstance(larger, escrow.Pot):
             LOG.debug(
                 "team limit reached",
--- a/src/agaterudder/resources.py
+++ b/src/agaterudder/resources.py
@@ -1,5 +1,6 @@
 """Resource vectors: cores, memory, accelerators and running tasks."""
 
+import itertools
 import typing as t
 
 import msgspec
@@ -57,6 +58,15 @@
         """Return the larger amount of each resource."""
         return Vector(*map(max, self.values(), other.values()))
 
+    def part_within(self, room: "Vector") -> float:
+        """Return the largest part of the vector that fits, at most 1."""
+        parts = (
+            max(theirs, 0.0) / mine
+            for mine, theirs in zip(self.values(), room.values())
+            if mine > 0
+        )
+        return min(itertools.chain(parts, (1.0,)))
+
     def dominant_share(self, capacity: "Vector") -> float:
         """Return the largest fraction of ``capacity`` that is used.
 
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -144,6 +144,24 @@
     And work of 90 cores that waits, beyond its team's rate
     Then the pool should keep
 
+  Scenario Outline: 90 cores of work wait of a team that may use <cores>
+    Given a pool of <workers> workers, each with <free> cores free
+    And its team may use <cores> cores
+    And work of 90 cores that waits
+    Then the pool should <answer>
+
+    Examples:
+      | workers | free | cores | answer   |
+      | 3       | 0    | 0     | keep     |
+      | 3       | 0    | 16    | grow 1   |
+      | 3       | 0    | 200   | grow 4   |
+      | 6       | 16   | 0     | shrink 4 |
+
+  Scenario: An idle worker in a taken-out centre is given back
+    Given a pool of 2 workers, each with 16 cores free
+    And one of the workers is in a taken-out centre
+    Then the pool should shrink 1
+
   Scenario Outline: Lasting tasks for <needed> workers on <workers>
     Given a pool of <workers> workers, each with 16 cores free
     And a lasting job that needs <needed> workers
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -288,6 +288,14 @@
     context.state.create_due(0.0, now)
 
 
+@behave.given("its team may use {cores:d} cores")
+def step_team_limit(context: Context, cores: int) -> None:
+    limit = resources.Vector(float(cores), 1e12, 1e12, 1e12)
+    context.state.limits.configure(
+        job_builders.configuration(teams=(rules.Team("tally", limit=limit),))
+    )
+
+
 @behave.given("work of {cores:g} cores that waits, beyond its team's rate")
 def step_waits_beyond(context: Context, cores: float) -> None:
     step_waits(context, cores)
