Forget upkeep of machines that moved away; the load of a pool apart

Ruled out: the wave's cap (1 of 9 down), the machine's state (its worker was fenced and listed). Change: a note is dropped when the machine is in another pool or done. What a pool has to do is measured in a module of its own. Tests: fleet.feature, seen to fail before.

--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -14,6 +14,7 @@
 from agaterudder.jobs import deployment
 from agaterudder.jobs import fleet
 from agaterudder.jobs import inbox
+from agaterudder.jobs import load as loads
 from agaterudder.jobs import machines
 from agaterudder.jobs import maintenance
 from agaterudder.jobs import ordering
@@ -23,7 +24,6 @@
 from agaterudder.jobs import ports
 from agaterudder.jobs import resizing
 from agaterudder.jobs import roster
-from agaterudder.jobs import sizing
 from agaterudder.jobs import storing
 from agaterudder.jobs import teamlimits
 from agaterudder.jobs import wallclock
@@ -238,7 +238,7 @@
     def waiting_part(self) -> float:
         """Return the waiting work as a part of the room, in cores."""
         room = sum(w.entry.size.cores for w in self.state.workers.values())
-        return sizing.waiting_cores(self.state) / room if room else 0.0
+        return loads.waiting_cores(self.state) / room if room else 0.0
 
     def standby_pools(self) -> list[str]:
         """Return the pools on standby."""
--- a/src/agaterudder/jobs/maintenance.py
+++ b/src/agaterudder/jobs/maintenance.py
@@ -163,6 +163,7 @@
             machine.machine: machine
             for machine in self._view.in_pool(self._holder.pool)
         }
+        self._forget_moved(wave, record, own)
         for name in record.down:
             if name in own:
                 self._go_on(wave, own[name])
@@ -173,6 +174,22 @@
         if not due and not record.down:
             self._check_completed(wave, record)
 
+    def _forget_moved(
+        self,
+        wave: rules.Wave,
+        record: Record,
+        own: t.Mapping[str, ports.Machine],
+    ) -> None:
+        """Forget machines that another pool has now, or has finished."""
+        for name in [*self._steps]:
+            if name in wave.machines and (
+                name not in own or name not in record.down
+            ):
+                step = self._steps.pop(name)
+                worker = self._holder.worker_state(step.worker)
+                if worker is not None:
+                    self._holder.stay(worker)
+
     def _read(self, wave: rules.Wave) -> tuple[ports.Row | None, Record]:
         row = self._store.read(TABLE, PART, str(wave.number))
         if row is None:
--- a/src/agaterudder/jobs/storing.py
+++ b/src/agaterudder/jobs/storing.py
@@ -8,9 +8,9 @@
 from agaterudder import codes
 from agaterudder.jobs import clock
 from agaterudder.jobs import context as contexts
+from agaterudder.jobs import load as loads
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
-from agaterudder.jobs import sizing
 
 LOG = logging.getLogger(__name__)
 
@@ -120,7 +120,7 @@
         now = clock.now()
         workers = state.workers.values()
         usable = [worker for worker in workers if worker.takes_work(now)]
-        waiting = round(sizing.waiting_cores(state), 1)
+        waiting = round(loads.waiting_cores(state), 1)
         self._context.metrics.gauge(
             "pool_jobs", len(state.jobs), pool=self._context.pool
         )
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -46,6 +46,15 @@
     And both pools have had 20 turns
     Then each machine had its upkeep once
 
+  Scenario: A machine that moves away as its upkeep begins blocks no other
+    Given a wave of 3 machines with at most 3 down at once
+    And two pools that hold 3 and 0 of them, with a load
+    When both pools have had 2 turns
+    And the machine whose upkeep has begun moves to the second pool
+    And the load has gone
+    And both pools have had 40 turns
+    Then each machine had its upkeep once
+
   Scenario: A worker that never registers does not hold up its machine
     Given a wave of 1 machines with at most 1 down at once
     And two pools that hold 1 and 0 of them, without a load
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -46,6 +46,10 @@
             for name, pool in self._pools.items()
         )
 
+    def move_to(self, machine: str, pool: str) -> None:
+        """Move a machine at once."""
+        self._pools[machine] = pool
+
     def _state(self, name: str) -> str:
         until = self._down.get(name, 0.0)
         return "upkeep" if self._context.now < until else ports.MACHINE_UP
@@ -208,6 +212,13 @@
     context.holders["one"].knows_workers = True
 
 
+@behave.when("the machine whose upkeep has begun moves to the second pool")
+def step_moves_away(context: Context) -> None:
+    row = context.store.read(maintenance.TABLE, maintenance.PART, str(WAVE))
+    (begun,) = model.decode(row.value, maintenance.Record).down
+    context.machines.move_to(begun, "two")
+
+
 @behave.given("each second answer of the machines' API is lost")
 def step_lost(context: Context) -> None:
     context.machines.lose = True
