Copies of tasks on silent workers; latency of the store's calls in the metrics

Cause: a third of the quick queues' steps allow copies, and their tasks waited for the lease of a worker that nobody could look at (6.4 s), far beyond their objective of some 2.6 s. Change: where copies are allowed, a second run starts when nothing can be learnt of the first; the other one is stopped when one is done. The store's calls are measured by call and outcome. The lines name the VM and the reason.

--- a/src/agaterudder/jobs/ownership.py
+++ b/src/agaterudder/jobs/ownership.py
@@ -160,7 +160,7 @@
             return SHORT_LOOK_SECONDS
         at = self._clock.at_most(now)
         ends = [
-            model.decode(row.value, model.Lease).expires_at - at
+            _lease_of(row).expires_at - at
             for pool, row in self._rows.items()
             if pool in pools
             and pool not in self._leases
@@ -213,7 +213,7 @@
     def _free(self, pool: str, row: ports.Row | None, at: float) -> bool:
         """Return whether a pool has no holder and it is our turn."""
         if row is not None:
-            lease = model.decode(row.value, model.Lease)
+            lease = _lease_of(row)
             if self._ended_life(lease):
                 return True
             if at < lease.expires_at:
@@ -236,7 +236,12 @@
         sent_at = clock.now()
         outcome = self._write(pool, row.version if row else 0, sent_at)
         if not isinstance(outcome, ports.Committed):
-            LOG.info("pool not taken", extra={"pool": pool, "why": outcome})
+            why = (
+                "another process was first"
+                if isinstance(outcome, ports.Conflicted)
+                else outcome.reason
+            )
+            LOG.info("pool not taken", extra={"pool": pool, "why": why})
             self._not_before[pool] = clock.now() + LOOK_SECONDS
             return
         lease = Lease(pool, outcome.version, sent_at + self._own_seconds)
@@ -252,7 +257,7 @@
             extra={
                 "pool": pool,
                 "epoch": epoch,
-                "before": row.value if row else "",
+                "before": _lease_of(row).vm if row else "",
                 "valid": round(lease.valid_until - clock.now(), 2),
             },
         )
@@ -344,7 +349,7 @@
     ) -> bool:
         row = next((row for row in rows if row.key == model.LEASE_KEY), None)
         if row is not None and row.value:
-            found = model.decode(row.value, model.Lease)
+            found = _lease_of(row)
             if found.incarnation == self._incarnation:
                 # A renewal without an answer took effect.
                 lease.version = row.version
@@ -387,3 +392,7 @@
             )
             if isinstance(outcome, (ports.Committed, ports.Conflicted)):
                 return
+
+
+def _lease_of(row: ports.Row) -> model.Lease:
+    return model.decode(row.value, model.Lease)
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -10,6 +10,9 @@
     from agaterudder.jobs import fleet
 
 
+MOST_RUNS_OF_A_TASK = 2
+
+
 class RunState(enum.Enum):
     """What is known of a run.
 
@@ -104,6 +107,10 @@
             and self.progress < 100
         )
 
+    def stranded(self, now: float) -> bool:
+        """Return whether nothing can be learnt of it for the moment."""
+        return self.state is RunState.UNCERTAIN or self.worker.silent(now)
+
     @property
     def at_work(self) -> bool:
         """Whether a lasting task counts as available through this run."""
@@ -213,13 +220,27 @@
         return self.done >= len(self.tasks)
 
     def waiting_tasks(self, now: float) -> list[Task]:
-        """Return the tasks that may be started."""
+        """Return the tasks that may be started.
+
+        A step that allows copies does not wait for runs of which nothing
+        can be learnt.
+        """
         return [
             task
             for task in self.tasks
-            if task.waiting and task.not_before <= now
+            if task.not_before <= now
+            and (task.waiting or self._wants_copy(task, now))
         ]
 
+    def _wants_copy(self, task: Task, now: float) -> bool:
+        return (
+            self.step.speculative
+            and not self.step.gang
+            and not task.done
+            and len(task.runs) < MOST_RUNS_OF_A_TASK
+            and all(run.stranded(now) for run in task.runs)
+        )
+
     def away(self) -> int:
         """Return how many tasks of a lasting step are not at work."""
         return sum(
--- a/src/agaterudder/jobs/service.py
+++ b/src/agaterudder/jobs/service.py
@@ -11,6 +11,7 @@
 from agaterudder.jobs import frontdoor
 from agaterudder.jobs import holder
 from agaterudder.jobs import machines
+from agaterudder.jobs import measured
 from agaterudder.jobs import ownership
 from agaterudder.jobs import ports
 from agaterudder import metrics
@@ -50,6 +51,7 @@
         self.incarnation = utils.new_identifier()
         self.metrics = metrics.Metrics()
         self._outside = outside
+        self._store = measured.MeasuredStore(outside.store, self.metrics)
         self.beliefs = beliefs.Beliefs(
             outside.operators,
             outside.worker_list,
@@ -60,20 +62,20 @@
             # its own.
             f"{settings.vm} {settings.frontend}",
             self.incarnation,
-            outside.store,
+            self._store,
             settings.bounds.holder_lease * HOLDER_LEASE_PART,
             self._pools,
             self._take,
             self._drop,
         )
         self.front_door = frontdoor.FrontDoor(
-            outside.store, self.beliefs, self.owner.store_clock, self.metrics
+            self._store, self.beliefs, self.owner.store_clock, self.metrics
         )
         self._fleet_tools = holder.FleetTools(
             outside.operators,
             machines.View(outside.machines),
             machines.MachineOrders(
-                outside.store,
+                self._store,
                 outside.machines,
                 settings.vm,
                 settings.bounds.holder_lease,
@@ -117,7 +119,7 @@
         found = holder.Holder(
             lease,
             self.owner,
-            self._outside.store,
+            self._store,
             self.beliefs,
             self.settings.bounds,
             self._outside.worker,
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -50,6 +50,34 @@
       | the worker's lease has lapsed after 7 seconds      | 1     | 1      |
       | the worker's lease has lapsed after 13 seconds     | 1     | 2      |
 
+  Scenario Outline: A task on a silent worker, copies being <copies>
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core, copies being <copies>
+    When the pool is planned
+    And all runs are listed as running
+    And the worker of the run is silent for <seconds> seconds
+    And the pool is planned
+    And the pool is planned
+    Then <starts> starts are ordered
+
+    Examples:
+      | copies    | seconds | starts |
+      | allowed   | 0.5     | 1      |
+      | allowed   | 1.5     | 2      |
+      | forbidden | 1.5     | 1      |
+
+  Scenario: The other copy of a task that is done is stopped
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core, copies being allowed
+    When the pool is planned
+    And all runs are listed as running
+    And the worker of the run is silent for 1.5 seconds
+    And the pool is planned
+    And the copy is listed as done
+    And the pool is planned
+    Then the job is complete
+    And 1 stops are ordered
+
   Scenario: A failed run that is listed again counts once
     Given a pool with 1 workers
     And a job of 1 tasks of 1 core
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -149,6 +149,33 @@
     _accept(context, job_builders.job(job_builders.step(count=count)))
 
 
+@behave.given("a job of {count:d} tasks of 1 core, copies being {copies}")
+def step_copies(context: Context, count: int, copies: str) -> None:
+    step = job_builders.step(count=count, speculative=copies == "allowed")
+    _accept(context, job_builders.job(step))
+
+
+@behave.when("the worker of the run is silent for {seconds:g} seconds")
+def step_run_silent(context: Context, seconds: float) -> None:
+    (run,) = _runs(context)
+    context.run = run
+    run.worker.failed_at = context.now
+    context.now += seconds
+
+
+@behave.when("the copy is listed as done")
+def step_copy_done(context: Context) -> None:
+    (copy,) = (run for run in _runs(context) if run is not context.run)
+    _end(context, copy, ports.END_DONE)
+
+
+@behave.then("the job is complete")
+def step_complete(context: Context) -> None:
+    (job,) = context.state.jobs.values()
+    assert job.ending is not None
+    assert job.ending.state == model.STATE_COMPLETED
+
+
 @behave.given("a job of {count:d} tasks of 1 core from before the take-over")
 def step_recovered_job(context: Context, count: int) -> None:
     step = job_builders.step(count=count)
