A worker in its upkeep is not used again by the size of its pool

Cause: read in the code, not seen in a play: a worker that was being emptied to be given back kept that reason when its upkeep began, so that the size of the pool could put it to use again between the look at its runs and the order that ends them. Change: upkeep takes the worker over. Tests: fleet.feature, seen to fail before.

--- a/src/agaterudder/jobs/maintenance.py
+++ b/src/agaterudder/jobs/maintenance.py
@@ -33,6 +33,7 @@
 # What one machine takes, for judging whether time is short.
 MACHINE_SECONDS = 5.0
 HURRY_MARGIN_SECONDS = 6.0
+UPKEEP = "upkeep"
 # A pool with less waiting work than this part of its room can miss one.
 QUIET_PART = 0.1
 
@@ -307,8 +308,8 @@
         step.worker = machine.worker
         worker = self._holder.worker_state(machine.worker)
         if worker is not None:
-            if not worker.leaving:
-                self._holder.leave(worker, "upkeep")
+            if worker.leaving != UPKEEP:
+                self._holder.leave(worker, UPKEEP)
             return worker.empty_enough
         joins = bool(machine.worker) and not self._holder.standby
         return not joins or clock.now() - step.begun_at > JOIN_SECONDS
@@ -327,7 +328,7 @@
             case ports.Done():
                 step.ordered_at = clock.now()
                 if worker is not None:
-                    self._holder.worker_ended(worker, "upkeep")
+                    self._holder.worker_ended(worker, UPKEEP)
             case ports.Rejected(reason="wave"):
                 self._finish(wave, step)
             case _:
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -46,6 +46,13 @@
     And both pools have had 20 turns
     Then each machine had its upkeep once
 
+  Scenario: A worker that is given back stays away from tasks for its upkeep
+    Given a wave of 1 machines with at most 1 down at once
+    And two pools that hold 1 and 0 of them, without a load
+    And the worker of the first machine is being given back
+    When both pools have had 4 turns
+    Then the worker of the first machine leaves for "upkeep"
+
   Scenario: A machine that moves away as its upkeep begins blocks no other
     Given a wave of 3 machines with at most 3 down at once
     And two pools that hold 3 and 0 of them, with a load
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -105,7 +105,8 @@
         return found
 
     def leave(self, worker: fleet.WorkerState, reason: str) -> None:
-        """Do nothing."""
+        """Give a worker no more work."""
+        worker.leave(reason, self._context.now)
 
     def stay(self, worker: fleet.WorkerState) -> None:
         """Do nothing."""
@@ -212,6 +213,18 @@
     context.holders["one"].knows_workers = True
 
 
+@behave.given("the worker of the first machine is being given back")
+def step_given_back(context: Context) -> None:
+    worker = context.holders["one"].worker_state("w-m0")
+    worker.leave(sizing.NOT_NEEDED, context.now)
+
+
+@behave.then('the worker of the first machine leaves for "{reason}"')
+def step_leaves_for(context: Context, reason: str) -> None:
+    worker = context.holders["one"].worker_state("w-m0")
+    assert worker.leaving == reason, worker.leaving
+
+
 @behave.when("the machine whose upkeep has begun moves to the second pool")
 def step_moves_away(context: Context) -> None:
     row = context.store.read(maintenance.TABLE, maintenance.PART, str(WAVE))
