--- a/models/report.py
+++ b/models/report.py
@@ -5,13 +5,14 @@
 from models import acceptance
 from models import budget
 from models import claim
+from models import ends
 from models import escrow
 from models import pool
 from models import specification
 
 ALL = {
     item.SPECIFICATION.name: item.SPECIFICATION
-    for item in (escrow, claim, acceptance, pool, budget)
+    for item in (escrow, claim, acceptance, pool, budget, ends)
 }
 
 
--- a/tests/features/models.feature
+++ b/tests/features/models.feature
@@ -15,3 +15,4 @@
       | acceptance | 100    |
       | pool       | 1000   |
       | budget     | 5000   |
+      | ends       | 50000  |
