A new holder stops lasting tasks only when earlier stops show

The former holder was emptying that worker for upkeep; its stop of 0.0.3 was under way (a stop takes up to 200 ms and was ordered while orders are late), so that the worker's list still showed 0.0.3 at work. Ruled out: two workers emptied at once by one holder (the first stop counts at once as away). Change: a worker's lasting tasks are stopped only when all runs of their step are on workers looked at later than a stop's longest time after the fencing; workers that drain are emptied as before. Tests: pool.feature, the case of 0.3 s fails without the change.

--- a/src/agaterudder/jobs/emptying.py
+++ b/src/agaterudder/jobs/emptying.py
@@ -40,6 +40,8 @@
         if step.name in steps or run.state is not runs.RunState.RUNNING:
             continue
         late = waited > patience
+        if not worker.draining and not _settled(step, bounds.stop):
+            continue
         if may_stop(run, worker.draining) and (has_place or late):
             chosen.append(run)
             steps.add(step.name)
@@ -54,3 +56,12 @@
     step = run.task.step
     others_away = step.away()
     return others_away < max(step.step.may_miss, 1)
+
+
+def _settled(step: runs.StepRun, stop_seconds: float) -> bool:
+    """Return whether it is known which tasks earlier holders stopped."""
+    return all(
+        run.worker.settled(stop_seconds)
+        for task in step.tasks
+        for run in task.runs
+    )
--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -28,6 +28,7 @@
     :ivar entry: what it registered last.
     :ivar listed: whether its registration is there now.
     :ivar fenced: whether this life answered to the present epoch.
+    :ivar fenced_at: when it first answered to the present epoch.
     :ivar heard_at: when the last answered look was sent; 0 before.
     :ivar latest_deadline: latest lease that was given to it, by its own
         clock in seconds.
@@ -51,6 +52,7 @@
         "link",
         "listed",
         "fenced",
+        "fenced_at",
         "life_start",
         "heard_at",
         "failed_at",
@@ -83,6 +85,7 @@
         self.link = link
         self.listed = True
         self.fenced = False
+        self.fenced_at = 0.0
         self.life_start = entry.life_start
         self.heard_at = 0.0
         self.failed_at = 0.0
@@ -117,6 +120,15 @@
         """Return whether looks have stayed unanswered for a while."""
         return bool(self.failed_at and now - self.heard_at > SILENT_SECONDS)
 
+    def settled(self, stop_seconds: float) -> bool:
+        """Return whether stops of earlier holders show in its lists.
+
+        None is accepted after the fencing; one before it takes a while.
+
+        :param stop_seconds: longest time that a stop takes.
+        """
+        return self.heard_at >= self.fenced_at + stop_seconds
+
     def takes_work(self, now: float) -> bool:
         """Return whether tasks may be started here now."""
         return (
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -175,8 +175,10 @@
         """Take a worker of this pool."""
         self.workers[worker.name] = worker
 
-    def worker_seen(self, worker: fleet.WorkerState) -> None:
+    def worker_seen(self, worker: fleet.WorkerState, now: float) -> None:
         """Note that a worker answered to this epoch."""
+        if not worker.fenced:
+            worker.fenced_at = now
         worker.fenced = True
         self.unseen.discard(worker.name)
 
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -190,7 +190,7 @@
             and listing.life_start == worker.life_start
             or not listing.life_start
         ):
-            state.worker_seen(worker)
+            state.worker_seen(worker, now)
         if first:
             LOG.info(
                 "worker fenced",
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -141,6 +141,23 @@
       | 0    | 1     |
       | 1    | 0     |
 
+  Scenario Outline: A new holder empties a worker <after> s after its first look
+    Given a pool with 4 workers
+    And a job of 3 lasting tasks, one on a worker, of which 1 may miss
+    When the pool is planned
+    And all runs are listed as running at 100 per cent
+    And the workers were fenced just now
+    And <after> seconds pass
+    And all runs are listed as running at 100 per cent
+    And the worker of the first leaves for upkeep
+    And the pool is planned
+    Then <stops> stops are ordered
+
+    Examples: a stop of the earlier holder takes 0.4 s to show
+      | after | stops |
+      | 0.3   | 0     |
+      | 0.5   | 1     |
+
   Scenario: Lasting tasks gather on few workers
     Given a pool with 4 workers
     And a job of 4 lasting tasks, of which 1 may miss
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -210,6 +210,13 @@
     _accept(context, job_builders.job(step))
 
 
+@behave.when("the workers were fenced just now")
+def step_fenced_now(context: Context) -> None:
+    for worker in context.state.workers.values():
+        worker.fenced = False
+        context.state.worker_seen(worker, context.now)
+
+
 @behave.given("a gang of {count:d} tasks of 1 core")
 def step_gang(context: Context, count: int) -> None:
     step = job_builders.step(count=count, gang=True)
@@ -285,7 +292,7 @@
 
 @behave.when('worker "{name}" answers')
 def step_seen(context: Context, name: str) -> None:
-    context.state.worker_seen(context.state.workers[name])
+    context.state.worker_seen(context.state.workers[name], context.now)
 
 
 @behave.when("the pool is planned")
