A lasting task that starts up is not stopped while others are away

Not reproduced. Second probable cause, read in the code: a task that was starting up by the last look could be stopped whatever else of its step was away, and may be at work when the stop arrives, up to a look and an order later. Change: it counts like a task at work; only others that are away allow or forbid its stop. Tests: pool.feature, fails without the change.

--- a/src/agaterudder/jobs/emptying.py
+++ b/src/agaterudder/jobs/emptying.py
@@ -49,12 +49,15 @@
 
 
 def may_stop(run: runs.Run, draining: bool) -> bool:
-    """Return whether a lasting task may be taken away now."""
+    """Return whether a lasting task may be taken away now.
+
+    One that starts up may be at work by the time that the stop arrives.
+    """
     assert run.task is not None
-    if draining or not run.at_work:
+    if draining:
         return True
     step = run.task.step
-    others_away = step.away()
+    others_away = step.away() - (0 if run.at_work else 1)
     return others_away < max(step.step.may_miss, 1)
 
 
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -141,6 +141,16 @@
       | 0    | 1     |
       | 1    | 0     |
 
+  Scenario: A task that starts up is not stopped while another is away
+    Given a pool with 4 workers
+    And a job of 3 lasting tasks, one on a worker, of which 1 may miss
+    When the pool is planned
+    And all runs are listed as running at 100 per cent
+    And 2 of them are listed as running at 60 per cent
+    And the worker of one that starts up leaves for upkeep
+    And the pool is planned
+    Then 0 stops are ordered
+
   Scenario Outline: A new holder empties a worker <after> s after its first look
     Given a pool with 4 workers
     And a job of 3 lasting tasks, one on a worker, of which 1 may miss
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -210,6 +210,18 @@
     _accept(context, job_builders.job(step))
 
 
+@behave.when("2 of them are listed as running at {progress:d} per cent")
+def step_two_start_up(context: Context, progress: int) -> None:
+    context.starting = _runs(context)[:2]
+    for run in context.starting:
+        run.progress = progress
+
+
+@behave.when("the worker of one that starts up leaves for upkeep")
+def step_starting_leaves(context: Context) -> None:
+    context.starting[0].worker.leave("upkeep", context.now)
+
+
 @behave.when("the workers were fenced just now")
 def step_fenced_now(context: Context) -> None:
     for worker in context.state.workers.values():
