--- /dev/null
+++ b/tests/features/steps/recovery_steps.py
@@ -0,0 +1,356 @@
+"""Steps for what a new holder of a pool knows of its predecessors."""
+
+import types
+import typing as t
+from unittest import mock
+
+import behave
+
+from agaterudder import escrow
+from agaterudder.jobs import clock
+from agaterudder.jobs import context as contexts
+from agaterudder.jobs import inbox
+from agaterudder.jobs import leases
+from agaterudder.jobs import model
+from agaterudder.jobs import operatorconfig
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+from agaterudder.jobs import teamlimits
+from agaterudder.jobs import workerloop
+from agaterudder.jobs import workerregistry
+from agaterudder import metrics
+from agaterudder import resources
+from tests import job_builders
+from tests import memory_store
+
+Context = t.Any
+MAX_ATTEMPTS = 20
+GRANT = resources.Vector(4.0, 4.0, 4.0, 4.0)
+LIMIT = resources.Vector(100.0, 1e12, 1e12, 1e12)
+
+
+class ContendedStore(memory_store.MemoryStore):
+    """A store in which another pool changes one row before each write.
+
+    :ivar written: keys of the rows that were written, with repetitions.
+    """
+
+    def __init__(self, keys: t.Sequence[str]) -> None:
+        super().__init__()
+        self.contended = False
+        self.written: list[str] = []
+        self._keys = list(keys)
+        self._turn = 0
+
+    def transact(
+        self,
+        partition: str,
+        preconditions: t.Sequence[ports.Precondition],
+        puts: t.Sequence[ports.Put],
+        deletes: t.Sequence[ports.Delete] = (),
+        timeout: float | None = None,
+    ) -> ports.Outcome:
+        """Change the next row as another pool, then write."""
+        if self.contended:
+            self._turn += 1
+            key = self._keys[self._turn % len(self._keys)]
+            place = (teamlimits.TABLE, partition, key)
+            self.version += 1
+            self.rows[place] = (self.rows[place][0], self.version)
+        outcome = super().transact(
+            partition, preconditions, puts, deletes, timeout
+        )
+        if isinstance(outcome, ports.Committed):
+            self.written.extend(put.key for put in puts)
+        return outcome
+
+
+@behave.given('{count:d} teams with grants of pool "a" and pool "b"')
+def step_grants(context: Context, count: int) -> None:
+    context.teams = [f"team-{number}" for number in range(count)]
+    context.store = ContendedStore(context.teams)
+    for team in context.teams:
+        row = escrow.LimitRow(LIMIT, 1, {"a": GRANT, "b": GRANT})
+        put = ports.Put(teamlimits.TABLE, team, model.encode(row))
+        context.store.transact(teamlimits.PARTITION, [], [put])
+    context.store.written.clear()
+
+
+@behave.when(
+    'pool "a" takes over its grants while "b" changes a row before each write'
+)
+def step_take_over(context: Context) -> None:
+    context.limits = teamlimits.TeamLimits("a")
+    context.limits.configure(
+        job_builders.configuration(
+            teams=[
+                operatorconfig.Team(team, limit=LIMIT)
+                for team in context.teams
+            ]
+        )
+    )
+    context.store.contended = True
+    context.attempts = 1
+    while not context.limits.load(context.store):
+        context.attempts += 1
+        if context.attempts > MAX_ATTEMPTS:
+            return
+
+
+@behave.then(
+    'all grants of pool "a" are taken over after {most:d} attempts at most'
+)
+def step_taken_over(context: Context, most: int) -> None:
+    assert context.attempts <= most, context.attempts
+    for team in context.teams:
+        local_grant = context.limits._account(team).local_grant
+        assert local_grant.grant == GRANT
+        assert local_grant.reserved == GRANT
+
+
+@behave.then('no row was written more than {most:d} times by pool "a"')
+def step_written(context: Context, most: int) -> None:
+    counts = [context.store.written.count(team) for team in context.teams]
+    assert 1 <= min(counts) and max(counts) <= most, counts
+
+
+@behave.given('worker "{name}" has not been asked yet')
+def step_not_asked(context: Context, name: str) -> None:
+    worker = context.state.workers[name]
+    worker.fenced = False
+    worker.polled_at = 0.0
+    context.state.unconfirmed_workers.add(name)
+
+
+@behave.when('worker "{name}" does not answer for {seconds:g} seconds')
+def step_silent(context: Context, name: str, seconds: float) -> None:
+    worker = context.state.workers[name]
+    worker.unanswered_since = worker.unanswered_since or context.now
+    context.now += seconds
+
+
+# Worker loops
+
+
+class _Link:
+    """A link that records the acknowledgements that it is given."""
+
+    def __init__(self, answers: t.Sequence[t.Any]) -> None:
+        self.answers = list(answers)
+        self.acknowledged: list[int] = []
+
+    def renew(
+        self,
+        epoch: int,
+        acknowledged: int,
+        deadline: float | None,
+        wait_seconds: float,
+        timeout: float,
+    ) -> t.Any:
+        """Answer as set, else with a listing without ends."""
+        self.acknowledged.append(acknowledged)
+        if self.answers:
+            return self.answers.pop(0)
+        return job_builders.listing()
+
+
+class _Holder:
+    """Stands for the holder of the pool in a worker loop."""
+
+    def __init__(self, state: t.Any) -> None:
+        self.state = state
+        self.lease = leases.Lease(job_builders.POOL, 1, 1e9)
+        self.lease.epoch = job_builders.EPOCH
+        self.on_wait: t.Callable[[], None] = lambda: None
+
+    def holds_lease(self) -> bool:
+        """Hold the lease."""
+        return True
+
+    def request_planning(self) -> None:
+        """Plan nothing."""
+
+    def termination_reason(self, worker: t.Any, since: float) -> str:
+        """Know of no end of a worker."""
+        return ""
+
+    def wait_stored(self, mark: int, timeout: float) -> bool:
+        """Store at once, after what is set to happen meanwhile."""
+        self.on_wait()
+        return True
+
+
+@behave.given("a worker loop whose worker has listed {count:d} ends")
+def step_loop(context: Context, count: int) -> None:
+    context.state = job_builders.state([job_builders.worker()])
+    (context.worker,) = context.state.workers.values()
+    ends = [
+        ports.Ended(number, "gone.0.0.0", number, ports.END_DONE, "")
+        for number in range(1, count + 1)
+    ]
+    context.link = _Link([job_builders.listing(ended=ends)])
+    context.worker.link = context.link
+    context.holder = _Holder(context.state)
+    context.loop = workerloop.WorkerLoop(
+        context.worker, t.cast(t.Any, context.holder), 6.0
+    )
+    sleep = mock.patch.object(workerloop.gevent, "sleep", lambda _: None)
+    sleep.start()
+    context.cleanups.append(sleep.stop)
+
+
+@behave.when("the worker restarts while the loop waits for the store")
+def step_restart_in_wait(context: Context) -> None:
+    def restart() -> None:
+        context.state.worker_restarted(context.worker, 2, clock.now())
+
+    context.holder.on_wait = restart
+    context.loop._poll()
+    context.holder.on_wait = lambda: None
+    context.link.answers = [job_builders.listing(incarnation=2)] * 2
+
+
+@behave.when("a poll of the loop gets no answer")
+def step_no_answer(context: Context) -> None:
+    context.loop._poll()
+    context.link.answers = [ports.NoAnswer("time-out")]
+    context.loop._poll()
+
+
+@behave.when("the loop polls again")
+def step_poll(context: Context) -> None:
+    if not context.link.acknowledged:
+        context.loop._poll()
+    context.loop._poll()
+
+
+@behave.then("the poll acknowledged no end")
+def step_none(context: Context) -> None:
+    assert context.link.acknowledged[-1] == 0, context.link.acknowledged
+
+
+@behave.then("the poll acknowledged {count:d} ends")
+def step_some(context: Context, count: int) -> None:
+    assert context.link.acknowledged[-1] == count, context.link.acknowledged
+
+
+# Lives of a worker
+
+
+@behave.when("the worker restarts and lists the run")
+def step_restart_lists(context: Context) -> None:
+    (worker,) = context.state.workers.values()
+    (context.run,) = worker.runs.values()
+    item = ports.Running(context.run.task_name, context.run.number, "", 0)
+    context.earlier = job_builders.listing([item])
+    context.earlier_sent_at = context.now
+    context.now += 1.0
+    context.state.worker_restarted(worker, 2, context.now)
+    listing = job_builders.listing([item], incarnation=2)
+    context.state.apply_listing(worker, listing, context.now, context.now)
+
+
+@behave.when("a listing of its earlier life arrives late")
+def step_late_listing(context: Context) -> None:
+    (worker,) = context.state.workers.values()
+    context.state.apply_listing(
+        worker, context.earlier, context.earlier_sent_at, context.now
+    )
+
+
+@behave.then("the worker has {count:d} run")
+def step_worker_runs(context: Context, count: int) -> None:
+    (worker,) = context.state.workers.values()
+    assert worker.incarnation == 2
+    assert [run.state for run in worker.runs.values()] == [
+        runs.RunState.RUNNING
+    ] * count
+
+
+def _context(state: t.Any, store: t.Any) -> contexts.Context:
+    lease = leases.Lease(job_builders.POOL, 1, 1e9)
+    lease.epoch = job_builders.EPOCH
+    return contexts.Context(
+        lease,
+        state,
+        store,
+        metrics.Metrics(),
+        lambda: store.clock,
+        lambda reason: None,
+    )
+
+
+@behave.given("a registry of a pool with a worker of life {life:d}")
+def step_registry(context: Context, life: int) -> None:
+    context.state = job_builders.state()
+    context.registration = job_builders.registration(incarnation=life)
+    context.cluster = types.SimpleNamespace(
+        workers={context.registration.worker: context.registration}
+    )
+    context.registry = workerregistry.WorkerRegistry(
+        _context(context.state, memory_store.MemoryStore()),
+        context.cluster,
+        lambda registration: t.cast(ports.Worker, _Link([])),
+        t.cast(t.Any, None),
+        6.0,
+        t.cast(t.Any, _Holder(context.state)),
+    )
+    spawn = mock.patch.object(workerloop.gevent, "spawn", lambda *_: None)
+    spawn.start()
+    context.cleanups.append(spawn.stop)
+    context.registry.sync_registrations()
+
+
+@behave.when("the worker lists that it is of life {life:d}")
+def step_lists_life(context: Context, life: int) -> None:
+    (worker,) = context.state.workers.values()
+    now = clock.now()
+    listing = job_builders.listing(incarnation=life)
+    context.state.apply_listing(worker, listing, now, now)
+
+
+@behave.when("its registration of life {life:d} is written again")
+def step_registered_again(context: Context, life: int) -> None:
+    again = job_builders.registration(
+        incarnation=life, state=ports.WORKER_DRAINING
+    )
+    context.cluster.workers = {again.worker: again}
+    context.registry.sync_registrations()
+
+
+@behave.then("the worker counts as of life {life:d}")
+def step_life(context: Context, life: int) -> None:
+    (worker,) = context.state.workers.values()
+    assert worker.incarnation == life, worker.incarnation
+
+
+# Jobs
+
+
+@behave.given("an inbox with a job that has ended")
+def step_inbox(context: Context) -> None:
+    context.state = job_builders.state()
+    context.inbox = inbox.Inbox(
+        _context(context.state, memory_store.MemoryStore())
+    )
+    job = job_builders.job()
+    table = model.jobs_table(job_builders.POOL)
+    context.row = ports.Row(table, job.job, model.encode(job), 5)
+    context.inbox._apply_changes((context.row,))
+    (found,) = context.state.jobs.values()
+    context.state.remove_ended_job(found)
+
+
+@behave.when("the job's row is read again from an old snapshot")
+def step_old_snapshot(context: Context) -> None:
+    context.inbox._reset((context.row,))
+
+
+@behave.when("the job's row is read again from a delayed change")
+def step_delayed_change(context: Context) -> None:
+    context.inbox._apply_changes((context.row,))
+
+
+@behave.then("the pool has no jobs")
+def step_no_jobs(context: Context) -> None:
+    assert not context.state.jobs
