Take over each team grant once in a recovery

Cause: the recovery of a pool rewrites the rows of all teams and began again from the first when one write conflicted. Class: progress that needs a whole pass without interference (livelock). Excluded: store away (each pass wrote most rows), processor time (a pass took 0.4 s). Change: a grant that was taken over is not written again, so that each pass leaves fewer rows.

--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -158,6 +158,10 @@
         """Read what earlier holders stored; return whether it succeeded."""
         try:
             if not self._limits.load(self._context.store):
+                LOG.info(
+                    "team grants not taken over yet; retrying",
+                    extra={"pool": self.pool},
+                )
                 return False
             self._inbox.recover()
             self._registry.recover()
--- a/src/agaterudder/jobs/teamlimits.py
+++ b/src/agaterudder/jobs/teamlimits.py
@@ -27,6 +27,7 @@
         row may not show it yet.
     :ivar exhausted: whether the last request failed because the limit was
         fully granted.
+    :ivar taken_over: whether the grant of the earlier holders was taken over.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         "needed_at",
         "return_pending",
         "exhausted",
+        "taken_over",
     )
 
     def __init__(self) -> None:
@@ -43,6 +45,7 @@
         self.needed_at = 0.0
         self.return_pending = False
         self.exhausted = False
+        self.taken_over = False
 
 
 class TeamLimits:
@@ -152,7 +155,9 @@
         """Take over the grants of the earlier holders of this pool.
 
         Each row is written again, so that a late write of an earlier
-        holder conflicts and has no effect.
+        holder conflicts and has no effect. A grant that was taken over is not
+        written by a repeated call: other pools change the same rows, and
+        would otherwise let some write of each call fail.
 
         :returns: whether all grants were taken over.
         :raises CallFailed: when the store did not answer.
@@ -163,8 +168,13 @@
             if self._pool not in limit_row.grants:
                 continue
             account = self._account(row.key)
-            complete &= self._write(store, row.key, row, limit_row, account)
-            account.local_grant.reserved = account.local_grant.grant
+            if account.taken_over:
+                continue
+            if self._write(store, row.key, row, limit_row, account):
+                account.local_grant.reserved = account.local_grant.grant
+                account.taken_over = True
+            else:
+                complete = False
         return complete
 
     def rebalance(self, store: ports.Store, now: float) -> bool:
