Ask every worker before a recovery gives it up

Cause: the time that a new holder waits for the workers of earlier holders counted from the acquisition of the lease. Class: a time that passed read as an answer. Excluded: ends acknowledged before they were stored (the lists showed them after the restart). Change: a worker is given up only when its lease is over and it was asked and has not answered for a second. The scenario failed before (2 starts, no poll sent). The scenario of the silent worker now says that the worker was asked; what it checks is unchanged.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -137,6 +137,13 @@
             and now - self.polled_at > UNRESPONSIVE_SECONDS
         )
 
+    def given_up(self, now: float) -> bool:
+        """Return whether it was asked repeatedly and has not answered."""
+        return bool(
+            self.unanswered_since
+            and now - self.unanswered_since > UNRESPONSIVE_SECONDS
+        )
+
     def earlier_stops_visible(self, stop_seconds: float) -> bool:
         """Return whether its listing reflects stops of earlier holders.
 
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -49,8 +49,8 @@
     :ivar limits: grants of the teams' upper limits to this pool.
     :ivar taken_out: data centres that operators took out of service; no
         task starts in them.
-    :ivar recovery_until: until then, tasks of earlier holders may run on
-        workers that have not accepted this epoch yet.
+    :ivar recovery_until: until then, leases that earlier holders gave may
+        last on workers that have not accepted this epoch yet.
     :ivar unconfirmed_workers: names of the workers that earlier holders used
         and that have neither accepted this epoch nor been found lost.
     :ivar orphaned_runs: runs whose job has ended or is unknown; they are
@@ -227,8 +227,15 @@
         self.unconfirmed_workers.discard(worker.name)
 
     def recovering(self, now: float) -> bool:
-        """Return whether some runs of earlier holders may be unknown."""
-        return bool(self.unconfirmed_workers) and now < self.recovery_until
+        """Return whether some runs or ends of earlier holders may be unknown.
+
+        A worker keeps the ends of its runs when its lease is over, so it has
+        to be asked in any case.
+        """
+        return any(
+            now < self.recovery_until or not self.workers[name].given_up(now)
+            for name in self.unconfirmed_workers
+        )
 
     def worker_restarted(
         self, worker: fleet.WorkerState, incarnation: int, now: float
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -316,6 +316,11 @@
     context.state.unconfirmed_workers.add(name)
 
 
+@behave.given('a first poll of worker "{name}" was not answered')
+def step_first_unanswered(context: Context, name: str) -> None:
+    context.state.workers[name].unanswered_since = context.now
+
+
 @behave.when('worker "{name}" answers')
 def step_answered_epoch(context: Context, name: str) -> None:
     context.state.worker_fenced(context.state.workers[name], context.now)
