Acknowledge ends only to the incarnation that listed them

A worker that restarts under its name numbers its ends from 1 again. The number up to which its ends are stored was set after a wait for the store, without regard to a restart in between, and sent with every poll: the new incarnation was told to discard ends that nobody had read, whose tasks then never ended and were started again by the next holder. Class: a number used outside the numbering it belongs to. Change: the number is recorded with the incarnation, sent until it is answered and not once more, and not after a poll without an answer.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -36,8 +36,9 @@
         answered poll failed, 0 before.
     :ivar latest_deadline: latest end of a lease given to it, seconds of
         its clock.
-    :ivar acknowledged_end: number up to which its ends are stored, so that it
-        may discard them.
+    :ivar acknowledged_end: number up to which the ends of this incarnation
+        are stored, so that it may discard them.
+    :ivar discarded_end: number up to which it has discarded them.
     :ivar last_end_number: number of the last end that was applied.
     :ivar persisted: whether it is in the stored row of the pool's workers.
     :ivar cordon_reason: why it is cordoned, empty otherwise.
@@ -70,6 +71,7 @@
         "unanswered_since",
         "latest_deadline",
         "acknowledged_end",
+        "discarded_end",
         "last_end_number",
         "persisted",
         "cordon_reason",
@@ -105,6 +107,7 @@
         self.unanswered_since = 0.0
         self.latest_deadline = 0.0
         self.acknowledged_end = 0
+        self.discarded_end = 0
         self.last_end_number = 0
         self.persisted = False
         self.cordon_reason = ""
@@ -225,6 +228,26 @@
         self.clock = listing.clock
         self.clock_at = now
 
+    @property
+    def end_to_acknowledge(self) -> int:
+        """Number up to which the next poll acknowledges ends, 0 for none.
+
+        A worker that restarts numbers its ends from 1 again, and would
+        discard those that nobody has read: a number is not sent once more
+        when it was answered, and not after a poll without an answer.
+        """
+        if (
+            self.unanswered_since
+            or self.acknowledged_end <= self.discarded_end
+        ):
+            return 0
+        return self.acknowledged_end
+
+    def acknowledge(self, incarnation: int, number: int) -> None:
+        """Record that the ends of an incarnation are stored up to a number."""
+        if incarnation == self.incarnation:
+            self.acknowledged_end = max(self.acknowledged_end, number)
+
     def min_clock(self, now: float) -> float:
         """Return the lowest value that the worker's clock may show."""
         return self.clock + max(now - self.clock_at, 0.0) * MIN_CLOCK_RATE
@@ -261,6 +284,7 @@
         self.fenced = False
         self.terminated = False
         self.acknowledged_end = 0
+        self.discarded_end = 0
         self.last_end_number = 0
         self.latest_deadline = 0.0
         self.clock = 0.0
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -66,7 +66,6 @@
         "_lease_seconds",
         "_wake",
         "_greenlet",
-        "_acknowledged_end",
     )
 
     def __init__(
@@ -80,7 +79,6 @@
         self._lease_seconds = lease_seconds
         self._wake = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
-        self._acknowledged_end = 0
 
     def start(self) -> None:
         """Start the loop."""
@@ -122,7 +120,7 @@
         return (
             worker.fenced
             and not worker.runs
-            and self._acknowledged_end >= worker.last_end_number
+            and worker.discarded_end >= worker.last_end_number
         )
 
     def _removable(self) -> bool:
@@ -142,6 +140,7 @@
         worker = self._worker
         if (
             not worker.fenced
+            or worker.unanswered_since
             or worker.last_end_number > worker.acknowledged_end
         ):
             return 0.0
@@ -170,7 +169,7 @@
         if worker.clock_at and not worker.unanswered_since:
             deadline = worker.lease_deadline(sent_at, self._lease_seconds)
             worker.latest_deadline = max(worker.latest_deadline, deadline)
-        acknowledged_end = worker.acknowledged_end
+        acknowledged_end = worker.end_to_acknowledge
         incarnation = worker.incarnation
         answer = worker.link.renew(
             self._holder.lease.epoch,
@@ -182,8 +181,7 @@
         now = clock.now()
         match answer:
             case ports.Listing():
-                if worker.incarnation == incarnation:
-                    self._acknowledged_end = acknowledged_end
+                self._record_discarded(answer, incarnation, acknowledged_end)
                 self._apply_listing(answer, sent_at, now)
             case ports.Rejected(reason=ports.REJECTED_FENCED):
                 self._holder.step_down("a worker has seen a higher epoch")
@@ -192,6 +190,26 @@
             case ports.Rejected() | ports.NoAnswer():
                 self._handle_no_answer(answer, now)
 
+    def _record_discarded(
+        self, listing: ports.Listing, incarnation: int, acknowledged_end: int
+    ) -> None:
+        """Record that a worker has discarded the acknowledged ends.
+
+        :param incarnation: the incarnation that they belong to.
+        """
+        worker = self._worker
+        if listing.incarnation in (0, incarnation):
+            if worker.incarnation == incarnation:
+                worker.discarded_end = max(
+                    worker.discarded_end, acknowledged_end
+                )
+        elif acknowledged_end:
+            LOG.warning(
+                "worker restarted before an acknowledgement reached it; "
+                "ends of its new incarnation may be lost",
+                extra={"worker": worker.name, "end": acknowledged_end},
+            )
+
     def _apply_listing(
         self, listing: ports.Listing, sent_at: float, now: float
     ) -> None:
@@ -217,8 +235,9 @@
         self._holder.request_planning()
         if last > worker.acknowledged_end:
             mark = state.journal.marked
+            incarnation = worker.incarnation
             if self._holder.wait_stored(mark, STORE_TIMEOUT_SECONDS):
-                worker.acknowledged_end = max(worker.acknowledged_end, last)
+                worker.acknowledge(incarnation, last)
 
     def _handle_replacement(self, now: float) -> None:
         """End the worker, as another one answers at its address."""
