Ignore what an earlier incarnation of a worker says late

A listing that was sent before a restart became known set the worker back to its earlier incarnation, and so did an old registration of a worker whose clock had been set back: the runs were dropped and their tasks started again. Class: a stale answer read as the present state. Change: a listing of another incarnation counts only if its poll was sent after the present one was known; a registration only if it names another incarnation than the one before.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -31,6 +31,7 @@
     :ivar fenced: whether this incarnation has accepted the current epoch.
     :ivar fenced_at: when it first accepted the current epoch.
     :ivar incarnation: start of its incarnation, Unix milliseconds.
+    :ivar incarnation_known_at: when that incarnation became known.
     :ivar polled_at: when the last answered poll was sent, 0 before.
     :ivar unanswered_since: when the first poll or start since the last
         answered poll failed, 0 before.
@@ -67,6 +68,7 @@
         "fenced",
         "fenced_at",
         "incarnation",
+        "incarnation_known_at",
         "polled_at",
         "unanswered_since",
         "latest_deadline",
@@ -103,6 +105,7 @@
         self.fenced = False
         self.fenced_at = 0.0
         self.incarnation = registration.incarnation
+        self.incarnation_known_at = 0.0
         self.polled_at = 0.0
         self.unanswered_since = 0.0
         self.latest_deadline = 0.0
@@ -278,9 +281,10 @@
         bound = MAX_ORDER_DELAY_SECONDS + lease_seconds / MIN_CLOCK_RATE
         return now - last > bound
 
-    def reset_incarnation(self, incarnation: int) -> None:
+    def reset_incarnation(self, incarnation: int, now: float) -> None:
         """Reset the state that belonged to an earlier incarnation."""
         self.incarnation = incarnation
+        self.incarnation_known_at = now
         self.fenced = False
         self.terminated = False
         self.acknowledged_end = 0
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -256,7 +256,7 @@
                 "runs": len(worker.runs),
             },
         )
-        worker.reset_incarnation(incarnation)
+        worker.reset_incarnation(incarnation, now)
         for run in list(worker.runs.values()):
             if run.state is runs.RunState.RUNNING:
                 self.remove_run(run, now)
@@ -424,6 +424,9 @@
             acknowledged to the worker once it is stored.
         """
         if listing.incarnation and listing.incarnation != worker.incarnation:
+            if sent_at < worker.incarnation_known_at:
+                # It may come from before the restart.
+                return worker.last_end_number
             self.worker_restarted(worker, listing.incarnation, now)
         if not worker.latest_deadline:
             # An earlier holder may have granted a lease of the full length.
--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -171,7 +171,12 @@
         if registration.address != worker.registration.address:
             worker.link.close()
             worker.link = self._connect(registration)
-        if registration.incarnation > worker.incarnation:
+        # The worker's listings may know of a later restart. Its clock may have
+        # been set back, so that the latest start is not always the highest.
+        if (
+            registration.incarnation != worker.registration.incarnation
+            and registration.incarnation > worker.incarnation
+        ):
             self._context.state.worker_restarted(
                 worker, registration.incarnation, clock.now()
             )
