Do not load a job again that has ended

Class: a stale answer read as the present state. Change: the holder keeps the names of ended jobs for longer than any answer can be late.

--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -67,7 +67,7 @@
         match outcome:
             case ports.Committed(version=version):
                 for job in journal.committed(batch, version):
-                    self._context.state.remove_ended_job(job)
+                    self._context.state.remove_ended_job(job, clock.now())
                 self._stored.set()
                 return True
             case ports.Conflicted(rows=rows):
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -4,6 +4,7 @@
 the time, and carries out the orders of :mod:`planning`.
 """
 
+import itertools
 import logging
 
 from agaterudder.jobs import demand
@@ -30,6 +31,9 @@
 QUARANTINE_FAILURES = 4
 # Also the delay before the next start of a task that was rejected as invalid.
 QUARANTINE_SECONDS = 4.0
+# For this long, a job that has ended may still be read from the store, in an
+# answer that is older than its end.
+ENDED_JOB_SECONDS = 30.0
 # A worker that rejected a start as full or busy gets no starts for this long.
 REJECTION_PAUSE_SECONDS = 0.2
 
@@ -76,6 +80,7 @@
         "orphaned_runs",
         "demand",
         "_submission_buckets",
+        "_ended_jobs",
     )
 
     def __init__(
@@ -108,6 +113,7 @@
         self.orphaned_runs: list[runs.Run] = []
         self.demand = demand.Demand()
         self._submission_buckets: dict[str, ratelimit.TokenBucket] = {}
+        self._ended_jobs: dict[str, float] = {}
 
     # Jobs
 
@@ -125,7 +131,7 @@
         :param recovered: whether it was accepted before this holder acquired
             the pool.
         """
-        if job.job in self.jobs:
+        if job.job in self.jobs or job.job in self._ended_jobs:
             return
         found = runs.JobRun(job, accepted_at, recovered)
         found.progress = progress
@@ -195,13 +201,23 @@
             },
         )
 
-    def remove_ended_job(self, job: runs.JobRun) -> None:
+    def remove_ended_job(self, job: runs.JobRun, now: float) -> None:
         """Remove a job whose end is stored.
 
         Runs of it that have not ended become orphaned.
         """
         if self.jobs.get(job.job.job) is job:
             del self.jobs[job.job.job]
+        self._ended_jobs[job.job.job] = now
+        forgotten = [
+            name
+            for name, _ in itertools.takewhile(
+                lambda item: now - item[1] > ENDED_JOB_SECONDS,
+                self._ended_jobs.items(),
+            )
+        ]
+        for name in forgotten:
+            del self._ended_jobs[name]
         for run in job.live_runs():
             run.task = None
             self.orphaned_runs.append(run)
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -338,7 +338,7 @@
     context.row = ports.Row(table, job.job, model.encode(job), 5)
     context.inbox._apply_changes((context.row,))
     (found,) = context.state.jobs.values()
-    context.state.remove_ended_job(found)
+    context.state.remove_ended_job(found, clock.now())
 
 
 @behave.when("the job's row is read again from an old snapshot")
