--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -4,6 +4,7 @@
 import logging
 import typing as t
 
+import gevent
 import msgspec
 
 from agaterudder import codes
@@ -23,6 +24,8 @@
 # Part of the caller's time that is kept for the response to reach it.
 RESPONSE_MARGIN_SECONDS = 0.25
 MIN_CALL_SECONDS = 0.05
+# The store may answer at once without saying whether it stored a write.
+MIN_REPEAT_INTERVAL_SECONDS = 0.05
 MAX_PENDING_AGE_SECONDS = 1.9
 RETRY_AFTER_SECONDS = 1
 
@@ -143,9 +146,24 @@
             ports.Precondition(model.ENDED_TABLE, call.job, 0),
         ]
         puts = [ports.Put(table, call.job, model.encode(job))]
+        return self._write(call, pool, preconditions, puts)
+
+    def _write(
+        self,
+        call: Call,
+        pool: str,
+        preconditions: t.Sequence[ports.Precondition],
+        puts: t.Sequence[ports.Put],
+    ) -> Accepted | codes.Refused:
+        """Write rows; repeat this while it is unknown whether they are stored.
+
+        The preconditions are such that a conflict means that the call has
+        nothing left to do.
+        """
         may_be_stored = False
         while True:
-            left = call.deadline - RESPONSE_MARGIN_SECONDS - clock.now()
+            sent_at = clock.now()
+            left = call.deadline - RESPONSE_MARGIN_SECONDS - sent_at
             if left < MIN_CALL_SECONDS:
                 break
             outcome = self._store.transact(
@@ -159,6 +177,8 @@
                     return Accepted()
                 case codes.Refused(code=codes.Result.CHANGE_UNKNOWN):
                     may_be_stored = True
+                    next_at = sent_at + MIN_REPEAT_INTERVAL_SECONDS
+                    gevent.sleep(max(next_at - clock.now(), 0.0))
                 case codes.Refused():
                     if not may_be_stored:
                         return outcome
@@ -254,28 +274,12 @@
         self, call: Call, pool: str, row: ports.Row
     ) -> Accepted | codes.Refused:
         table = model.jobs_table(pool)
-        key = call.job + model.CANCEL_SUFFIX
-        outcome: ports.Outcome | None = None
-        while True:
-            left = call.deadline - RESPONSE_MARGIN_SECONDS - clock.now()
-            if left < MIN_CALL_SECONDS:
-                break
-            outcome = self._store.transact(
-                pool,
-                [ports.Precondition(table, call.job, row.version)],
-                [ports.Put(table, key, b"")],
-                timeout=min(WRITE_TIMEOUT_SECONDS, left),
-            )
-            match outcome:
-                case ports.Committed() | ports.Conflicted():
-                    # A conflict means that the job ended in the meantime.
-                    return Accepted()
-                case codes.Refused(code=codes.Result.CHANGE_UNKNOWN):
-                    continue
-                case codes.Refused():
-                    return outcome
-        return codes.Refused(
-            codes.Result.CHANGE_UNKNOWN, "the store did not answer"
+        # A conflict means that the job ended in the meantime.
+        return self._write(
+            call,
+            pool,
+            [ports.Precondition(table, call.job, row.version)],
+            [ports.Put(table, call.job + model.CANCEL_SUFFIX, b"")],
         )
 
     def pending(self, call: Call) -> QueueState | codes.Refused:
--- a/tests/features/job_api.feature
+++ b/tests/features/job_api.feature
@@ -34,6 +34,29 @@
       | late,refused | CHANGE_UNKNOWN | 1    |
       | lost,refused | CHANGE_UNKNOWN | 1    |
 
+  # Guards against a refusal of a cancellation that was stored.
+  Scenario Outline: A cancellation whose store calls are <faults>
+    When job 1 is submitted
+    And the store's next answers are "<faults>"
+    And job 1 is cancelled
+    And late calls to the store take effect
+    Then the answers are "Accepted, <answer>"
+
+    Examples:
+      | faults       | answer         |
+      | lost         | Accepted       |
+      | refused      | STORE_AWAY     |
+      | late,refused | CHANGE_UNKNOWN |
+      | lost,refused | CHANGE_UNKNOWN |
+
+  # Guards against a flood of calls while the store answers at once, but not
+  # whether it stored the write.
+  Scenario: The store answers at once that the outcome is unknown
+    When the store answers within 0.002 seconds that the outcome is unknown
+    And job 1 is submitted
+    Then the answers are "CHANGE_UNKNOWN"
+    And the store got between 10 and 60 calls
+
   Scenario Outline: The key is <key>, the configuration <age> seconds old
     When the key is "<key>"
     And the configuration was confirmed <age> seconds ago
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -72,6 +72,38 @@
       | 400    |                       | Rejected invalid |
       | 500    |                       | NoAnswer         |
 
+  # Guards against a 5xx status that is reported as "nothing was written",
+  # although the store may have executed the transaction.
+  Scenario: Responses of the store to a transaction
+    Then a transaction's responses are interpreted as
+      | status | body                  | meaning        | log event           |
+      | 200    | {"ver":5,"now_ms":1}  | Committed      | none                |
+      | 200    | no json               | CHANGE_UNKNOWN | none                |
+      | 412    | {"ver":5,"now_ms":1}  | Conflicted     | none                |
+      | 403    |                       | STORE_AWAY     | store rejected a transaction |
+      | 429    |                       | STORE_AWAY     | none                |
+      | 503    |                       | STORE_AWAY     | none                |
+      | 400    |                       | CHANGE_UNKNOWN | store answered a transaction with an unexpected status |
+      | 413    |                       | CHANGE_UNKNOWN | store answered a transaction with an unexpected status |
+      | 500    |                       | CHANGE_UNKNOWN | store answered a transaction with an unexpected status |
+      | 502    |                       | CHANGE_UNKNOWN | store answered a transaction with an unexpected status |
+      | 504    |                       | CHANGE_UNKNOWN | store answered a transaction with an unexpected status |
+
+  # Guards against an order that is repeated or given up for undone although
+  # a machine, a worker or the policy service may have carried it out.
+  Scenario: Statuses that the pages don't name, by the client of the platform
+    Then other statuses leave an order's outcome as
+      | client   | status | meaning                        |
+      | worker   | 404    | NoAnswer, may take effect      |
+      | worker   | 500    | NoAnswer, may take effect      |
+      | worker   | 502    | NoAnswer, may take effect      |
+      | machines | 404    | NoAnswer, may take effect      |
+      | machines | 500    | NoAnswer, may take effect      |
+      | machines | 503    | NoAnswer, may take effect      |
+      | machines | 429    | Rejected                       |
+      | policy   | 500    | NoAnswer, can't take effect    |
+      | policy   | 429    | NoAnswer, can't take effect    |
+
   Scenario: Random bytes cause no unexpected exception
     Then 2000 random bodies with seed 5 are decoded or refused
 
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import behave
+import gevent
 
 from agaterudder import codes
 from agaterudder.jobs import clock
@@ -154,6 +155,31 @@
     context.store.faults = faults.split(",")
 
 
+@behave.when(
+    "the store answers within {seconds:g} seconds that the outcome is unknown"
+)
+def step_unknown(context: Context, seconds: float) -> None:
+    context.calls = 0
+
+    def sleep(duration: float) -> None:
+        context.now += duration
+
+    def transact(*arguments: t.Any, **named: t.Any) -> ports.Outcome:
+        context.calls += 1
+        context.now += seconds
+        return memory_store.UNKNOWN
+
+    patch = mock.patch.object(gevent, "sleep", sleep)
+    patch.start()
+    context.cleanups.append(patch.stop)
+    context.store.transact = transact
+
+
+@behave.then("the store got between {least:d} and {most:d} calls")
+def step_calls(context: Context, least: int, most: int) -> None:
+    assert least <= context.calls <= most, context.calls
+
+
 @behave.when("late calls to the store take effect")
 def step_late(context: Context) -> None:
     context.store.deliver_late()
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -5,6 +5,7 @@
 import sys
 import tempfile
 import typing as t
+from unittest import mock
 
 import behave
 import msgspec
@@ -12,6 +13,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 sys.path.append(str(ROOT / "platform"))
 
+from agaterudder import codes  # noqa: E402
 from agaterudder import exceptions  # noqa: E402
 from agaterudder.jobs import ports  # noqa: E402
 from agaterudder_platform import clients  # noqa: E402
@@ -45,7 +47,7 @@
     def __init__(self, reply: httpclient.Reply) -> None:
         self._reply = reply
 
-    def request(self, *arguments: t.Any) -> httpclient.Reply:
+    def request(self, *arguments: t.Any, **named: t.Any) -> httpclient.Reply:
         """Return the reply."""
         return self._reply
 
@@ -153,6 +155,55 @@
         assert name == row["meaning"], (row["status"], name)
 
 
+@behave.then("a transaction's responses are interpreted as")
+def step_transaction_responses(context: Context) -> None:
+    for row in context.table:
+        client = clients.StoreClient("127.0.0.1:9")
+        reply = httpclient.Reply(int(row["status"]), row["body"].encode())
+        client._http = t.cast(httpclient.HttpClient, StubHttpClient(reply))
+        with mock.patch.object(
+            clients.LOG, "warning", autospec=True
+        ) as warning:
+            outcome = client.transact("a", [], [])
+        name = (
+            outcome.code.name
+            if isinstance(outcome, codes.Refused)
+            else type(outcome).__name__
+        )
+        assert name == row["meaning"], (row["status"], name)
+        logged = [call.args[0] for call in warning.call_args_list] or ["none"]
+        assert logged == [row["log event"]], (row["status"], logged)
+
+
+def _order(client: str, reply: httpclient.Reply) -> t.Any:
+    http = t.cast(httpclient.HttpClient, StubHttpClient(reply))
+    match client:
+        case "worker":
+            worker = clients.WorkerClient("i-1", "127.0.0.1:9")
+            worker._http = http
+            return worker.stop("a.0.0.0", 1, 7, 1.0)
+        case "machines":
+            machines = clients.MachinesClient("127.0.0.1:9")
+            machines._http = http
+            return machines.move("m-1", "p", "front-a-1", 3)
+    policy = clients.PolicyClient("127.0.0.1:9")
+    policy._http = http
+    return policy.ask("a.0.0", ["i-1"], 1.0)
+
+
+@behave.then("other statuses leave an order's outcome as")
+def step_other_statuses(context: Context) -> None:
+    for row in context.table:
+        answer = _order(
+            row["client"], httpclient.Reply(int(row["status"]), b"")
+        )
+        name = type(answer).__name__
+        if isinstance(answer, ports.NoAnswer):
+            may = "may" if answer.may_take_effect else "can't"
+            name = f"{name}, {may} take effect"
+        assert name == row["meaning"], (row["client"], row["status"], name)
+
+
 @behave.then(
     "{count:d} random bodies with seed {seed:d} are decoded or refused"
 )
