Return a team's grant whose request got no answer

Seen: after an unanswered request for a larger grant that the store executed, the amount stayed granted in the row to a pool that didn't know of it, until the team's next request there; other pools were told that the team was at its upper limit.

Cause: TeamLimits read every outcome but a commit as "not stored".

Change: after CHANGE_UNKNOWN the row is written again with what the pool holds, by the path that already repeats unanswered returns; any committed write settles it.

Evidence: two scenarios failed before (the second pool got 0 of 60 cores).

--- a/src/agaterudder/jobs/teamlimits.py
+++ b/src/agaterudder/jobs/teamlimits.py
@@ -6,6 +6,7 @@
 
 import logging
 
+from agaterudder import codes
 from agaterudder import escrow
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
@@ -23,8 +24,9 @@
 class _Account:
     """One team's grant in this pool.
 
-    :ivar return_pending: whether unused amounts were given up here and the
-        row may not show it yet.
+    :ivar return_pending: whether the row may hold more for this pool than
+        the local grant: unused amounts were given up here, or a larger grant
+        was written without an answer.
     :ivar exhausted: whether the last request failed because the limit was
         fully granted.
     """
@@ -229,8 +231,7 @@
             self._pool,
             (held - local_grant.grant).elementwise_max(resources.ZERO),
         )
-        if self._write(store, team, row, smaller, account):
-            account.return_pending = False
+        self._write(store, team, row, smaller, account)
 
     def _read(
         self, store: ports.Store, team: str
@@ -258,6 +259,7 @@
         if isinstance(outcome, ports.Committed):
             grant = limit_row.grants.get(self._pool) or resources.ZERO
             account.local_grant.load_row(limit_row, self._pool)
+            account.return_pending = False
             LOG.info(
                 "team grant stored",
                 extra={
@@ -268,4 +270,9 @@
                 },
             )
             return True
+        if (
+            isinstance(outcome, codes.Refused)
+            and outcome.code is codes.Result.CHANGE_UNKNOWN
+        ):
+            account.return_pending = True
         return False
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -213,3 +213,17 @@
     And the second requests 60 cores
     Then never more than 100 cores were granted in total
     And the second was granted 60 cores
+
+  # Guards against an amount that stays granted in the row to a pool that
+  # doesn't know of it, as its request got no answer.
+  Scenario Outline: Cores granted <how>, and not needed any more
+    Given three pools of a team that may use 100 cores
+    When the first requests 100 cores, which are granted <how>
+    And the second requests 60 cores
+    Then never more than 100 cores were granted in total
+    And the second was granted 60 cores
+
+    Examples:
+      | how               |
+      | without an answer |
+      | late              |
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -489,6 +489,17 @@
     limits.rebalance(context.store, 10.0)
 
 
+@behave.when("the first requests {cores:g} cores, which are granted {how}")
+def step_unanswered_grant(context: Context, cores: float, how: str) -> None:
+    size = resources.Vector(cores)
+    limits = context.limits[0]
+    limits.request_grant("tally", size, size, 0.0)
+    context.store.faults = ["late" if how == "late" else "lost"]
+    limits.rebalance(context.store, 0.0)
+    limits.rebalance(context.store, 10.0)
+    context.store.deliver_late()
+
+
 @behave.when("the second requests {cores:g} cores")
 def step_requests(context: Context, cores: float) -> None:
     size = resources.Vector(cores)
