Keep a worker's renewals going after a reading that is a text

Seen: the greenlet that renews a worker's lease ended with a ValueError when a run's reading was a text; the worker's lease lapsed with all its runs. A row whose task, run or checkpoint had another type was taken into the pool's state as it was.

Cause: rows of running runs were decoded without types, and the error of a text reading wasn't among those that the client catches.

A reading that is no number counts as "not listed", the only field whose loss does no harm. Any other row that can't be read makes the listing unanswered as a whole: without the row its run would count as ended, or its end as acknowledged; the worker's lease lapses and its runs start elsewhere.

--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -55,6 +55,35 @@
     And it lists task "a.0.1.17" run 2 at 41 per cent
     And end event 58 is "done"
 
+  # Guards against a reading that ends the greenlet which renews the lease of
+  # a worker, so that all that runs there lapses.
+  Scenario: A reading that is no number leaves the rest of a listing usable
+    Then readings in a worker's listing are taken as
+      | reading | taken as |
+      | 12      | 12.0     |
+      | 0.5     | 0.5      |
+      | "slow"  | none     |
+      | "12"    | none     |
+      | null    | none     |
+      | true    | none     |
+      | [1]     | none     |
+      | {}      | none     |
+
+  # Guards against a run that counts as ended, or an end that is acknowledged
+  # unread, since one row of a listing can't be read.
+  Scenario: A listing with a row that can't be read says nothing
+    Then listings with these rows are not read at all
+      | list     | row                          |
+      | running  | []                           |
+      | running  | ["a.0.0.0",1]                |
+      | running  | ["a.0.0.0","1","",9]         |
+      | running  | ["a.0.0.0",1,null,9]         |
+      | running  | ["a.0.0.0",1,"","9"]         |
+      | running  | "a.0.0.0"                    |
+      | finished | [1,"a.0.0.0",1,"done"]       |
+      | finished | ["1","a.0.0.0",1,"done",""]  |
+      | finished | [1,"a.0.0.0",1,null,""]      |
+
   Scenario: Rejections and unusable responses of a worker
     Then a worker's responses are interpreted as
       | status | body                  | meaning          |
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -8,7 +8,6 @@
 from unittest import mock
 
 import behave
-import msgspec
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 sys.path.append(str(ROOT / "platform"))
@@ -116,10 +115,16 @@
     assert context.registration.rack == rack
 
 
+def _renew(body: bytes) -> ports.Listing | ports.Rejected | ports.NoAnswer:
+    client = clients.WorkerClient("i-1", "127.0.0.1:9")
+    reply = httpclient.Reply(200, body)
+    client._http = t.cast(httpclient.HttpClient, StubHttpClient(reply))
+    return client.renew(7, 0, None, 0.0, 1.0)
+
+
 @behave.when("a worker answers a lease renewal with")
 def step_renewal(context: Context) -> None:
-    reply = msgspec.json.decode(context.text.encode(), type=wire.RenewReply)
-    context.listing = wire.decode_listing(reply)
+    context.listing = _renew(context.text.encode())
 
 
 @behave.then(
@@ -142,6 +147,37 @@
     assert (found.number, found.outcome) == (number, outcome)
 
 
+@behave.then("readings in a worker's listing are taken as")
+def step_readings(context: Context) -> None:
+    for row in context.table:
+        reading = row["reading"].encode()
+        listing = _renew(
+            b'{"clock_ms":1,"running":[["a.0.0.0",2,"",41,%s]],"finished":[]}'
+            % reading
+        )
+        assert isinstance(listing, ports.Listing), listing
+        (found,) = listing.running
+        assert (found.task, found.run, found.progress) == ("a.0.0.0", 2, 41)
+        value = "none" if found.measurement is None else found.measurement
+        assert str(value) == row["taken as"], (reading, value)
+
+
+@behave.then("listings with these rows are not read at all")
+def step_bad_rows(context: Context) -> None:
+    for row in context.table:
+        lists = {"running": '["b.0.0.0",1,"",9]', "finished": ""}
+        good = lists[row["list"]]
+        lists[row["list"]] = ",".join(
+            part for part in (good, row["row"]) if part
+        )
+        body = (
+            f'{{"clock_ms":1,"running":[{lists["running"]}],'
+            f'"finished":[{lists["finished"]}]}}'
+        )
+        answer = _renew(body.encode())
+        assert isinstance(answer, ports.NoAnswer), (row["row"], answer)
+
+
 @behave.then("a worker's responses are interpreted as")
 def step_responses(context: Context) -> None:
     for row in context.table:
@@ -224,6 +260,7 @@
             wire.job_request,
             wire.configuration,
             wire.decode_wave,
+            wire.decode_listing,
             lambda content: wire.worker_registration(
                 ports.Row("servers", "i", content, 1)
             ),
