Treat a full page of ends as an incomplete list of a worker's ends

After a take-over, a worker counted as confirmed by its first page: tasks whose ends stood on a later page started again.

Cause: a listing didn't say whether more ends follow.

Change: ports.Listing.more_ends, set by the adapter for a full page. While it is set, no run is dropped for not being listed, and the take-over goes on waiting for this worker (at most until the leases of earlier holders ended, as before).

Evidence: four scenarios failed before (2 starts instead of 1 and of 0).

--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -216,15 +216,20 @@
         """Add a worker to this pool."""
         self.workers[worker.name] = worker
 
-    def worker_fenced(self, worker: fleet.WorkerState, now: float) -> None:
+    def worker_fenced(
+        self, worker: fleet.WorkerState, now: float, more_ends: bool = False
+    ) -> None:
         """Record that a worker has accepted this epoch.
 
         From then on it rejects orders of earlier holders.
+
+        :param more_ends: whether it has not listed all ends yet.
         """
         if not worker.fenced:
             worker.fenced_at = now
         worker.fenced = True
-        self.unconfirmed_workers.discard(worker.name)
+        if not more_ends:
+            self.unconfirmed_workers.discard(worker.name)
 
     def recovering(self, now: float) -> bool:
         """Return whether some runs of earlier holders may be unknown."""
@@ -483,9 +488,8 @@
         That is when its start has expired by the worker's clock, or the
         worker had confirmed a stop before the poll was sent.
         """
-        if run.state is runs.RunState.RUNNING:
-            # It has ended. A listing may be split into pages, and a later one
-            # contains the end.
+        if run.state is runs.RunState.RUNNING or listing.more_ends:
+            # It has ended, or may have; a later listing contains the end.
             return
         start_expired = listing.clock > run.deadline and run.deadline > 0
         stopped = run.stop_answered_at and sent_at >= run.stop_answered_at
--- a/src/agaterudder/jobs/ports.py
+++ b/src/agaterudder/jobs/ports.py
@@ -261,12 +261,15 @@
 
     :ivar incarnation: start of the worker's incarnation, Unix milliseconds.
     :ivar clock: the worker's monotonic clock, seconds.
+    :ivar more_ends: whether further ends may follow, which the worker lists
+        once these are acknowledged.
     """
 
     incarnation: int
     clock: float
     running: tuple[Running, ...]
     ended: tuple[Ended, ...]
+    more_ends: bool = False
 
 
 WORKER_READY = "ready"
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -204,7 +204,7 @@
             and listing.incarnation == worker.incarnation
             or not listing.incarnation
         ):
-            state.worker_fenced(worker, now)
+            state.worker_fenced(worker, now, listing.more_ends)
         if first:
             LOG.info(
                 "worker accepted the pool's epoch",
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -84,6 +84,14 @@
       | finished | ["1","a.0.0.0",1,"done",""]  |
       | finished | [1,"a.0.0.0",1,null,""]      |
 
+  # Guards against a first page of ends that is taken as all of them.
+  Scenario: A worker lists 500 ends at a time
+    Then listings tell whether more ends follow
+      | ends | more follow |
+      | 0    | no          |
+      | 499  | no          |
+      | 500  | yes         |
+
   Scenario: Rejections and unusable responses of a worker
     Then a worker's responses are interpreted as
       | status | body                  | meaning          |
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -50,6 +50,25 @@
       | the worker's lease has expired after 7 seconds      | 1     | 1      |
       | the worker's lease has expired after 13 seconds     | 1     | 2      |
 
+  # Guards against a second run of a task whose first one started unanswered
+  # and ended as done, with its end on a later page of the worker's list.
+  Scenario Outline: An unanswered start, then <event>, and more ends follow
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the start gets no answer
+    And <event>, and more ends follow
+    And the pool is planned
+    Then the task may run 1 times at most
+    And 1 starts are ordered
+    When the next listing has the end of the run as done
+    Then the job is complete
+
+    Examples:
+      | event                                               |
+      | the worker answers a stop and lists no runs         |
+      | the worker lists no runs after the start's deadline |
+
   Scenario Outline: A task on an unresponsive worker, copies being <copies>
     Given a pool with 2 workers
     And a job of 1 tasks of 1 core, copies being <copies>
@@ -104,6 +123,19 @@
     And the pool is planned
     Then 2 starts are ordered
 
+  # Guards against a second run of a task that ended as done under an earlier
+  # holder, with its end on a later page of the worker's list.
+  Scenario: After a take-over, tasks wait for all ends that a worker lists
+    Given a pool with 2 workers
+    And a job of 2 tasks of 1 core from before the take-over
+    And worker "w2" has not answered yet
+    When worker "w2" answers with 1 end, and more ends follow
+    And the pool is planned
+    Then 0 starts are ordered
+    When worker "w2" answers with 0 ends
+    And the pool is planned
+    Then 2 starts are ordered
+
   Scenario: After a take-over, tasks wait while a worker stays unresponsive
     Given a pool with 2 workers
     And a job of 2 tasks of 1 core from before the take-over
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -178,6 +178,21 @@
         assert isinstance(answer, ports.NoAnswer), (row["row"], answer)
 
 
+@behave.then("listings tell whether more ends follow")
+def step_more_ends(context: Context) -> None:
+    for row in context.table:
+        ends = ",".join(
+            f'[{number},"a.0.0.0",{number},"done",""]'
+            for number in range(1, int(row["ends"]) + 1)
+        )
+        listing = _renew(
+            f'{{"clock_ms":1,"running":[],"finished":[{ends}]}}'.encode()
+        )
+        assert isinstance(listing, ports.Listing), listing
+        assert len(listing.ended) == int(row["ends"])
+        assert listing.more_ends == (row["more follow"] == "yes"), row["ends"]
+
+
 @behave.then("a worker's responses are interpreted as")
 def step_responses(context: Context) -> None:
     for row in context.table:
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -1,10 +1,12 @@
 """Steps on the state and the scheduling of a pool."""
 
 import typing as t
+from unittest import mock
 
 import behave
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import leases
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import orders
@@ -12,10 +14,12 @@
 from agaterudder.jobs import ports
 from agaterudder.jobs import ratelimit
 from agaterudder.jobs import runs
+from agaterudder.jobs import workerloop
 from agaterudder import resources
 from tests import job_builders
 
 Context = t.Any
+LEASE_SECONDS = 3.0
 
 
 def _accept(context: Context, job: model.Job, recovered: bool = False) -> None:
@@ -69,11 +73,16 @@
 
 
 def _list_nothing(
-    context: Context, clock: float, incarnation: int = 1
+    context: Context,
+    clock: float,
+    incarnation: int = 1,
+    more_ends: bool = False,
 ) -> None:
     context.state.apply_listing(
         context.run.worker,
-        job_builders.listing(clock=clock, incarnation=incarnation),
+        job_builders.listing(
+            clock=clock, incarnation=incarnation, more_ends=more_ends
+        ),
         context.now,
         context.now,
     )
@@ -316,6 +325,36 @@
     context.state.unconfirmed_workers.add(name)
 
 
+def _answer(context: Context, name: str, ends: int, more_ends: bool) -> None:
+    """Pass a listing with ends of unknown runs through the worker's loop."""
+    worker = context.state.workers[name]
+    first = worker.last_end_number + 1
+    listing = job_builders.listing(
+        ended=[
+            ports.Ended(number, "f" * 16 + ".0.0.0", number, "done", "")
+            for number in range(first, first + ends)
+        ],
+        clock=_clock(context),
+        more_ends=more_ends,
+    )
+    holder = mock.create_autospec(workerloop.PoolHolder, instance=True)
+    holder.state = context.state
+    holder.lease = leases.Lease(job_builders.POOL, 1, context.now)
+    holder.wait_stored.return_value = True
+    loop = workerloop.WorkerLoop(worker, holder, LEASE_SECONDS)
+    loop._apply_listing(listing, context.now, context.now)
+
+
+@behave.when('worker "{name}" answers with {ends:d} end, and more ends follow')
+def step_answers_page(context: Context, name: str, ends: int) -> None:
+    _answer(context, name, ends, more_ends=True)
+
+
+@behave.when('worker "{name}" answers with {ends:d} ends')
+def step_answers_rest(context: Context, name: str, ends: int) -> None:
+    _answer(context, name, ends, more_ends=False)
+
+
 @behave.when('worker "{name}" answers')
 def step_answered_epoch(context: Context, name: str) -> None:
     context.state.worker_fenced(context.state.workers[name], context.now)
@@ -391,6 +430,28 @@
     _list_nothing(context, _clock(context))
 
 
+@behave.when(
+    "the worker answers a stop and lists no runs, and more ends follow"
+)
+def step_stopped_more_ends(context: Context) -> None:
+    context.run.stop_answered_at = 0.9
+    context.now += 1.0
+    _list_nothing(context, _clock(context), more_ends=True)
+
+
+@behave.when(
+    "the worker lists no runs after the start's deadline, and more ends follow"
+)
+def step_deadline_more_ends(context: Context) -> None:
+    context.now += 7.0
+    _list_nothing(context, _clock(context), more_ends=True)
+
+
+@behave.when("the next listing has the end of the run as done")
+def step_next_page(context: Context) -> None:
+    _end(context, context.run, ports.END_DONE)
+
+
 @behave.when("the worker lists the run")
 def step_lists_run(context: Context) -> None:
     context.now += 1.0
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -144,6 +144,9 @@
     ended: t.Sequence[ports.Ended] = (),
     clock: float = START_CLOCK,
     incarnation: int = 1,
+    more_ends: bool = False,
 ) -> ports.Listing:
     """Return a listing of a worker."""
-    return ports.Listing(incarnation, clock, tuple(running), tuple(ended))
+    return ports.Listing(
+        incarnation, clock, tuple(running), tuple(ended), more_ends
+    )
