Give each drain of a worker its grace time

Seen in the code: a worker that drained a second time, for another maintenance or move, had its tasks checkpointed at once.

Cause: Execution kept the time of a worker's first drain for good.

Change: the maintenance pass names all workers that drain now; the times of the others are dropped. The present time is an argument.

--- a/src/agaterudder/controlloops.py
+++ b/src/agaterudder/controlloops.py
@@ -349,9 +349,9 @@
             is_coordinator,
             time.time(),
         )
-        self._entry.fleet.cordon(self._entry.maintenance.cordoned())
-        for vm in self._entry.maintenance.cordoned():
-            self._entry.execution.evacuate(vm)
+        cordoned = self._entry.maintenance.cordoned()
+        self._entry.fleet.cordon(cordoned)
+        self._entry.execution.evacuate(cordoned, time.monotonic())
         if is_coordinator:
             self._entry.maintenance.balance(
                 self._entry.demands(time.monotonic()),
--- a/src/agaterudder/execution.py
+++ b/src/agaterudder/execution.py
@@ -477,16 +477,23 @@
         finally:
             self._wake.set()
 
-    def evacuate(self, worker: str) -> None:
-        """Checkpoint the tasks on a worker that drains beyond the grace time.
+    def evacuate(self, draining: t.Collection[str], now: float) -> None:
+        """Checkpoint the tasks on workers that drain beyond the grace time.
 
         This is repeated at most once in each further grace time.
+
+        :param draining: all workers that drain now.
         """
-        now = time.monotonic()
-        since = self._draining_since.setdefault(worker, now)
-        if now - since < DRAIN_GRACE_SECONDS:
-            return
-        self._draining_since[worker] = now
+        self._draining_since = {
+            worker: self._draining_since.get(worker, now)
+            for worker in draining
+        }
+        for worker, since in self._draining_since.items():
+            if now - since >= DRAIN_GRACE_SECONDS:
+                self._draining_since[worker] = now
+                self._evacuate_worker(worker)
+
+    def _evacuate_worker(self, worker: str) -> None:
         running = [
             placement.task
             for placement in self._outcomes.placements.values()
--- a/tests/features/maintenance.feature
+++ b/tests/features/maintenance.feature
@@ -63,6 +63,22 @@
     And both coordinators run up to 20 passes
     Then "w0" serves again without a reboot
 
+  # Guards against tasks that are checkpointed as soon as their worker drains
+  # for a second time.
+  Scenario: Each drain of a worker has its grace time
+    Given entry VMs "a" and "b" in "north" with 6 workers
+    Then the tasks on draining workers are checkpointed at
+      | second | draining | checkpointed |
+      | 0      | w0       | no           |
+      | 9      | w0       | no           |
+      | 10     | w0       | yes          |
+      | 19     | w0       | no           |
+      | 20     | w0       | yes          |
+      | 25     | none     | no           |
+      | 60     | w0       | no           |
+      | 69     | w0       | no           |
+      | 70     | w0       | yes          |
+
   Scenario: Another coordinator completes a move that a killed one began
     Given entry VMs "a" and "b" in "north" with 6 workers
     And pool "count" allows 2 out
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -3,6 +3,7 @@
 import itertools
 import time
 import typing as t
+from unittest import mock
 
 import behave
 import gevent
@@ -13,6 +14,7 @@
 from agaterudder import codes
 from agaterudder import configuration
 from agaterudder import exceptions
+from agaterudder import execution
 from agaterudder import maintenance
 from agaterudder import platform
 from agaterudder import store
@@ -227,6 +229,19 @@
     assert context.platform.vms[vm]["state"] == "leaving"
 
 
+@behave.then("the tasks on draining workers are checkpointed at")
+def step_grace_time(context: Context) -> None:
+    running = context.cell.entries["a"].execution
+    for row in context.table:
+        draining = [] if row["draining"] == "none" else [row["draining"]]
+        with mock.patch.object(
+            execution.Execution, "checkpoint_all", autospec=True
+        ) as checkpoint:
+            running.evacuate(draining, 100.0 + float(row["second"]))
+        expected = row["checkpointed"] == "yes"
+        assert checkpoint.called == expected, row["second"]
+
+
 @behave.when('"{vm}" fails')
 def step_fails(context: Context, vm: str) -> None:
     context.platform.vms[vm]["state"] = "down"
