Remove three unused names

Plan._blocked_teams, Cell.cut_workers of the tests and the time argument of Pool.cancel (and of its caller in the inbox) had no use. No change of behaviour.

--- a/src/agaterudder/jobs/inbox.py
+++ b/src/agaterudder/jobs/inbox.py
@@ -99,7 +99,7 @@
             self._load_job(row, store_clock, progress, recovering, now)
         for row in rows:
             if row.key.endswith(model.CANCEL_SUFFIX):
-                self._load_cancellation(row, store_clock, now)
+                self._load_cancellation(row, store_clock)
 
     def _load_job(
         self,
@@ -127,12 +127,10 @@
         version = stored.version if stored is not None else 0
         self._context.state.accept(job, known, version, now - age, recovering)
 
-    def _load_cancellation(
-        self, row: ports.Row, store_clock: float, now: float
-    ) -> None:
+    def _load_cancellation(self, row: ports.Row, store_clock: float) -> None:
         name = row.key.removesuffix(model.CANCEL_SUFFIX)
         if name in self._context.state.jobs:
-            self._context.state.cancel(name, store_clock, now)
+            self._context.state.cancel(name, store_clock)
         else:
             table = model.jobs_table(self._context.pool)
             self._context.state.journal.remove(ports.Delete(table, row.key))
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -62,7 +62,6 @@
             for worker in state.workers.values()
             if self._accepts_tasks(worker)
         ]
-        self._blocked_teams: set[str] = set()
 
     def orders(self) -> list[orders.Order]:
         """Return the orders of this round."""
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -137,7 +137,7 @@
         self.jobs[job.job] = found
         self.awaiting_occurrences[job.job] = found
 
-    def cancel(self, job: str, clock: float, now: float) -> None:
+    def cancel(self, job: str, clock: float) -> None:
         """Cancel a job at the request of its team.
 
         :param clock: time of the cancellation by the store's clock.
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -44,7 +44,6 @@
         self.workers = {name: worker.Worker(list(size)) for name in workers}
         self.worker_transports: dict[str, list[fakes.WorkerTransport]] = {}
         self.transports: dict[str, fakes.PlatformTransport] = {}
-        self.cut_workers: set[tuple[str, str]] = set()
         self.platform = platform.Platform(
             self._listed(entry_vms, workers, size), 0.0
         )
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -622,7 +622,7 @@
 @behave.when("the job is cancelled")
 def step_cancelled(context: Context) -> None:
     (job,) = context.state.jobs
-    context.state.cancel(job, 0.0, context.now)
+    context.state.cancel(job, 0.0)
 
 
 @behave.then("{count:d} starts are ordered")
