Prepare HTTP connections in one place

Seen: the platform adapter's client and the forwarder to backend servers each built the library's client, disabled its retries and opened the connection first, in the same lines.

Change: httpconnection.HttpConnection does so; both keep what they add (idle times, the headers of a forwarded request). No change of behaviour. The signatures that three stores share stay: each implements one protocol, and the type checker compares them.

--- a/src/agaterudder/forwarding.py
+++ b/src/agaterudder/forwarding.py
@@ -11,58 +11,34 @@
 import time
 
 import gevent
-import geventhttpclient
 import geventhttpclient.response
 
 from agaterudder import codes
+from agaterudder import httpconnection
 from agaterudder import platform
 from agaterudder import requests
-from agaterudder import utils
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 NON_REPEATABLE_IDLE_SECONDS = 0.5
 MAX_IDLE_SECONDS = 20.0
-READ_BLOCK_BYTES = 65_536
 NETWORK_TIMEOUT_SECONDS = 600.0
-NO_LIBRARY_RETRY = -1
-TRANSPORT_ERRORS = (
-    OSError,
-    ValueError,
-    geventhttpclient.response.HTTPParseError,
-)
 
 
-class Connection:
+class Connection(httpconnection.HttpConnection):
     """One connection to a backend server, idle or in use.
 
     :ivar answered_at: when it last carried a complete answer.
     """
 
-    __slots__ = ("_client", "answered_at", "closed")
+    __slots__ = ("answered_at", "closed")
 
     def __init__(self, server: platform.Vm) -> None:
-        host, port = utils.split_address(server.address)
-        self._client = geventhttpclient.HTTPClient(
-            host,
-            port,
-            block_size=READ_BLOCK_BYTES,
-            connection_timeout=CONNECT_TIMEOUT_SECONDS,
-            network_timeout=NETWORK_TIMEOUT_SECONDS,
+        super().__init__(
+            server.address, CONNECT_TIMEOUT_SECONDS, NETWORK_TIMEOUT_SECONDS
         )
-        # The library would repeat a request when the connection closes
-        # without an answer; only the dispatcher decides on repeats.
-        self._client._connection_pool.size = NO_LIBRARY_RETRY
         self.answered_at = 0.0
         self.closed = False
 
-    def open(self) -> None:
-        """Connect, so that a failure to connect precedes the request.
-
-        :raises OSError: when the server can't be reached.
-        """
-        pool = self._client._connection_pool
-        pool.return_socket(pool.get_socket())
-
     def send(
         self, request: requests.Request
     ) -> geventhttpclient.response.HTTPSocketPoolResponse:
@@ -72,14 +48,14 @@
             "Agaterudder-Request-Id": request.identifier,
             "Agaterudder-Team": request.team,
         }
-        return self._client.request(
-            request.method, request.path, body=request.body, headers=headers
+        return self.request(
+            request.method, request.path, request.body, headers
         )
 
     def close(self) -> None:
         """Close the connection."""
         self.closed = True
-        self._client.close()
+        super().close()
 
 
 class Forwarder:
@@ -112,7 +88,7 @@
             return codes.Refused(
                 codes.Result.TIMED_OUT, f"{server.vm} did not answer in time"
             )
-        except TRANSPORT_ERRORS as error:
+        except httpconnection.TRANSPORT_ERRORS as error:
             connection.close()
             return codes.Refused(
                 codes.Result.OUTCOME_UNKNOWN,
