--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -5,13 +5,14 @@
 import sys
 import tempfile
 import typing as t
+from unittest import mock
 
 import behave
-import msgspec
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 sys.path.append(str(ROOT / "platform"))
 
+from agaterudder import codes  # noqa: E402
 from agaterudder import exceptions  # noqa: E402
 from agaterudder.jobs import ports  # noqa: E402
 from agaterudder_platform import clients  # noqa: E402
@@ -45,7 +46,7 @@
     def __init__(self, reply: httpclient.Reply) -> None:
         self._reply = reply
 
-    def request(self, *arguments: t.Any) -> httpclient.Reply:
+    def request(self, *arguments: t.Any, **named: t.Any) -> httpclient.Reply:
         """Return the reply."""
         return self._reply
 
@@ -114,10 +115,16 @@
     assert context.registration.rack == rack
 
 
+def _renew(body: bytes) -> ports.Listing | ports.Rejected | ports.NoAnswer:
+    client = clients.WorkerClient("i-1", "127.0.0.1:9")
+    reply = httpclient.Reply(200, body)
+    client._http = t.cast(httpclient.HttpClient, StubHttpClient(reply))
+    return client.renew(7, 0, None, 0.0, 1.0)
+
+
 @behave.when("a worker answers a lease renewal with")
 def step_renewal(context: Context) -> None:
-    reply = msgspec.json.decode(context.text.encode(), type=wire.RenewReply)
-    context.listing = wire.decode_listing(reply)
+    context.listing = _renew(context.text.encode())
 
 
 @behave.then(
@@ -140,6 +147,52 @@
     assert (found.number, found.outcome) == (number, outcome)
 
 
+@behave.then("readings in a worker's listing are taken as")
+def step_readings(context: Context) -> None:
+    for row in context.table:
+        reading = row["reading"].encode()
+        listing = _renew(
+            b'{"clock_ms":1,"running":[["a.0.0.0",2,"",41,%s]],"finished":[]}'
+            % reading
+        )
+        assert isinstance(listing, ports.Listing), listing
+        (found,) = listing.running
+        assert (found.task, found.run, found.progress) == ("a.0.0.0", 2, 41)
+        value = "none" if found.measurement is None else found.measurement
+        assert str(value) == row["taken as"], (reading, value)
+
+
+@behave.then("listings with these rows are not read at all")
+def step_bad_rows(context: Context) -> None:
+    for row in context.table:
+        lists = {"running": '["b.0.0.0",1,"",9]', "finished": ""}
+        good = lists[row["list"]]
+        lists[row["list"]] = ",".join(
+            part for part in (good, row["row"]) if part
+        )
+        body = (
+            f'{{"clock_ms":1,"running":[{lists["running"]}],'
+            f'"finished":[{lists["finished"]}]}}'
+        )
+        answer = _renew(body.encode())
+        assert isinstance(answer, ports.NoAnswer), (row["row"], answer)
+
+
+@behave.then("listings tell whether more ends follow")
+def step_more_ends(context: Context) -> None:
+    for row in context.table:
+        ends = ",".join(
+            f'[{number},"a.0.0.0",{number},"done",""]'
+            for number in range(1, int(row["ends"]) + 1)
+        )
+        listing = _renew(
+            f'{{"clock_ms":1,"running":[],"finished":[{ends}]}}'.encode()
+        )
+        assert isinstance(listing, ports.Listing), listing
+        assert len(listing.ended) == int(row["ends"])
+        assert listing.more_ends == (row["more follow"] == "yes"), row["ends"]
+
+
 @behave.then("a worker's responses are interpreted as")
 def step_responses(context: Context) -> None:
     for row in context.table:
@@ -153,6 +206,55 @@
         assert name == row["meaning"], (row["status"], name)
 
 
+@behave.then("a transaction's responses are interpreted as")
+def step_transaction_responses(context: Context) -> None:
+    for row in context.table:
+        client = clients.StoreClient("127.0.0.1:9")
+        reply = httpclient.Reply(int(row["status"]), row["body"].encode())
+        client._http = t.cast(httpclient.HttpClient, StubHttpClient(reply))
+        with mock.patch.object(
+            clients.LOG, "warning", autospec=True
+        ) as warning:
+            outcome = client.transact("a", [], [])
+        name = (
+            outcome.code.name
+            if isinstance(outcome, codes.Refused)
+            else type(outcome).__name__
+        )
+        assert name == row["meaning"], (row["status"], name)
+        logged = [call.args[0] for call in warning.call_args_list] or ["none"]
+        assert logged == [row["log event"]], (row["status"], logged)
+
+
+def _order(client: str, reply: httpclient.Reply) -> t.Any:
+    http = t.cast(httpclient.HttpClient, StubHttpClient(reply))
+    match client:
+        case "worker":
+            worker = clients.WorkerClient("i-1", "127.0.0.1:9")
+            worker._http = http
+            return worker.stop("a.0.0.0", 1, 7, 1.0)
+        case "machines":
+            machines = clients.MachinesClient("127.0.0.1:9")
+            machines._http = http
+            return machines.move("m-1", "p", "front-a-1", 3)
+    policy = clients.PolicyClient("127.0.0.1:9")
+    policy._http = http
+    return policy.ask("a.0.0", ["i-1"], 1.0)
+
+
+@behave.then("other statuses leave an order's outcome as")
+def step_other_statuses(context: Context) -> None:
+    for row in context.table:
+        answer = _order(
+            row["client"], httpclient.Reply(int(row["status"]), b"")
+        )
+        name = type(answer).__name__
+        if isinstance(answer, ports.NoAnswer):
+            may = "may" if answer.may_take_effect else "can't"
+            name = f"{name}, {may} take effect"
+        assert name == row["meaning"], (row["client"], row["status"], name)
+
+
 @behave.then(
     "{count:d} random bodies with seed {seed:d} are decoded or refused"
 )
@@ -173,6 +275,7 @@
             wire.job_request,
             wire.configuration,
             wire.decode_wave,
+            wire.decode_listing,
             lambda content: wire.worker_registration(
                 ports.Row("servers", "i", content, 1)
             ),
