Log why a recovery ends and why a run counts as ended

A task was started again by a new holder, and the log did not tell whether an earlier run of it could be missing. "pool recovery complete" says now whether all workers had answered or time had passed, which workers were missing, how long it took and how many tasks it held back; a worker that is not waited for any longer has a line with the reason and its evidence. "worker lost" names its first tasks and the age of the last poll, and each run that is removed without a listed end has a line with the reason. No decision is changed.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -137,6 +137,12 @@
             and now - self.polled_at > UNRESPONSIVE_SECONDS
         )
 
+    def heard(self, now: float) -> str:
+        """Return the age of the last answered poll, for log lines."""
+        if not self.polled_at:
+            return "never"
+        return f"{now - self.polled_at:.3f}"
+
     def earlier_stops_visible(self, stop_seconds: float) -> bool:
         """Return whether its listing reflects stops of earlier holders.
 
--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -76,7 +76,12 @@
         self._limits = teamlimits.TeamLimits(self.pool)
         self._limits_needed = gevent.event.Event()
         self.state = pools.Pool(
-            self.pool, lease.epoch, bounds, self._limits, clock.now()
+            self.pool,
+            lease.epoch,
+            bounds,
+            self._limits,
+            clock.now(),
+            metrics_registry,
         )
         self._context = contexts.Context(
             lease,
@@ -203,6 +208,10 @@
         """Return why an unresponsive worker ended, empty if it may run."""
         return self._registry.termination_reason(worker, since)
 
+    def machine_evidence(self, now: float) -> str:
+        """Return the size and the age of the machine list."""
+        return self._registry.machine_evidence(now)
+
     def request_planning(self) -> None:
         """Request planning, and the write of progress not yet stored."""
         self._context.plan_needed.set()
@@ -288,7 +297,8 @@
                 continue
             if recovering and not self.state.recovering(now):
                 recovering = False
-                self._finish_recovery()
+                self._limits.release_reservations()
+                self.state.finish_recovery(now)
             self.state.create_due(wallclock.now(), now)
             for order in planning.Plan(self.state, now).orders():
                 self._executor.spawn(order)
@@ -297,15 +307,6 @@
             if len(self.state.journal):
                 self._context.write_needed.set()
 
-    def _finish_recovery(self) -> None:
-        """End the recovery: no run of an earlier holder is unknown."""
-        self._limits.release_reservations()
-        self.state.unconfirmed_workers.clear()
-        LOG.info(
-            "pool recovery complete: all workers reported or lapsed",
-            extra={"pool": self.pool, "epoch": self.lease.epoch},
-        )
-
     def _rebalance_limits_loop(self) -> None:
         while True:
             self._limits_needed.wait(LIMITS_INTERVAL_SECONDS)
--- a/src/agaterudder/jobs/machines.py
+++ b/src/agaterudder/jobs/machines.py
@@ -107,6 +107,11 @@
             return f"its machine is {machine.state}"
         return ""
 
+    def evidence(self, now: float) -> str:
+        """Return the size and the age of the list, for log lines."""
+        age = now - self.asked_at
+        return f"list of {len(self.machines)} machines, {age:.3f} s old"
+
     def in_pool(self, pool: str) -> list[ports.Machine]:
         """Return the machines of a pool."""
         return [
--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -130,7 +130,9 @@
             case ports.Rejected(reason=ports.REJECTED_FENCED):
                 self._context.step_down("a worker has seen a higher epoch")
             case ports.Rejected(reason=ports.REJECTED_OTHER_INCARNATION):
-                self._context.state.remove_run(run, clock.now())
+                self._context.state.remove_run(
+                    run, clock.now(), "stop reached another incarnation"
+                )
             case other:
                 LOG.info(
                     "stop of run not confirmed",
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import typing as t
 
 from agaterudder.jobs import demand
 from agaterudder.jobs import deployment
@@ -17,6 +18,7 @@
 from agaterudder.jobs import ratelimit
 from agaterudder.jobs import runs
 from agaterudder.jobs import teamlimits
+from agaterudder import metrics
 from agaterudder import resources
 
 LOG = logging.getLogger(__name__)
@@ -32,6 +34,8 @@
 QUARANTINE_SECONDS = 4.0
 # A worker that rejected a start as full or busy gets no starts for this long.
 REJECTION_PAUSE_SECONDS = 0.2
+# Limit of the names in one log line.
+MAX_LOGGED_NAMES = 5
 
 
 class Pool:
@@ -49,6 +53,8 @@
     :ivar limits: grants of the teams' upper limits to this pool.
     :ivar taken_out: data centres that operators took out of service; no
         task starts in them.
+    :ivar metrics: metrics of the process.
+    :ivar acquired_at: when this holder acquired the pool.
     :ivar recovery_until: until then, tasks of earlier holders may run on
         workers that have not accepted this epoch yet.
     :ivar unconfirmed_workers: names of the workers that earlier holders used
@@ -70,6 +76,8 @@
         "estimates",
         "queues",
         "taken_out",
+        "metrics",
+        "acquired_at",
         "recovery_until",
         "unconfirmed_workers",
         "_run_count",
@@ -85,6 +93,7 @@
         bounds: deployment.Bounds,
         limits: teamlimits.TeamLimits,
         now: float,
+        metrics_registry: metrics.Metrics | None = None,
     ) -> None:
         self.name = name
         self.epoch = epoch
@@ -98,6 +107,8 @@
         self.estimates = estimates.Estimates()
         self.queues: dict[str, operatorconfig.Queue] = {}
         self.taken_out: frozenset[str] = frozenset()
+        self.metrics = metrics_registry or metrics.Metrics()
+        self.acquired_at = now
         self.recovery_until = (
             now
             + bounds.worker_lease / fleet.MIN_CLOCK_RATE
@@ -230,6 +241,64 @@
         """Return whether some runs of earlier holders may be unknown."""
         return bool(self.unconfirmed_workers) and now < self.recovery_until
 
+    def discard_unconfirmed(
+        self, name: str, reason: str, evidence: str, now: float
+    ) -> None:
+        """Wait no longer for an answer of a worker of earlier holders.
+
+        :param evidence: what the reason rests on, and its age.
+        """
+        if name not in self.unconfirmed_workers:
+            return
+        self.unconfirmed_workers.discard(name)
+        worker = self.workers.get(name)
+        extra = {
+            "pool": self.name,
+            "worker": name,
+            "why": reason,
+            "evidence": evidence,
+            "recovering": round(now - self.acquired_at, 3),
+        }
+        if worker is not None:
+            extra["heard"] = worker.heard(now)
+        LOG.info("worker left recovery without an answer", extra=extra)
+
+    def finish_recovery(self, now: float) -> None:
+        """End the recovery: no run of an earlier holder is unknown."""
+        missing = sorted(self.unconfirmed_workers)
+        LOG.info(
+            "pool recovery complete",
+            extra={
+                "pool": self.name,
+                "epoch": self.epoch,
+                "why": (
+                    "time passed" if missing else "no worker is unconfirmed"
+                ),
+                "took": round(now - self.acquired_at, 3),
+                "workers": len(self.workers),
+                "unconfirmed": len(missing),
+                "missing": _names(missing),
+                "held_back": self._held_back_tasks(),
+            },
+        )
+        for name in missing:
+            self.discard_unconfirmed(
+                name,
+                "time passed",
+                "longest lease of an earlier holder",
+                now,
+            )
+
+    def _held_back_tasks(self) -> int:
+        """Return how many tasks wait for the end of the recovery."""
+        return sum(
+            1
+            for step in self.ready.values()
+            if step.job.recovered and step.ready_at
+            for task in step.tasks
+            if task.waiting
+        )
+
     def worker_restarted(
         self, worker: fleet.WorkerState, incarnation: int, now: float
     ) -> None:
@@ -246,13 +315,15 @@
             extra={
                 "worker": worker.name,
                 "life_start": incarnation,
+                "before": worker.incarnation,
                 "runs": len(worker.runs),
+                "heard": worker.heard(now),
             },
         )
         worker.reset_incarnation(incarnation)
         for run in list(worker.runs.values()):
             if run.state is runs.RunState.RUNNING:
-                self.remove_run(run, now)
+                self.remove_run(run, now, "worker restarted")
             else:
                 run.state = runs.RunState.UNCERTAIN
                 run.stop_reason = run.stop_reason or "worker restarted"
@@ -272,12 +343,14 @@
                 "worker": worker.name,
                 "why": reason,
                 "runs": len(worker.runs),
+                "tasks": _names([task for task, _ in worker.runs]),
+                "heard": worker.heard(now),
             },
         )
         for run in list(worker.runs.values()):
             may_arrive = now - run.sent_at < fleet.MAX_ORDER_DELAY_SECONDS
             if run.state is runs.RunState.RUNNING or not may_arrive:
-                self.remove_run(run, now)
+                self.remove_run(run, now, reason)
 
     # Runs
 
@@ -322,8 +395,26 @@
             peak_size = peak_size.elementwise_max(size)
         return demand.Arrival(arrived_at, work, peak_size)
 
-    def remove_run(self, run: runs.Run, now: float) -> None:
-        """Remove a run that has ended, whatever the outcome."""
+    def remove_run(
+        self, run: runs.Run, now: float, unlisted_reason: str = ""
+    ) -> None:
+        """Remove a run that has ended, whatever the outcome.
+
+        :param unlisted_reason: why it counts as ended although the worker
+            listed no end of it.
+        """
+        if unlisted_reason:
+            LOG.info(
+                "run removed without a listed end",
+                extra={
+                    "task": run.task_name,
+                    "run": run.number,
+                    "worker": run.worker.name,
+                    "why": unlisted_reason,
+                    "state": run.state.value,
+                    "heard": run.worker.heard(now),
+                },
+            )
         run.worker.remove(run, now)
         task = run.task
         if task is not None:
@@ -490,7 +581,8 @@
         start_expired = listing.clock > run.deadline and run.deadline > 0
         stopped = run.stop_answered_at and sent_at >= run.stop_answered_at
         if start_expired or stopped:
-            self.remove_run(run, now)
+            reason = "start expired" if start_expired else "stop answered"
+            self.remove_run(run, now, f"not listed: {reason}")
 
     def _apply_end(
         self, worker: fleet.WorkerState, ended: ports.Ended, now: float
@@ -621,3 +713,10 @@
                 queue = job.job.queue
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
+
+
+def _names(names: t.Sequence[str]) -> str:
+    """Return the first names, and the number of the others."""
+    shown = " ".join(names[:MAX_LOGGED_NAMES])
+    others = len(names) - MAX_LOGGED_NAMES
+    return f"{shown} +{others}" if others > 0 else shown
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -56,6 +56,9 @@
     ) -> str:
         """Return why an unresponsive worker ended, empty if it may run."""
 
+    def machine_evidence(self, now: float) -> str:
+        """Return the size and the age of the machine list."""
+
 
 class WorkerLoop:
     """Renews the lease of one worker from a greenlet of its own."""
@@ -223,12 +226,13 @@
     def _handle_replacement(self, now: float) -> None:
         """End the worker, as another one answers at its address."""
         worker = self._worker
-        self._holder.state.worker_lost(
-            worker, "another worker answers at its address", now
-        )
+        reason = "another worker answers at its address"
+        self._holder.state.worker_lost(worker, reason, now)
         for run in list(worker.runs.values()):
-            self._holder.state.remove_run(run, now)
-        self._holder.state.unconfirmed_workers.discard(worker.name)
+            self._holder.state.remove_run(run, now, reason)
+        self._holder.state.discard_unconfirmed(
+            worker.name, reason, "its answer, just now", now
+        )
         worker.registered = False
         worker.unregistered_at = worker.unregistered_at or now
         self._holder.request_planning()
@@ -257,11 +261,12 @@
             worker.fenced = False
         elif reason:
             worker.terminated = True
-            state.unconfirmed_workers.discard(worker.name)
+            evidence = self._holder.machine_evidence(clock.now())
+            state.discard_unconfirmed(worker.name, reason, evidence, now)
         if reason and worker.runs:
             state.worker_lost(worker, reason, now)
         for run in list(worker.runs.values()):
             if worker.run_expired(run, now, self._lease_seconds):
-                state.remove_run(run, now)
+                state.remove_run(run, now, "silent beyond order and lease")
         self._holder.request_planning()
         gevent.sleep(RETRY_SECONDS)
--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -183,8 +183,15 @@
         """Remove a worker that has ended and runs nothing."""
         if worker.terminated:
             self._terminated_incarnations[worker.name] = worker.incarnation
+        now = clock.now()
+        away = now - worker.unregistered_at
+        self._context.state.discard_unconfirmed(
+            worker.name,
+            "removed from pool",
+            "terminated" if worker.terminated else f"away for {away:.3f} s",
+            now,
+        )
         self._context.state.workers.pop(worker.name, None)
-        self._context.state.unconfirmed_workers.discard(worker.name)
         self._loops.pop(worker.name, None)
         self._context.persist_needed.set()
         self._context.plan_needed.set()
@@ -195,6 +202,10 @@
         """Return why an unresponsive worker ended, empty if it may run."""
         return self._machine_cache.termination_reason(worker.name, since)
 
+    def machine_evidence(self, now: float) -> str:
+        """Return the size and the age of the machine list."""
+        return self._machine_cache.evidence(now)
+
     def mark_worker_terminated(
         self, worker: fleet.WorkerState, reason: str
     ) -> None:
@@ -204,7 +215,7 @@
         for run in list(worker.runs.values()):
             # A late start can't arrive: the machine's next worker has
             # another name.
-            self._context.state.remove_run(run, now)
+            self._context.state.remove_run(run, now, reason)
         worker.fenced = False
         worker.terminated = True
         self.wake(worker)
