Log and count first starts, restarts and tasks with two runs

The log showed each start alike, so that a task that ran twice was found only by the rule that it broke. "task placed" says now whether it is the first start, a restart or a copy, which run was known before and how long the step had been ready. A run that is listed while its task has another, or after another was done, is a warning with both runs; so is a job whose end is stored and that is loaded again. Ends of unknown jobs say why they are unknown, and "job ends stored" gives the version of the stored ends. Metrics: task_starts, first_start_seconds, duplicate_runs, ended_jobs_loaded.

--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -179,6 +179,7 @@
                 "epoch": self.lease.epoch,
                 "jobs": len(self.state.jobs),
                 "workers": len(self.state.workers),
+                "version": self._inbox.recovered_version,
             },
         )
         return True
--- a/src/agaterudder/jobs/inbox.py
+++ b/src/agaterudder/jobs/inbox.py
@@ -42,12 +42,16 @@
 
 
 class Inbox:
-    """Watches the stored jobs of a pool."""
+    """Watches the stored jobs of a pool.
 
-    __slots__ = ("_context", "_watcher")
+    :ivar recovered_version: version of the rows that were recovered from.
+    """
+
+    __slots__ = ("_context", "_watcher", "recovered_version")
 
     def __init__(self, context: contexts.Context) -> None:
         self._context = context
+        self.recovered_version = 0
         self._watcher = watcher.Watcher(
             f"jobs of {context.pool}",
             _JobRows(context.store, context.pool),
@@ -73,6 +77,7 @@
             row.key: row for row in store.scan(model.PROGRESS_TABLE, pool).rows
         }
         self._load_rows(scan.rows, scan.clock, progress, True)
+        self.recovered_version = scan.version
         self._watcher.resume_from(scan.version, now)
         self._context.state.create_due(wallclock.now(), now)
 
--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -66,8 +66,18 @@
         )
         match outcome:
             case ports.Committed(version=version):
-                for job in journal.committed(batch, version):
+                ended = journal.committed(batch, version)
+                for job in ended:
                     self._context.state.remove_ended_job(job)
+                if ended:
+                    LOG.info(
+                        "job ends stored",
+                        extra={
+                            "pool": self._context.pool,
+                            "version": version,
+                            "jobs": " ".join(job.job.job for job in ended),
+                        },
+                    )
                 self._stored.set()
                 return True
             case ports.Conflicted(rows=rows):
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -499,6 +499,9 @@
     ) -> None:
         state = self._state
         step = task.step
+        kind = task.start_kind
+        history = self._history(task)
+        state.record_placement(task, kind, self._now)
         run = state.add_run(task, worker, number, self._now)
         state.limits.charge(step.job.job.team, run.limit_key, step.step.size)
         run.deadline = worker.lease_deadline(
@@ -518,9 +521,22 @@
                 "free": round(worker.free.cores, 2),
                 "team": step.job.job.team,
                 "heard": round(self._now - worker.polled_at, 3),
-            },
+                "kind": kind,
+                "ready": round(self._now - step.ready_at, 3),
+            }
+            | history,
         )
 
+    @staticmethod
+    def _history(task: runs.Task) -> dict[str, t.Any]:
+        """Return fields on earlier runs of a task for its log line."""
+        history: dict[str, t.Any] = {}
+        if task.last_run:
+            history["before"] = task.last_run
+        if task.step.job.recovered:
+            history["recovered"] = True
+        return history
+
     # Preemption
 
     def _preempt(
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -34,6 +34,8 @@
 QUARANTINE_SECONDS = 4.0
 # A worker that rejected a start as full or busy gets no starts for this long.
 REJECTION_PAUSE_SECONDS = 0.2
+# Number of ended jobs that are remembered to notice one that is loaded again.
+MAX_ENDED_JOBS = 5_000
 # Limit of the names in one log line.
 MAX_LOGGED_NAMES = 5
 
@@ -84,6 +86,7 @@
         "orphaned_runs",
         "demand",
         "_submission_buckets",
+        "_ended_jobs",
     )
 
     def __init__(
@@ -119,6 +122,7 @@
         self.orphaned_runs: list[runs.Run] = []
         self.demand = demand.Demand()
         self._submission_buckets: dict[str, ratelimit.TokenBucket] = {}
+        self._ended_jobs: dict[str, str] = {}
 
     # Jobs
 
@@ -138,6 +142,17 @@
         """
         if job.job in self.jobs:
             return
+        if job.job in self._ended_jobs:
+            LOG.warning(
+                "job whose end is stored loaded again",
+                extra={
+                    "job": job.job,
+                    "queue": job.queue,
+                    "pool": self.name,
+                    "ended": self._ended_jobs[job.job],
+                },
+            )
+            self.metrics.count("ended_jobs_loaded", pool=self.name)
         found = runs.JobRun(job, accepted_at, recovered)
         found.progress = progress
         found.row_version = row_version
@@ -213,6 +228,10 @@
         """
         if self.jobs.get(job.job.job) is job:
             del self.jobs[job.job.job]
+        if job.ending is not None:
+            self._ended_jobs[job.job.job] = job.ending.state
+        if len(self._ended_jobs) > MAX_ENDED_JOBS:
+            del self._ended_jobs[next(iter(self._ended_jobs))]
         for run in job.live_runs():
             run.task = None
             self.orphaned_runs.append(run)
@@ -371,9 +390,24 @@
             task.name, task, number, worker, now, self.reserved_size(task.step)
         )
         task.runs.append(run)
+        task.last_run = max(task.last_run, number)
         worker.add(run)
         return run
 
+    def record_placement(self, task: runs.Task, kind: str, now: float) -> None:
+        """Count a start that is about to be ordered.
+
+        :param kind: first, restart or copy.
+        """
+        self.metrics.count("task_starts", pool=self.name, kind=kind)
+        job = task.step.job
+        waited = job.first_start_wait(now)
+        job.placed = True
+        if waited is not None:
+            self.metrics.observe(
+                "first_start", waited, pool=self.name, queue=job.job.queue
+            )
+
     @staticmethod
     def reserved_size(step: runs.StepRun) -> resources.Vector:
         """Return the capacity that a task of a step reserves on a worker."""
@@ -554,6 +588,8 @@
             self.orphaned_runs.append(run)
             return run
         job = task.step.job
+        self._report_duplicates(task, worker, item.run, "running")
+        task.last_run = max(task.last_run, item.run)
         task.runs.append(run)
         self.limits.adopt(job.job.team, run.limit_key, task.step.step.size)
         if job.ending is not None or task.done:
@@ -604,11 +640,17 @@
             },
         )
         if task is None:
+            self._log_unknown_end(worker, ended)
             return
+        if ended.outcome in (ports.END_DONE, ports.END_FAILED):
+            self._report_duplicates(task, worker, ended.run, ended.outcome)
+        task.last_run = max(task.last_run, ended.run)
         job = task.step.job
         match ended.outcome:
             case ports.END_DONE:
                 self._task_done(task, run, worker, now)
+                if task.done:
+                    task.done_run = task.done_run or ended.run
             case ports.END_FAILED:
                 self._task_failed(task, ended.run, worker, now)
             case _:
@@ -616,6 +658,64 @@
                     self._record_checkpoint(task, ended.checkpoint)
                     self.journal.mark(job)
 
+    def _report_duplicates(
+        self,
+        task: runs.Task,
+        worker: fleet.WorkerState,
+        number: int,
+        outcome: str,
+    ) -> None:
+        """Report other runs of a task that must run only once at a time.
+
+        :param number: the run that was listed.
+        :param outcome: how it was listed: running, done or failed.
+        """
+        if task.step.step.speculative:
+            return
+        others = [
+            (run.number, run.worker.name, run.state.value)
+            for run in task.runs
+            if run.number != number
+        ]
+        if task.done_run not in (0, number):
+            others.append((task.done_run, "", ports.END_DONE))
+        for other_number, other_worker, other_state in others:
+            LOG.warning(
+                "task has two runs",
+                extra={
+                    "task": task.name,
+                    "run": number,
+                    "worker": worker.name,
+                    "how": outcome,
+                    "other_run": other_number,
+                    "other_worker": other_worker,
+                    "other": other_state,
+                },
+            )
+            self.metrics.count("duplicate_runs", pool=self.name)
+
+    def _log_unknown_end(
+        self, worker: fleet.WorkerState, ended: ports.Ended
+    ) -> None:
+        """Log the end of a run whose task is not known."""
+        job = ended.task.partition(".")[0]
+        if job in self._ended_jobs:
+            reason = f"job is stored as {self._ended_jobs[job]}"
+        elif job in self.jobs:
+            reason = "job has no such task"
+        else:
+            reason = "job is not loaded"
+        LOG.info(
+            "end of unknown task",
+            extra={
+                "task": ended.task,
+                "run": ended.run,
+                "worker": worker.name,
+                "how": ended.outcome,
+                "why": reason,
+            },
+        )
+
     def _find_task(self, name: str, now: float) -> runs.Task | None:
         """Return the task of a listed run, None when its job is unknown.
 
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -12,6 +12,10 @@
 
 MAX_RUNS_PER_TASK = 2
 
+START_FIRST = "first"
+START_RESTART = "restart"
+START_COPY = "copy"
+
 
 class RunState(enum.Enum):
     """What the holder knows about a run.
@@ -139,6 +143,8 @@
     :ivar last_preemption_at: when runs of lower priority were last stopped to
         free capacity for it, 0 before.
     :ivar straggler_restarts: how often it was restarted as a straggler.
+    :ivar last_run: highest run number known of it, 0 without one.
+    :ivar done_run: number of the run whose end made it done, 0 if unknown.
     """
 
     __slots__ = (
@@ -152,6 +158,8 @@
         "not_before",
         "last_preemption_at",
         "straggler_restarts",
+        "last_run",
+        "done_run",
     )
 
     def __init__(self, name: str, step: "StepRun", index: int) -> None:
@@ -165,6 +173,15 @@
         self.not_before = 0.0
         self.last_preemption_at = 0.0
         self.straggler_restarts = 0
+        self.last_run = 0
+        self.done_run = 0
+
+    @property
+    def start_kind(self) -> str:
+        """Kind of its next start: first, restart or copy."""
+        if self.runs:
+            return START_COPY
+        return START_RESTART if self.last_run else START_FIRST
 
     @property
     def waiting(self) -> bool:
@@ -299,6 +316,7 @@
         answered yet.
     :ivar over_submission_rate: whether its team had submitted more jobs a
         second than its weight allows.
+    :ivar placed: whether this holder has placed a task of it.
     :ivar ending: the end that is to be stored, None until it ends.
     :ivar ending_stored: whether its end is stored; nothing more is written
         for it.
@@ -313,6 +331,7 @@
         "created",
         "recovered",
         "started",
+        "placed",
         "ending",
         "ending_stored",
         "cancelled",
@@ -330,6 +349,7 @@
         self.created = 0
         self.recovered = recovered
         self.started = False
+        self.placed = False
         self.ending: model.Ended | None = None
         self.ending_stored = False
         self.over_submission_rate = False
@@ -342,6 +362,19 @@
         request = self.job.request
         return request.start_at + occurrence * request.interval
 
+    def first_start_wait(self, now: float) -> float | None:
+        """Return how long its first start has been due.
+
+        :returns: None when no start is due or a task of it was started.
+        """
+        if self.placed or self.started or not self.created:
+            return None
+        if self.ending is not None:
+            return None
+        if self.job.request.times:
+            return now - self.steps["0.0"].ready_at
+        return now - self.accepted_at
+
     def create_due(self, wall: float, now: float) -> list[StepRun]:
         """Create the steps of the occurrences that are due."""
         created: list[StepRun] = []
@@ -381,9 +414,12 @@
                 step.tasks[index].done = True
                 step.done += 1
         for task in step.tasks:
-            task.checkpoint = self.progress.checkpoints.get(
-                f"{step.key}.{task.index}", ""
+            key = f"{step.key}.{task.index}"
+            task.checkpoint = self.progress.checkpoints.get(key, "")
+            failed = self.progress.failures.get(
+                step.key if step.step.gang else key, ()
             )
+            task.last_run = max(failed, default=0)
 
     def check_ready(self, step: StepRun, now: float) -> bool:
         """Mark a step ready when the steps that it depends on are done.
--- a/tests/features/steps/pool_log_steps.py
+++ b/tests/features/steps/pool_log_steps.py
@@ -5,12 +5,22 @@
 
 import behave
 
+from agaterudder.jobs import context as contexts
+from agaterudder.jobs import journalwriter
+from agaterudder.jobs import leases
 from agaterudder.jobs import machines
+from agaterudder.jobs import model
+from agaterudder.jobs import planning
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
 from tests import job_builders
+from tests import memory_store
 
 Context = t.Any
 EVIDENCE_AGE_SECONDS = 0.25
 MACHINES = 5
+# The histogram keeps one significant digit.
+HISTOGRAM_TOLERANCE = 0.1
 
 
 class Recorder(logging.Handler):
@@ -115,3 +125,110 @@
 @behave.then("no worker is unconfirmed")
 def step_none_unconfirmed(context: Context) -> None:
     assert not context.state.unconfirmed_workers
+
+
+def _series(context: Context) -> dict[str, float]:
+    lines = context.state.metrics.render().splitlines()
+    pairs = (line.rpartition(" ") for line in lines)
+    return {
+        name.removeprefix("agaterudder_"): float(value)
+        for name, _, value in pairs
+    }
+
+
+@behave.then("the metrics have")
+def step_metrics(context: Context) -> None:
+    found = _series(context)
+    for row in context.table:
+        assert found.get(row["series"]) == float(row["value"]), found
+
+
+@behave.then('the "{name}" median of the queue is {seconds:g} seconds')
+def step_median(context: Context, name: str, seconds: float) -> None:
+    series = (
+        f'{name}_seconds{{pool="{job_builders.POOL}"'
+        f',queue="{job_builders.QUEUE}",quantile="0.5"}}'
+    )
+    found = _series(context)[series]
+    assert abs(found - seconds) <= seconds * HISTOGRAM_TOLERANCE, found
+
+
+def _runs(context: Context) -> list[runs.Run]:
+    return [
+        run
+        for worker in context.state.workers.values()
+        for run in worker.runs.values()
+    ]
+
+
+@behave.when("its worker is lost and the task is started on the other")
+def step_started_elsewhere(context: Context) -> None:
+    (context.first,) = _runs(context)
+    worker = context.first.worker
+    worker.cordon("test", context.now)
+    context.state.worker_lost(worker, "its machine is down", context.now)
+    planning.Plan(context.state, context.now).orders()
+    (second,) = _runs(context)
+    assert second.worker is not worker
+
+
+@behave.when("the first run is listed as {how}")
+def step_first_listed(context: Context, how: str) -> None:
+    first = context.first
+    running = ports.Running(first.task_name, first.number, "", 0)
+    ended = ports.Ended(
+        first.worker.last_end_number + 1,
+        first.task_name,
+        first.number,
+        how,
+        "",
+    )
+    listing = (
+        job_builders.listing([running])
+        if how == "running"
+        else job_builders.listing((), [ended])
+    )
+    context.state.apply_listing(
+        first.worker, listing, context.now, context.now
+    )
+
+
+@behave.then("the duplicate runs counted are {count:d}")
+def step_duplicates(context: Context, count: int) -> None:
+    series = f'duplicate_runs{{pool="{job_builders.POOL}"}}'
+    assert _series(context).get(series, 0) == count, _series(context)
+
+
+@behave.when("the job is stored as ended")
+def step_stored_as_ended(context: Context) -> None:
+    (context.job,) = context.state.jobs.values()
+    context.state.remove_ended_job(context.job)
+
+
+@behave.when("the job is not known to the pool")
+def step_not_known(context: Context) -> None:
+    context.state.jobs.clear()
+
+
+@behave.when("the job is loaded again")
+def step_loaded_again(context: Context) -> None:
+    context.state.accept(
+        context.job.job, model.Progress(), 0, context.now, False
+    )
+
+
+@behave.when("the pool's journal is written")
+def step_journal_written(context: Context) -> None:
+    store = memory_store.MemoryStore()
+    holder = ports.Put(model.HOLDERS_TABLE, model.HOLDER_KEY, b"a")
+    lease = leases.Lease(job_builders.POOL, 1, context.now)
+    lease.epoch = store.transact(job_builders.POOL, [], [holder]).version
+    shared = contexts.Context(
+        lease,
+        context.state,
+        store,
+        context.state.metrics,
+        lambda: 0.0,
+        lambda reason: None,
+    )
+    assert journalwriter.JournalWriter(shared)._write_batch()
