Log and count the ends that are acknowledged, extend the pool status

Whether an end had been acknowledged before a task was started again could not be seen. Warnings and lines besides: ends that are not stored in time, a cursor that reaches another incarnation than the one whose ends it counts, and ends that a worker discarded before they were read. "pool status" has the ends not acknowledged, workers not confirmed, the oldest first start, late jobs and by how much a pause of the process was too long; the same as metrics, with ends_acknowledged and end_stored_seconds. No decision is changed.

--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -130,6 +130,7 @@
         gevent.killall(self._loops, block=False)
         self._executor.stop()
         self._registry.stop()
+        self.state.acknowledged.write()
 
     def _spawn(self, loop: t.Callable[[], None]) -> None:
         self._loops.append(gevent.spawn(loop))
--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -47,6 +47,7 @@
             self._context.write_needed.wait(WRITE_INTERVAL_SECONDS)
             self._context.write_needed.clear()
             gevent.sleep(WRITE_BATCH_SECONDS)
+            self._context.state.acknowledged.write()
             while (
                 len(self._context.state.journal) and not self._context.stopped
             ):
@@ -106,8 +107,9 @@
 
     def publish_loop(self) -> None:
         """Publish the numbers of pending jobs, and the pool's status."""
+        lag = 0.0
         while True:
-            self._report_status()
+            self._report_status(lag)
             content = model.encode(
                 model.Pending(
                     self._context.store_clock(),
@@ -124,14 +126,23 @@
                         )
                     ],
                 )
+            slept_at = clock.now()
             gevent.sleep(PUBLISH_INTERVAL_SECONDS)
+            lag = clock.now() - slept_at - PUBLISH_INTERVAL_SECONDS
 
-    def _report_status(self) -> None:
+    def _report_status(self, lag: float) -> None:
+        """Log the status and set the gauges of the pool.
+
+        :param lag: seconds by which the last pause was too long, as the
+            process was busy.
+        """
         state = self._context.state
         now = clock.now()
         workers = state.workers.values()
         usable = [worker for worker in workers if worker.accepts_tasks(now)]
         waiting = round(loads.waiting_cores(state), 1)
+        first_starts = state.first_starts(now)
+        unacknowledged = state.unacknowledged_ends()
         self._context.metrics.gauge(
             "pool_jobs", len(state.jobs), pool=self._context.pool
         )
@@ -144,6 +155,20 @@
         self._context.metrics.gauge(
             "pool_unstored", len(state.journal), pool=self._context.pool
         )
+        self._context.metrics.gauge(
+            "pool_oldest_first_start_seconds",
+            round(first_starts.longest, 3),
+            pool=self._context.pool,
+        )
+        self._context.metrics.gauge(
+            "pool_late_jobs", first_starts.late, pool=self._context.pool
+        )
+        self._context.metrics.gauge(
+            "pool_ends_unacknowledged",
+            unacknowledged,
+            pool=self._context.pool,
+        )
+        self._context.metrics.observe("loop_lag", lag, pool=self._context.pool)
         LOG.info(
             "pool status",
             extra={
@@ -155,6 +180,11 @@
                 "waiting": waiting,
                 "runs": sum(len(worker.runs) for worker in workers),
                 "unstored": len(state.journal),
+                "unacknowledged": unacknowledged,
+                "unconfirmed": len(state.unconfirmed_workers),
+                "oldest_first_start": round(first_starts.longest, 3),
+                "late": first_starts.late,
+                "lag": round(lag, 3),
                 "lease": round(self._context.lease.valid_until - now, 2),
             },
         )
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -4,9 +4,11 @@
 the time, and carries out the orders of :mod:`planning`.
 """
 
+import dataclasses
 import logging
 import typing as t
 
+from agaterudder.jobs import acknowledgements
 from agaterudder.jobs import demand
 from agaterudder.jobs import deployment
 from agaterudder.jobs import estimates
@@ -40,6 +42,18 @@
 MAX_LOGGED_NAMES = 5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstStarts:
+    """Jobs that wait for their first start.
+
+    :ivar longest: seconds that the oldest of them has waited.
+    :ivar late: those that have waited longer than the target of their queue.
+    """
+
+    longest: float
+    late: int
+
+
 class Pool:
     """State of one pool under one epoch.
 
@@ -56,6 +70,7 @@
     :ivar taken_out: data centres that operators took out of service; no
         task starts in them.
     :ivar metrics: metrics of the process.
+    :ivar acknowledged: stored ends that are not logged yet.
     :ivar acquired_at: when this holder acquired the pool.
     :ivar recovery_until: until then, tasks of earlier holders may run on
         workers that have not accepted this epoch yet.
@@ -79,6 +94,7 @@
         "queues",
         "taken_out",
         "metrics",
+        "acknowledged",
         "acquired_at",
         "recovery_until",
         "unconfirmed_workers",
@@ -111,6 +127,9 @@
         self.queues: dict[str, operatorconfig.Queue] = {}
         self.taken_out: frozenset[str] = frozenset()
         self.metrics = metrics_registry or metrics.Metrics()
+        self.acknowledged = acknowledgements.Acknowledgements(
+            name, self.metrics
+        )
         self.acquired_at = now
         self.recovery_until = (
             now
@@ -549,6 +568,7 @@
         worker.record_poll(listing, sent_at, now)
         for ended in listing.ended:
             if ended.number > worker.last_end_number:
+                self._check_skipped_ends(worker, ended.number)
                 worker.last_end_number = ended.number
                 self._apply_end(worker, ended, now)
         present = {(item.task, item.run): item for item in listing.running}
@@ -559,6 +579,25 @@
                 self._check_unlisted(run, listing, sent_at, now)
         return worker.last_end_number
 
+    @staticmethod
+    def _check_skipped_ends(worker: fleet.WorkerState, number: int) -> None:
+        """Report ends that the worker discarded before they were read.
+
+        :param number: number of the next end that it listed.
+        """
+        if not worker.last_end_number or number == worker.last_end_number + 1:
+            return
+        LOG.info(
+            "ends missing from listing",
+            extra={
+                "worker": worker.name,
+                "life_start": worker.incarnation,
+                "after": worker.last_end_number,
+                "listed": number,
+                "acknowledged": worker.acknowledged_end,
+            },
+        )
+
     def _apply_running(
         self, worker: fleet.WorkerState, item: ports.Running, now: float
     ) -> None:
@@ -805,6 +844,28 @@
                 0.0,
             )
 
+    def unacknowledged_ends(self) -> int:
+        """Return how many ends were applied and not acknowledged."""
+        return sum(
+            worker.last_end_number - worker.acknowledged_end
+            for worker in self.workers.values()
+            if worker.last_end_number > worker.acknowledged_end
+        )
+
+    def first_starts(self, now: float) -> FirstStarts:
+        """Return how long jobs wait for their first start."""
+        longest = 0.0
+        late = 0
+        for job in self.jobs.values():
+            waited = job.first_start_wait(now)
+            if waited is None:
+                continue
+            longest = max(longest, waited)
+            queue = self.queues.get(job.job.queue)
+            if queue is not None and waited > queue.target_seconds:
+                late += 1
+        return FirstStarts(longest, late)
+
     def pending_counts(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         counts: dict[str, int] = {}
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -70,6 +70,8 @@
         "_wake",
         "_greenlet",
         "_acknowledged_end",
+        "_ends_listed_at",
+        "_store_slow",
     )
 
     def __init__(
@@ -84,6 +86,8 @@
         self._wake = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
         self._acknowledged_end = 0
+        self._ends_listed_at = 0.0
+        self._store_slow = False
 
     def start(self) -> None:
         """Start the loop."""
@@ -187,6 +191,9 @@
             case ports.Listing():
                 if worker.incarnation == incarnation:
                     self._acknowledged_end = acknowledged_end
+                self._check_cursor(
+                    incarnation, answer.incarnation, acknowledged_end
+                )
                 self._apply_listing(answer, sent_at, now)
             case ports.Rejected(reason=ports.REJECTED_FENCED):
                 self._holder.step_down("a worker has seen a higher epoch")
@@ -219,9 +226,74 @@
             )
         self._holder.request_planning()
         if last > worker.acknowledged_end:
-            mark = state.journal.marked
-            if self._holder.wait_stored(mark, STORE_TIMEOUT_SECONDS):
-                worker.acknowledged_end = max(worker.acknowledged_end, last)
+            self._acknowledge(listing, last, now)
+        else:
+            self._ends_listed_at = 0.0
+
+    def _acknowledge(
+        self, listing: ports.Listing, last: int, now: float
+    ) -> None:
+        """Acknowledge the ends of a listing once they are stored.
+
+        :param last: number of the last of them.
+        """
+        worker = self._worker
+        state = self._holder.state
+        incarnation = worker.incarnation
+        before = worker.acknowledged_end
+        mark = state.journal.marked
+        self._ends_listed_at = self._ends_listed_at or now
+        stored = self._holder.wait_stored(mark, STORE_TIMEOUT_SECONDS)
+        waited = clock.now() - self._ends_listed_at
+        if not stored:
+            self._log_not_stored(before, last, mark, waited)
+            return
+        self._store_slow = False
+        self._ends_listed_at = 0.0
+        self._check_cursor(listing.incarnation, worker.incarnation, last)
+        worker.acknowledged_end = max(worker.acknowledged_end, last)
+        if worker.incarnation == incarnation:
+            state.acknowledged.add(worker.name, listing, before, last, waited)
+
+    def _check_cursor(self, ends_of: int, sent_to: int, cursor: int) -> None:
+        """Report a cursor that counts the ends of another incarnation.
+
+        :param ends_of: incarnation whose ends it counts.
+        :param sent_to: incarnation that discards ends up to it.
+        """
+        if not cursor or not sent_to or ends_of == sent_to:
+            return
+        LOG.warning(
+            "ends of another incarnation acknowledged",
+            extra={
+                "worker": self._worker.name,
+                "ends_of": ends_of,
+                "sent_to": sent_to,
+                "upto": cursor,
+            },
+        )
+
+    def _log_not_stored(
+        self, before: int, last: int, mark: int, waited: float
+    ) -> None:
+        """Log the first time that ends are not stored in time."""
+        if self._store_slow:
+            return
+        self._store_slow = True
+        journal = self._holder.state.journal
+        LOG.info(
+            "ends not acknowledged: not stored in time",
+            extra={
+                "worker": self._worker.name,
+                "life_start": self._worker.incarnation,
+                "from": before,
+                "to": last,
+                "waited": round(waited, 3),
+                "mark": mark,
+                "stored": journal.stored,
+                "unstored": len(journal),
+            },
+        )
 
     def _handle_replacement(self, now: float) -> None:
         """End the worker, as another one answers at its address."""
--- a/tests/features/pool_logs.feature
+++ b/tests/features/pool_logs.feature
@@ -271,3 +271,123 @@
       | field   | value            |
       | jobs    | 00000000000000aa |
       | version | 2                |
+
+  Scenario: Ends that are acknowledged once they are stored
+    Given a pool with 1 workers whose polls are answered
+    And the ends are stored after 0.25 seconds
+    When worker "w1" is polled and lists the ends 1 to 2
+    And the acknowledgements are written
+    Then a line "ends acknowledged" says
+      | field  | value                                                  |
+      | ends   | 2                                                      |
+      | waited | 0.25                                                   |
+      | polls  | w1/1:0-2=0000000000000001.0.0.0,0000000000000002.0.0.0 |
+    And the metrics have
+      | series                                 | value |
+      | ends_acknowledged{pool="count"}        | 2     |
+      | end_stored_seconds_count{pool="count"} | 1     |
+
+  Scenario: Ends that are not stored in time
+    Given a pool with 1 workers whose polls are answered
+    And the ends are not stored within 0.5 seconds
+    When worker "w1" is polled and lists the ends 1 to 2
+    And worker "w1" is polled and lists the ends 1 to 3
+    Then 1 lines "ends not acknowledged: not stored in time" are written
+    And a line "ends not acknowledged: not stored in time" says
+      | field  | value |
+      | worker | w1    |
+      | from   | 0     |
+      | to     | 2     |
+      | waited | 0.5   |
+    And 3 ends are not acknowledged
+    Given the ends are stored after 0.25 seconds
+    When worker "w1" is polled and lists the ends 1 to 3
+    And the acknowledgements are written
+    Then a line "ends acknowledged" says
+      | field  | value |
+      | ends   | 3     |
+      | waited | 1.25  |
+    And 0 ends are not acknowledged
+
+  Scenario: A worker restarts while its ends are being stored
+    Given a pool with 1 workers whose polls are answered
+    And the worker restarts while its ends are being stored
+    When worker "w1" is polled and lists the ends 1 to 2
+    Then a line "ends of another incarnation acknowledged" says
+      | field   | value |
+      | worker  | w1    |
+      | ends_of | 1     |
+      | sent_to | 2     |
+      | upto    | 2     |
+
+  Scenario: A worker restarts between two polls
+    Given a pool with 1 workers whose polls are answered
+    When worker "w1" is polled and lists the ends 1 to 2
+    And worker "w1" restarts, is polled and lists no ends
+    Then a line "ends of another incarnation acknowledged" says
+      | field   | value |
+      | ends_of | 1     |
+      | sent_to | 2     |
+      | upto    | 2     |
+    And 1 lines "ends of another incarnation acknowledged" are written
+
+  Scenario: Polls of one incarnation
+    Given a pool with 1 workers whose polls are answered
+    When worker "w1" is polled and lists the ends 1 to 2
+    And worker "w1" is polled and lists the ends 3 to 4
+    Then no line "ends of another incarnation acknowledged" is written
+    And no line "ends missing from listing" is written
+
+  Scenario: A worker has discarded ends that were not read
+    Given a pool with 1 workers whose polls are answered
+    When worker "w1" is polled and lists the ends 1 to 2
+    And worker "w1" is polled and lists the ends 5 to 6
+    Then a line "ends missing from listing" says
+      | field        | value |
+      | after        | 2     |
+      | listed       | 5     |
+      | acknowledged | 2     |
+
+  Scenario: Many acknowledged ends fill few lines
+    Given a pool with 1 workers whose polls are answered
+    When worker "w1" is polled 45 times and lists 9 new ends each time
+    And the acknowledgements are written
+    Then 3 lines "ends acknowledged" are written
+    And each poll in them names 5 tasks and 4 others
+
+  Scenario: An unresponsive worker of an earlier holder whose machine is off
+    Given a pool with 2 workers whose polls are answered
+    And worker "w2" has not answered yet
+    When the poll of worker "w2" is not answered and "no machine runs it"
+    Then a line "worker left recovery without an answer" says
+      | field    | value                   |
+      | worker   | w2                      |
+      | why      | no machine runs it      |
+      | evidence | list of 5 machines, now |
+
+  Scenario: The status of a pool
+    Given a pool with 1 workers whose polls are answered
+    And a job of 2 tasks of 1 core
+    And worker "w1" has not answered yet
+    And the ends are not stored within 0.5 seconds
+    When worker "w1" is polled and lists the ends 1 to 3
+    And 1.5 seconds pass
+    And the status of the pool is reported after a pause that was 0.3 s too long
+    Then a line "pool status" says
+      | field              | value |
+      | unacknowledged     | 3     |
+      | unconfirmed        | 0     |
+      | oldest_first_start | 2.0   |
+      | late               | 1     |
+      | lag                | 0.3   |
+    And the metrics have
+      | series                                        | value |
+      | pool_oldest_first_start_seconds{pool="count"} | 2     |
+      | pool_late_jobs{pool="count"}                  | 1     |
+      | pool_ends_unacknowledged{pool="count"}        | 3     |
+    When the pool is planned
+    And the status of the pool is reported after a pause that was 0.0 s too long
+    Then a line "pool status" says
+      | field              | value |
+      | oldest_first_start | 0.0   |
+      | late               | 0     |
--- a/tests/features/steps/pool_log_steps.py
+++ b/tests/features/steps/pool_log_steps.py
@@ -2,9 +2,11 @@
 
 import logging
 import typing as t
+from unittest import mock
 
 import behave
 
+from agaterudder.jobs import clock
 from agaterudder.jobs import context as contexts
 from agaterudder.jobs import journalwriter
 from agaterudder.jobs import leases
@@ -13,12 +15,14 @@
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import workerloop
 from tests import job_builders
 from tests import memory_store
 
 Context = t.Any
 EVIDENCE_AGE_SECONDS = 0.25
 MACHINES = 5
+LEASE_SECONDS = 6.0
 # The histogram keeps one significant digit.
 HISTOGRAM_TOLERANCE = 0.1
 
@@ -217,8 +221,7 @@
     )
 
 
-@behave.when("the pool's journal is written")
-def step_journal_written(context: Context) -> None:
+def _writer(context: Context) -> journalwriter.JournalWriter:
     store = memory_store.MemoryStore()
     holder = ports.Put(model.HOLDERS_TABLE, model.HOLDER_KEY, b"a")
     lease = leases.Lease(job_builders.POOL, 1, context.now)
@@ -231,4 +234,158 @@
         lambda: 0.0,
         lambda reason: None,
     )
-    assert journalwriter.JournalWriter(shared)._write_batch()
+    return journalwriter.JournalWriter(shared)
+
+
+@behave.when("the pool's journal is written")
+def step_journal_written(context: Context) -> None:
+    assert _writer(context)._write_batch()
+
+
+@behave.when(
+    "the status of the pool is reported"
+    " after a pause that was {lag:g} s too long"
+)
+def step_status(context: Context, lag: float) -> None:
+    _writer(context)._report_status(lag)
+
+
+class FakeHolder:
+    """A holder of a pool whose store and machine list the test controls."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self.state = context.state
+        self.lease = leases.Lease(job_builders.POOL, 1, 1e9)
+
+    def wait_stored(self, mark: int, timeout: float) -> bool:
+        """Let time pass; return whether the mark is stored."""
+        self._context.now += self._context.store_seconds
+        self._context.while_storing()
+        return bool(self._context.stored)
+
+    def request_planning(self) -> None:
+        """Do nothing."""
+
+    def termination_reason(self, worker: t.Any, since: float) -> str:
+        """Return the reason that the test says."""
+        return str(self._context.termination_reason)
+
+    def machine_evidence(self, now: float) -> str:
+        """Return a fixed text."""
+        return f"list of {MACHINES} machines, now"
+
+
+class FakeLink:
+    """A link to a worker that answers polls as the test says."""
+
+    answer: ports.Listing | ports.NoAnswer
+
+    def renew(self, *_: t.Any) -> ports.Listing | ports.NoAnswer:
+        """Return the answer."""
+        return self.answer
+
+
+@behave.given("a pool with {count:d} workers whose polls are answered")
+def step_polled_pool(context: Context, count: int) -> None:
+    context.execute_steps(f"Given a pool with {count} workers")
+    patch = mock.patch.object(clock, "now", lambda: context.now)
+    patch.start()
+    context.cleanups.append(patch.stop)
+    context.stored = True
+    context.store_seconds = 0.0
+    context.while_storing = lambda: None
+    context.termination_reason = ""
+    holder = FakeHolder(context)
+    context.loops = {}
+    for worker in context.workers:
+        worker.link = FakeLink()
+        context.loops[worker.name] = workerloop.WorkerLoop(
+            worker, t.cast(t.Any, holder), LEASE_SECONDS
+        )
+
+
+@behave.given("the ends are stored after {seconds:g} seconds")
+def step_stored_after(context: Context, seconds: float) -> None:
+    context.stored = True
+    context.store_seconds = seconds
+
+
+@behave.given("the ends are not stored within {seconds:g} seconds")
+def step_not_stored(context: Context, seconds: float) -> None:
+    context.stored = False
+    context.store_seconds = seconds
+
+
+@behave.given("the worker restarts while its ends are being stored")
+def step_restarts_while_storing(context: Context) -> None:
+    (worker,) = context.workers
+    context.while_storing = lambda: context.state.worker_restarted(
+        worker, 2, context.now
+    )
+
+
+def _poll(
+    context: Context, name: str, first: int, last: int, incarnation: int = 1
+) -> None:
+    ends = [
+        ports.Ended(number, f"{number:016x}.0.0.0", 1, ports.END_DONE, "")
+        for number in range(first, last + 1)
+    ]
+    context.state.workers[name].link.answer = job_builders.listing(
+        (), ends, incarnation=incarnation
+    )
+    context.loops[name]._poll()
+
+
+@behave.when(
+    'worker "{name}" is polled and lists the ends {first:d} to {last:d}'
+)
+def step_polled(context: Context, name: str, first: int, last: int) -> None:
+    _poll(context, name, first, last)
+
+
+@behave.when('worker "{name}" restarts, is polled and lists no ends')
+def step_restarted_and_polled(context: Context, name: str) -> None:
+    _poll(context, name, 1, 0, incarnation=2)
+
+
+@behave.when(
+    'worker "{name}" is polled {times:d} times'
+    " and lists {count:d} new ends each time"
+)
+def step_polled_often(
+    context: Context, name: str, times: int, count: int
+) -> None:
+    for number in range(times):
+        _poll(context, name, number * count + 1, (number + 1) * count)
+
+
+@behave.when(
+    'the poll of worker "{name}" is not answered and "{termination_reason}"'
+)
+def step_not_answered(
+    context: Context, name: str, termination_reason: str
+) -> None:
+    context.termination_reason = termination_reason
+    context.state.workers[name].link.answer = ports.NoAnswer("time-out")
+    context.loops[name]._poll()
+
+
+@behave.when("the acknowledgements are written")
+def step_write_acknowledgements(context: Context) -> None:
+    context.state.acknowledged.write()
+
+
+@behave.then("{count:d} ends are not acknowledged")
+def step_unacknowledged(context: Context, count: int) -> None:
+    assert context.state.unacknowledged_ends() == count
+
+
+@behave.then("each poll in them names {count:d} tasks and {others:d} others")
+def step_polls_name(context: Context, count: int, others: int) -> None:
+    for line in _lines(context, "ends acknowledged"):
+        for poll in line["polls"].split():
+            *names, rest = poll.partition("=")[2].split(",")
+            assert len(names) == count, poll
+            assert rest == f"+{others}", poll
