--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -76,7 +76,12 @@
         self._limits = teamlimits.TeamLimits(self.pool)
         self._limits_needed = gevent.event.Event()
         self.state = pools.Pool(
-            self.pool, lease.epoch, bounds, self._limits, clock.now()
+            self.pool,
+            lease.epoch,
+            bounds,
+            self._limits,
+            clock.now(),
+            metrics_registry,
         )
         self._context = contexts.Context(
             lease,
@@ -125,6 +130,7 @@
         gevent.killall(self._loops, block=False)
         self._executor.stop()
         self._registry.stop()
+        self.state.acknowledged.write()
 
     def _spawn(self, loop: t.Callable[[], None]) -> None:
         self._loops.append(gevent.spawn(loop))
@@ -178,6 +184,7 @@
                 "epoch": self.lease.epoch,
                 "jobs": len(self.state.jobs),
                 "workers": len(self.state.workers),
+                "version": self._inbox.recovered_version,
             },
         )
         return True
@@ -207,6 +214,10 @@
         """Return why an unresponsive worker ended, empty if it may run."""
         return self._registry.termination_reason(worker, since)
 
+    def machine_evidence(self, now: float) -> str:
+        """Return the size and the age of the machine list."""
+        return self._registry.machine_evidence(now)
+
     def request_planning(self) -> None:
         """Request planning, and the write of progress not yet stored."""
         self._context.plan_needed.set()
@@ -292,7 +303,8 @@
                 continue
             if recovering and not self.state.recovering(now):
                 recovering = False
-                self._finish_recovery()
+                self._limits.release_reservations()
+                self.state.finish_recovery(now)
             self.state.create_due(wallclock.now(), now)
             for order in planning.Plan(self.state, now).orders():
                 self._executor.spawn(order)
@@ -301,15 +313,6 @@
             if len(self.state.journal):
                 self._context.write_needed.set()
 
-    def _finish_recovery(self) -> None:
-        """End the recovery: no run of an earlier holder is unknown."""
-        self._limits.release_reservations()
-        self.state.unconfirmed_workers.clear()
-        LOG.info(
-            "pool recovery complete: all workers reported or lapsed",
-            extra={"pool": self.pool, "epoch": self.lease.epoch},
-        )
-
     def _rebalance_limits_loop(self) -> None:
         while True:
             self._limits_needed.wait(LIMITS_INTERVAL_SECONDS)
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -56,6 +56,9 @@
     ) -> str:
         """Return why an unresponsive worker ended, empty if it may run."""
 
+    def machine_evidence(self, now: float) -> str:
+        """Return the size and the age of the machine list."""
+
 
 class WorkerLoop:
     """Renews the lease of one worker from a greenlet of its own."""
@@ -66,6 +69,8 @@
         "_lease_seconds",
         "_wake",
         "_greenlet",
+        "_ends_listed_at",
+        "_store_slow",
     )
 
     def __init__(
@@ -79,6 +84,8 @@
         self._lease_seconds = lease_seconds
         self._wake = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
+        self._ends_listed_at = 0.0
+        self._store_slow = False
 
     def start(self) -> None:
         """Start the loop."""
@@ -205,9 +212,13 @@
                 )
         elif acknowledged_end:
             LOG.warning(
-                "worker restarted before an acknowledgement reached it; "
-                "ends of its new incarnation may be lost",
-                extra={"worker": worker.name, "end": acknowledged_end},
+                "ends of another incarnation acknowledged",
+                extra={
+                    "worker": worker.name,
+                    "ends_of": incarnation,
+                    "sent_to": listing.incarnation,
+                    "upto": acknowledged_end,
+                },
             )
 
     def _apply_listing(
@@ -234,20 +245,66 @@
             )
         self._holder.request_planning()
         if last > worker.acknowledged_end:
-            mark = state.journal.marked
-            incarnation = worker.incarnation
-            if self._holder.wait_stored(mark, STORE_TIMEOUT_SECONDS):
-                worker.acknowledge(incarnation, last)
+            self._acknowledge(listing, last, now)
+        else:
+            self._ends_listed_at = 0.0
+
+    def _acknowledge(
+        self, listing: ports.Listing, last: int, now: float
+    ) -> None:
+        """Acknowledge the ends of a listing once they are stored.
+
+        :param last: number of the last of them.
+        """
+        worker = self._worker
+        state = self._holder.state
+        incarnation = worker.incarnation
+        before = worker.acknowledged_end
+        mark = state.journal.marked
+        self._ends_listed_at = self._ends_listed_at or now
+        stored = self._holder.wait_stored(mark, STORE_TIMEOUT_SECONDS)
+        waited = clock.now() - self._ends_listed_at
+        if not stored:
+            self._log_not_stored(before, last, mark, waited)
+            return
+        self._store_slow = False
+        self._ends_listed_at = 0.0
+        worker.acknowledge(incarnation, last)
+        if worker.incarnation == incarnation:
+            state.acknowledged.add(worker.name, listing, before, last, waited)
+
+    def _log_not_stored(
+        self, before: int, last: int, mark: int, waited: float
+    ) -> None:
+        """Log the first time that ends are not stored in time."""
+        if self._store_slow:
+            return
+        self._store_slow = True
+        journal = self._holder.state.journal
+        LOG.info(
+            "ends not acknowledged: not stored in time",
+            extra={
+                "worker": self._worker.name,
+                "life_start": self._worker.incarnation,
+                "from": before,
+                "to": last,
+                "waited": round(waited, 3),
+                "mark": mark,
+                "stored": journal.stored,
+                "unstored": len(journal),
+            },
+        )
 
     def _handle_replacement(self, now: float) -> None:
         """End the worker, as another one answers at its address."""
         worker = self._worker
-        self._holder.state.worker_lost(
-            worker, "another worker answers at its address", now
-        )
+        reason = "another worker answers at its address"
+        self._holder.state.worker_lost(worker, reason, now)
         for run in list(worker.runs.values()):
-            self._holder.state.remove_run(run, now)
-        self._holder.state.unconfirmed_workers.discard(worker.name)
+            self._holder.state.remove_run(run, now, reason)
+        self._holder.state.discard_unconfirmed(
+            worker.name, reason, "its answer, just now", now
+        )
         worker.registered = False
         worker.unregistered_at = worker.unregistered_at or now
         self._holder.request_planning()
@@ -276,11 +333,12 @@
             worker.fenced = False
         elif reason:
             worker.terminated = True
-            state.unconfirmed_workers.discard(worker.name)
+            evidence = self._holder.machine_evidence(clock.now())
+            state.discard_unconfirmed(worker.name, reason, evidence, now)
         if reason and worker.runs:
             state.worker_lost(worker, reason, now)
         for run in list(worker.runs.values()):
             if worker.run_expired(run, now, self._lease_seconds):
-                state.remove_run(run, now)
+                state.remove_run(run, now, "silent beyond order and lease")
         self._holder.request_planning()
         gevent.sleep(RETRY_SECONDS)
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -360,6 +360,12 @@
     _answer(context, name, ends, more_ends=False)
 
 
+@behave.given("a first poll of these workers was not answered")
+def step_all_first_unanswered(context: Context) -> None:
+    for name in context.state.unconfirmed_workers:
+        context.state.workers[name].unanswered_since = context.now
+
+
 @behave.when('worker "{name}" answers')
 def step_answered_epoch(context: Context, name: str) -> None:
     context.state.worker_fenced(context.state.workers[name], context.now)
