Keep the version of a row whose job ends while it is written

Class: knowledge thrown away and asked for again. Change: the version is kept for each job whose progress was written, ended or not. The scenario failed before with a conflict.

--- a/src/agaterudder/jobs/journal.py
+++ b/src/agaterudder/jobs/journal.py
@@ -93,9 +93,11 @@
     def committed(self, batch: Batch, version: int) -> list[runs.JobRun]:
         """Mark a batch as stored; return the jobs that ended."""
         self.stored = max(self.stored, batch.upto)
-        written = {put.key for put in batch.puts}
+        progressed = {
+            put.key for put in batch.puts if put.table == model.PROGRESS_TABLE
+        }
         for job in batch.jobs:
-            if job.ending is None and job.job.job in written:
+            if job.job.job in progressed:
                 job.row_version = version
         ended = {
             put.key for put in batch.puts if put.table == model.ENDED_TABLE
--- a/tests/features/journal.feature
+++ b/tests/features/journal.feature
@@ -38,6 +38,13 @@
     Then the store has the end of the job and no other row of it
     And the end of the job was written once
 
+  # Guards against ends that are stored a second late, behind a conflict.
+  Scenario: A job that ends while its progress is being stored
+    When a job makes progress
+    And it ends while its progress is being stored
+    And the journal is stored without a conflict
+    Then the store has the end of the job and no other row of it
+
   Scenario: A late write does not overwrite newer progress
     When a job makes progress
     And the next answer is late
--- a/tests/features/steps/journal_steps.py
+++ b/tests/features/steps/journal_steps.py
@@ -133,6 +133,21 @@
     context.ended_version = outcome.version
 
 
+@behave.when("it ends while its progress is being stored")
+def step_ends_in_flight(context: Context) -> None:
+    batch = context.journal.batch(job_builders.POOL, context.epoch, 1.0)
+    step_ends(context)
+    outcome = context.store.transact(
+        job_builders.POOL, batch.preconditions, batch.puts, batch.deletes
+    )
+    context.journal.committed(batch, outcome.version)
+
+
+@behave.when("the journal is stored without a conflict")
+def step_no_conflict(context: Context) -> None:
+    assert _store(context)
+
+
 @behave.when("the journal is stored until it is empty")
 def step_store_all(context: Context) -> None:
     attempts = 0
