Release idle workers while another is drained

Callers of the busy pool waited (SHORT) while another pool kept idle machines. Cause: while one worker that runs only long-running tasks is drained, no other was released, and a drain that can't succeed lasts 3 s, again and again. Class: one slow step that blocks independent ones. Change: idle workers are released meanwhile, one is kept for the tasks of the drained one. The scenario failed before (not change).

--- a/src/agaterudder/jobs/scaling.py
+++ b/src/agaterudder/jobs/scaling.py
@@ -90,7 +90,9 @@
     )
     draining = _draining_worker(state)
     if draining is not None:
-        return _continue_drain(draining, present < spread or scale_up, now)
+        decision = _continue_drain(draining, present < spread or scale_up, now)
+        if not isinstance(decision, NoChange):
+            return decision
     if present < spread:
         return ScaleUp(
             spread - present,
@@ -106,10 +108,13 @@
     if idle:
         return ScaleDown(tuple(idle))
     floor = max(spread, MIN_WORKERS)
+    if draining is not None:
+        # Its long-running tasks may need room for one more.
+        floor += 1
     spare = min(present - floor, math.floor(-shortage))
     if spare <= 0 or state.recovering(now):
         return NoChange()
-    return _release_workers(usable, spare, now)
+    return _release_workers(usable, spare, draining is None, now)
 
 
 def _draining_worker(state: pools.Pool) -> fleet.WorkerState | None:
@@ -139,11 +144,17 @@
 
 
 def _release_workers(
-    workers: list[fleet.WorkerState], limit: int, now: float
+    workers: list[fleet.WorkerState], limit: int, may_drain: bool, now: float
 ) -> ScaleDown | Drain | NoChange:
+    """Release idle workers, else drain one.
+
+    :param may_drain: whether no other worker is being drained.
+    """
     idle = _idle(workers, now)
     if idle:
         return ScaleDown(tuple(idle[:limit]))
+    if not may_drain:
+        return NoChange()
     long_running_only = [
         worker
         for worker in workers
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -155,6 +155,13 @@
       | 4       | one has been draining for 4 seconds | uncordon 1   |
       | 4       | one has drained after 1 seconds     | scale down 1 |
 
+  # Guards against idle machines that one drain kept from other pools.
+  Scenario: Idle workers are released while another is drained
+    Given a pool of 8 workers, each with 16 cores free
+    And a long-running job that needs 2 workers, its 4 tasks spread over them
+    And one has been draining for 1 seconds
+    Then the pool should scale down 4
+
   Scenario: Work beyond a team's rate does not scale the pool up
     Given a pool of 3 workers, each with 0 cores free
     And waiting work of 90 cores, beyond its team's rate
