Let VMs with faster processors take pools first

Class: work given without regard to capacity. Change: the delay of a claim is divided by the processor capacity, which the settings name. On one core it is 0.12 s longer than before. Four scenarios; before, only the jitter decided.

--- a/src/agaterudder/jobs/deployment.py
+++ b/src/agaterudder/jobs/deployment.py
@@ -62,6 +62,7 @@
     :ivar data_centres: names of all data centres.
     :ivar policy: address of the placement policy, empty without one.
     :ivar heartbeat: seconds between registrations of a worker.
+    :ivar cores: processor capacity of this VM.
     """
 
     vm: str
@@ -74,4 +75,5 @@
     machines: str
     policy: str = ""
     heartbeat: float = 1.5
+    cores: float = 1.0
     bounds: Bounds = Bounds()
--- a/src/agaterudder/jobs/leases.py
+++ b/src/agaterudder/jobs/leases.py
@@ -30,7 +30,9 @@
 RENEW_TIMEOUT_SECONDS = 0.7
 # The holder treats its lease as expired this much earlier than others do.
 LEASE_MARGIN_SECONDS = 0.15
-# A process that holds pools delays its claims, so that others go first.
+# On one core. A process delays its claims the longer the slower its processor
+# is and the more pools it holds, so that others go first.
+CLAIM_DELAY_SECONDS = 0.12
 CLAIM_DELAY_PER_POOL_SECONDS = 0.3
 CLAIM_JITTER_SECONDS = 0.1
 RELEASE_ATTEMPTS = 2
@@ -98,6 +100,7 @@
     :param vm: name of this entry VM.
     :param incarnation: identifies this process among all those of the VM.
     :param lease_seconds: length of a lease.
+    :param cores: processor capacity of this VM.
     :param pools: returns the names of all pools.
     :param on_acquired: called with a lease that was acquired.
     :param on_lost: called with a lease that was lost, and the reason.
@@ -108,6 +111,7 @@
         "_incarnation",
         "_store",
         "_lease_seconds",
+        "_cores",
         "_pools",
         "_on_acquired",
         "_on_lost",
@@ -126,6 +130,7 @@
         incarnation: str,
         store: ports.Store,
         lease_seconds: float,
+        cores: float,
         pools: t.Callable[[], list[str]],
         on_acquired: t.Callable[[Lease], None],
         on_lost: t.Callable[[Lease, str], None],
@@ -134,6 +139,7 @@
         self._incarnation = incarnation
         self._store = store
         self._lease_seconds = lease_seconds
+        self._cores = cores
         self._pools = pools
         self._on_acquired = on_acquired
         self._on_lost = on_lost
@@ -252,6 +258,7 @@
                 return False
         now = clock.now()
         delay = CLAIM_DELAY_PER_POOL_SECONDS * len(self._leases)
+        delay = (CLAIM_DELAY_SECONDS + delay) / self._cores
         delay += self._random.random() * CLAIM_JITTER_SECONDS
         return now >= self._claim_due_at.setdefault(pool, now + delay)
 
--- a/src/agaterudder/jobs/service.py
+++ b/src/agaterudder/jobs/service.py
@@ -68,6 +68,7 @@
             self.incarnation,
             self._store,
             settings.bounds.holder_lease * HOLDER_LEASE_FRACTION,
+            settings.cores,
             self._pools,
             self._start_holder,
             self._stop_holder,
--- a/tests/features/leases.feature
+++ b/tests/features/leases.feature
@@ -83,3 +83,19 @@
     And the store refuses all transactions
     And time passes as "b" waits between its scans, 10 times at most
     Then "b" tried to claim it at most once every 0.4 seconds
+
+  # Guards against a pool that a slow entry VM holds and can't serve.
+  Scenario Outline: A VM of <cores> cores competes with one of half a core
+    Given processes "a" and "b" and one pool
+    And "a" runs on 0.5 cores
+    And "b" runs on <cores> cores
+    And "b" holds <others> other pools
+    When both scan for free pools every 0.01 seconds
+    Then "<holder>" is the holder
+
+    Examples:
+      | cores | others | holder |
+      | 2     | 0      | b      |
+      | 1     | 0      | b      |
+      | 1     | 1      | a      |
+      | 0.25  | 0      | a      |
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -151,3 +151,10 @@
     Then they can be read
     When the field "zone" is removed
     Then they are refused with an error that names "zone"
+
+  Scenario: The processor capacity of the VM is read from its settings
+    Given the example settings of the platform's documentation
+    When its processor is 0.5 of a core that is 3 times as fast
+    Then the VM has 1.5 cores
+    When its processor is 0 of a core that is 3 times as fast
+    Then they are refused with an error that names "cpu_share"
--- a/tests/features/steps/lease_steps.py
+++ b/tests/features/steps/lease_steps.py
@@ -18,13 +18,14 @@
 
 
 def _manager(
-    context: Context, name: str, process: int = 1
+    context: Context, name: str, process: int = 1, cores: float = 1.0
 ) -> leases.LeaseManager:
     return leases.LeaseManager(
         name,
         f"{name}-{process}",
         context.store,
         LEASE_SECONDS,
+        cores,
         lambda: [POOL],
         lambda lease: context.acquired.append((name, lease)),
         lambda lease, reason: context.lost.append((name, lease)),
@@ -71,6 +72,33 @@
     assert context.managers[name]._renew(context.first)
 
 
+@behave.given('"{name}" runs on {cores:g} cores')
+def step_cores(context: Context, name: str, cores: float) -> None:
+    context.managers[name] = _manager(context, name, cores=cores)
+
+
+@behave.given('"{name}" holds {count:d} other pools')
+def step_other_pools(context: Context, name: str, count: int) -> None:
+    for number in range(count):
+        other = leases.Lease(f"other-{number}", 1, 1e9)
+        context.managers[name].leases[other.pool] = other
+
+
+@behave.when("both scan for free pools every {seconds:g} seconds")
+def step_both_often(context: Context, seconds: float) -> None:
+    held: list[str] = []
+    while not held:
+        for name in "ab":
+            context.managers[name]._claim_free_pools()
+        _advance_clock(context, seconds)
+        held = [name for name in "ab" if POOL in context.managers[name].leases]
+
+
+@behave.then('"{name}" is the holder')
+def step_is_holder(context: Context, name: str) -> None:
+    assert POOL in context.managers[name].leases
+
+
 @behave.when('"{name}" scans once')
 def step_scan_once(context: Context, name: str) -> None:
     context.managers[name]._claim_free_pools()
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -327,3 +327,16 @@
         assert name in str(error)
     else:
         raise AssertionError("invalid settings were accepted")
+
+
+@behave.when(
+    "its processor is {share:g} of a core that is {cores:d} times as fast"
+)
+def step_processor(context: Context, share: float, cores: int) -> None:
+    limits = f"[limits]\ncpu_share = {share}\ncores = {cores}\n"
+    context.settings = SETTINGS + limits
+
+
+@behave.then("the VM has {cores:g} cores")
+def step_cores(context: Context, cores: float) -> None:
+    assert _read(context).cores == cores
