Model the take-over of a pool: read a worker before starting its task again

The existing model `ends` took the ends that a new holder knows for granted, so it could not show the fault.

--- a/models/report.py
+++ b/models/report.py
@@ -9,10 +9,19 @@
 from models import escrow
 from models import pool
 from models import specification
+from models import takeover
 
 SPECIFICATIONS = {
     model.SPECIFICATION.name: model.SPECIFICATION
-    for model in (escrow, claim, acceptance, pool, budget, ends)
+    for model in (
+        escrow,
+        claim,
+        acceptance,
+        pool,
+        budget,
+        ends,
+        takeover,
+    )
 }
 
 
--- a/tests/features/models.feature
+++ b/tests/features/models.feature
@@ -16,3 +16,4 @@
       | pool       | 1000   |
       | budget     | 5000   |
       | ends       | 50000  |
+      | takeover   | 500    |
