Pause as long as a scheduling round took

Class: one task of the process starves the others. Change: planning takes at most half of the time; the duration of a round is a histogram, plan_seconds by pool.

--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -34,6 +34,9 @@
 # Changes that arrive within this time are planned together.
 PLAN_BATCH_SECONDS = 0.004
 PLAN_INTERVAL_SECONDS = 0.1
+# Share of the time that planning may take, so that orders, polls, renewals
+# and writes get their turn.
+MAX_PLAN_SHARE = 0.5
 LIMITS_INTERVAL_SECONDS = 0.5
 LIMITS_MIN_INTERVAL_SECONDS = 0.05
 RECOVERY_RETRY_SECONDS = 0.1
@@ -50,6 +53,14 @@
     orders: machines.MachineOrders
 
 
+def planning_pause(took: float) -> float:
+    """Return the pause before the next round.
+
+    :param took: duration of the last round, seconds.
+    """
+    return max(PLAN_BATCH_SECONDS, took * (1 / MAX_PLAN_SHARE - 1))
+
+
 class Holder:
     """Runs one pool while this process has its lease.
 
@@ -114,6 +125,7 @@
         self._autoscaler = autoscaler.Autoscaler(
             self, machine_control.machine_cache, machine_control.orders
         )
+        self._recovery_pending = True
         self._loops: list[gevent.Greenlet] = []
 
     # Start and stop
@@ -293,25 +305,30 @@
     # Planning
 
     def _plan_loop(self) -> None:
-        recovering = True
+        took = 0.0
         while True:
             self._context.plan_needed.wait(PLAN_INTERVAL_SECONDS)
-            gevent.sleep(PLAN_BATCH_SECONDS)
+            gevent.sleep(planning_pause(took))
             self._context.plan_needed.clear()
-            now = clock.now()
             if not self.holds_lease():
                 continue
-            if recovering and not self.state.recovering(now):
-                recovering = False
-                self._limits.release_reservations()
-                self.state.finish_recovery(now)
-            self.state.create_due(wallclock.now(), now)
-            for order in planning.Plan(self.state, now).orders():
-                self._executor.spawn(order)
-            if self._limits.has_requests:
-                self._limits_needed.set()
-            if len(self.state.journal):
-                self._context.write_needed.set()
+            began_at = clock.now()
+            self._plan(began_at)
+            took = clock.now() - began_at
+            self._context.metrics.observe("plan", took, pool=self.pool)
+
+    def _plan(self, now: float) -> None:
+        if self._recovery_pending and not self.state.recovering(now):
+            self._recovery_pending = False
+            self._limits.release_reservations()
+            self.state.finish_recovery(now)
+        self.state.create_due(wallclock.now(), now)
+        for order in planning.Plan(self.state, now).orders():
+            self._executor.spawn(order)
+        if self._limits.has_requests:
+            self._limits_needed.set()
+        if len(self.state.journal):
+            self._context.write_needed.set()
 
     def _rebalance_limits_loop(self) -> None:
         while True:
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -367,3 +367,12 @@
     When the pool is planned
     And the pool is planned while reads of free capacity are counted
     Then each worker's free capacity was read 2 times at most
+
+  # Guards against a holder that plans for so long that it serves nobody.
+  Scenario Outline: The pause after a round of <took> s
+    Then planning pauses for <pause> s after a round of <took> s
+
+    Examples:
+      | took  | pause |
+      | 0.001 | 0.004 |
+      | 0.3   | 0.3   |
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -6,6 +6,7 @@
 import behave
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import holder
 from agaterudder.jobs import leases
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
@@ -342,11 +343,11 @@
         clock=_clock(context),
         more_ends=more_ends,
     )
-    holder = mock.create_autospec(workerloop.PoolHolder, instance=True)
-    holder.state = context.state
-    holder.lease = leases.Lease(job_builders.POOL, 1, context.now)
-    holder.wait_stored.return_value = True
-    loop = workerloop.WorkerLoop(worker, holder, LEASE_SECONDS)
+    owner = mock.create_autospec(workerloop.PoolHolder, instance=True)
+    owner.state = context.state
+    owner.lease = leases.Lease(job_builders.POOL, 1, context.now)
+    owner.wait_stored.return_value = True
+    loop = workerloop.WorkerLoop(worker, owner, LEASE_SECONDS)
     loop._apply_listing(listing, context.now, context.now)
 
 
@@ -715,3 +716,8 @@
 def step_reads(context: Context, times: int) -> None:
     workers = len(context.state.workers)
     assert workers <= context.reads <= workers * times, context.reads
+
+
+@behave.then("planning pauses for {pause:g} s after a round of {took:g} s")
+def step_pause(context: Context, pause: float, took: float) -> None:
+    assert abs(holder.planning_pause(took) - pause) < 1e-9
