Log too few machines on standby, mark ends other than done

"too few machines on standby" comes once a second and pool with what is wanted and free: before, only the absence of moves showed it. "worker accepted the pool's epoch" says whether the recovery waited for that worker.

--- a/src/agaterudder/jobs/acknowledgements.py
+++ b/src/agaterudder/jobs/acknowledgements.py
@@ -46,7 +46,11 @@
         :param waited: seconds since these ends were first listed.
         """
         tasks = [
-            ended.task
+            (
+                ended.task
+                if ended.outcome == ports.END_DONE
+                else f"{ended.task}:{ended.outcome}"
+            )
             for ended in listing.ended
             if before < ended.number <= last
         ]
--- a/src/agaterudder/jobs/autoscaler.py
+++ b/src/agaterudder/jobs/autoscaler.py
@@ -23,6 +23,8 @@
 # After a failed claim or a rejected move, a machine is not tried again for
 # this long, as another process probably ordered it.
 CLAIM_RETRY_SECONDS = 1.0
+# Shortest time between two log lines on too few machines.
+SHORTAGE_INTERVAL_SECONDS = 1.0
 
 
 class Move:
@@ -69,7 +71,14 @@
 class Autoscaler:
     """Scales one pool up and down."""
 
-    __slots__ = ("_holder", "_machine_cache", "_orders", "_moves", "_refused")
+    __slots__ = (
+        "_holder",
+        "_machine_cache",
+        "_orders",
+        "_moves",
+        "_refused",
+        "_shortage_at",
+    )
 
     def __init__(
         self,
@@ -82,6 +91,7 @@
         self._orders = orders
         self._moves: dict[str, Move] = {}
         self._refused: dict[str, float] = {}
+        self._shortage_at = 0.0
 
     def reconcile(self) -> None:
         """Apply the present scaling decision."""
@@ -141,6 +151,8 @@
             > CLAIM_RETRY_SECONDS
             and machine.machine not in self._moves
         ]
+        if len(free) < count:
+            self._log_shortage(count, len(free), reason, now)
         free.sort(key=self._rank)
         moves = [
             gevent.spawn(self._move_from_standby, machine, reason)
@@ -148,6 +160,29 @@
         ]
         gevent.joinall(moves)
 
+    def _log_shortage(
+        self, count: int, free: int, reason: str, now: float
+    ) -> None:
+        """Log that fewer machines are on standby than the pool needs."""
+        if now - self._shortage_at < SHORTAGE_INTERVAL_SECONDS:
+            return
+        self._shortage_at = now
+        standby = sum(
+            len(self._machine_cache.in_pool(pool))
+            for pool in self._holder.standby_pools()
+        )
+        LOG.info(
+            "too few machines on standby",
+            extra={
+                "pool": self._holder.pool,
+                "wanted": count,
+                "free": free,
+                "standby": standby,
+                "joining": len(self._moves),
+                "why": reason,
+            },
+        )
+
     def _rank(self, machine: ports.Machine) -> tuple[bool, bool, int]:
         """Return the sort key of a machine in standby, the best first.
 
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -681,7 +681,7 @@
         if task is None:
             self._log_unknown_end(worker, ended)
             return
-        if ended.outcome in (ports.END_DONE, ports.END_FAILED):
+        if ended.outcome == ports.END_DONE:
             self._report_duplicates(task, worker, ended.run, ended.outcome)
         task.last_run = max(task.last_run, ended.run)
         job = task.step.job
@@ -707,7 +707,8 @@
         """Report other runs of a task that must run only once at a time.
 
         :param number: the run that was listed.
-        :param outcome: how it was listed: running, done or failed.
+        :param outcome: how it was listed: running or done. One that failed
+            may have been restarted by an earlier holder.
         """
         if task.step.step.speculative:
             return
@@ -744,7 +745,12 @@
             reason = "job has no such task"
         else:
             reason = "job is not loaded"
-        LOG.info(
+        LOG.log(
+            (
+                logging.INFO
+                if ended.outcome in (ports.END_DONE, ports.END_FAILED)
+                else logging.DEBUG
+            ),
             "end of unknown task",
             extra={
                 "task": ended.task,
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -208,6 +208,7 @@
         worker = self._worker
         state = self._holder.state
         first = not worker.fenced
+        awaited = worker.name in state.unconfirmed_workers
         last = state.apply_listing(worker, listing, sent_at, now)
         if (
             listing.incarnation
@@ -222,6 +223,7 @@
                     "worker": worker.name,
                     "epoch": self._holder.lease.epoch,
                     "runs": len(worker.runs),
+                    "awaited": awaited,
                 },
             )
         self._holder.request_planning()
