Acknowledge ends as they are stored, not all or none

Callers saw tasks that ran twice (TWICE). Class: progress that needs a whole pass without interference, as with the team grants. Change: a worker keeps the number and mark of each listing with new ends, polls wait for the oldest, and all that is stored is acknowledged; a restart forgets them. The scenario failed before (no end of 6 acknowledged). In the scenarios of the logs, ends now have marks and the store stores them.

--- a/models/takeover.py
+++ b/models/takeover.py
@@ -76,7 +76,7 @@
 GUARDS = {
     ASKED: "pool.Pool.recovering",
     LEASES_OVER: "pool.Pool.recovering",
-    OWN_NUMBERS: "fleet.WorkerState.acknowledge",
+    OWN_NUMBERS: "fleet.WorkerState.reset_incarnation",
     AFTER_ANSWER: "fleet.WorkerState.end_to_acknowledge",
 }
 
--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -4,6 +4,8 @@
 been given, until its lease has certainly expired by its own clock.
 """
 
+import collections
+import dataclasses
 import itertools
 
 from agaterudder.jobs import ports
@@ -23,6 +25,20 @@
 NO_CAPACITY = resources.ZERO
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedEnds:
+    """Ends of a worker that were applied together.
+
+    :ivar number: number of the last of them.
+    :ivar mark: the journal mark up to which they are stored.
+    :ivar at: when they were first listed.
+    """
+
+    number: int
+    mark: int
+    at: float
+
+
 class WorkerState:
     """One worker.
 
@@ -39,6 +55,8 @@
         its clock.
     :ivar acknowledged_end: number up to which the ends of this incarnation
         are stored, so that it may discard them.
+    :ivar unstored_ends: ends that were applied and are not known to be
+        stored, in order.
     :ivar discarded_end: number up to which it has discarded them.
     :ivar last_end_number: number of the last end that was applied.
     :ivar persisted: whether it is in the stored row of the pool's workers.
@@ -73,6 +91,7 @@
         "unanswered_since",
         "latest_deadline",
         "acknowledged_end",
+        "unstored_ends",
         "discarded_end",
         "last_end_number",
         "persisted",
@@ -110,6 +129,7 @@
         self.unanswered_since = 0.0
         self.latest_deadline = 0.0
         self.acknowledged_end = 0
+        self.unstored_ends: collections.deque[ListedEnds] = collections.deque()
         self.discarded_end = 0
         self.last_end_number = 0
         self.persisted = False
@@ -252,10 +272,28 @@
             return 0
         return self.acknowledged_end
 
-    def acknowledge(self, incarnation: int, number: int) -> None:
-        """Record that the ends of an incarnation are stored up to a number."""
-        if incarnation == self.incarnation:
-            self.acknowledged_end = max(self.acknowledged_end, number)
+    def note_listed_ends(self, mark: int, now: float) -> None:
+        """Note the ends that were applied since the last call.
+
+        :param mark: the journal mark up to which they are stored.
+        """
+        known = self.unstored_ends[-1].number if self.unstored_ends else 0
+        if self.last_end_number > max(known, self.acknowledged_end):
+            self.unstored_ends.append(
+                ListedEnds(self.last_end_number, mark, now)
+            )
+
+    def acknowledge_stored(self, stored: int) -> ListedEnds | None:
+        """Record which of the noted ends are stored.
+
+        :param stored: all journal marks up to this one are stored.
+        :returns: the last of these ends, None without any.
+        """
+        last = None
+        while self.unstored_ends and self.unstored_ends[0].mark <= stored:
+            last = self.unstored_ends.popleft()
+            self.acknowledged_end = last.number
+        return last
 
     def min_clock(self, now: float) -> float:
         """Return the lowest value that the worker's clock may show."""
@@ -294,6 +332,7 @@
         self.fenced = False
         self.terminated = False
         self.acknowledged_end = 0
+        self.unstored_ends.clear()
         self.discarded_end = 0
         self.last_end_number = 0
         self.latest_deadline = 0.0
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -69,7 +69,6 @@
         "_lease_seconds",
         "_wake",
         "_greenlet",
-        "_ends_listed_at",
         "_store_slow",
     )
 
@@ -84,7 +83,6 @@
         self._lease_seconds = lease_seconds
         self._wake = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
-        self._ends_listed_at = 0.0
         self._store_slow = False
 
     def start(self) -> None:
@@ -228,7 +226,7 @@
         state = self._holder.state
         first = not worker.fenced
         awaited = worker.name in state.unconfirmed_workers
-        last = state.apply_listing(worker, listing, sent_at, now)
+        state.apply_listing(worker, listing, sent_at, now)
         if (
             listing.incarnation
             and listing.incarnation == worker.incarnation
@@ -246,38 +244,32 @@
                 },
             )
         self._holder.request_planning()
-        if last > worker.acknowledged_end:
-            self._acknowledge(listing, last, now)
-        else:
-            self._ends_listed_at = 0.0
+        worker.note_listed_ends(state.journal.marked, now)
+        if worker.unstored_ends:
+            self._acknowledge(listing)
 
-    def _acknowledge(
-        self, listing: ports.Listing, last: int, now: float
-    ) -> None:
-        """Acknowledge the ends of a listing once they are stored.
+    def _acknowledge(self, listing: ports.Listing) -> None:
+        """Acknowledge the ends of a listing that are stored.
 
-        :param last: number of the last of them.
+        Waits for the oldest only: in a busy pool, later ones are always
+        being stored.
         """
         worker = self._worker
         state = self._holder.state
-        incarnation = worker.incarnation
         before = worker.acknowledged_end
-        mark = state.journal.marked
-        self._ends_listed_at = self._ends_listed_at or now
-        stored = self._holder.wait_stored(mark, STORE_TIMEOUT_SECONDS)
-        waited = clock.now() - self._ends_listed_at
-        if not stored:
-            self._log_not_stored(before, last, mark, waited)
-            return
-        self._store_slow = False
-        self._ends_listed_at = 0.0
-        worker.acknowledge(incarnation, last)
-        if worker.incarnation == incarnation:
-            state.acknowledged.add(worker.name, listing, before, last, waited)
+        oldest = worker.unstored_ends[0]
+        self._holder.wait_stored(oldest.mark, STORE_TIMEOUT_SECONDS)
+        last = worker.acknowledge_stored(state.journal.stored)
+        if last is not None:
+            self._store_slow = False
+            waited = clock.now() - oldest.at
+            state.acknowledged.add(
+                worker.name, listing, before, last.number, waited
+            )
+        elif worker.unstored_ends:
+            self._log_not_stored(before, oldest)
 
-    def _log_not_stored(
-        self, before: int, last: int, mark: int, waited: float
-    ) -> None:
+    def _log_not_stored(self, before: int, oldest: fleet.ListedEnds) -> None:
         """Log the first time that ends are not stored in time."""
         if self._store_slow:
             return
@@ -289,9 +281,9 @@
                 "worker": self._worker.name,
                 "life_start": self._worker.incarnation,
                 "from": before,
-                "to": last,
-                "waited": round(waited, 3),
-                "mark": mark,
+                "to": oldest.number,
+                "waited": round(clock.now() - oldest.at, 3),
+                "mark": oldest.mark,
                 "stored": journal.stored,
                 "unstored": len(journal),
             },
--- a/tests/features/recovery.feature
+++ b/tests/features/recovery.feature
@@ -48,6 +48,12 @@
     When the loop polls again
     Then the poll acknowledged 57 ends
 
+  # Guards against ends that were stored and never acknowledged.
+  Scenario: Ends are acknowledged while later ones wait for the store
+    Given a worker loop whose store is 2 ends behind
+    When the worker lists 1 more end at each of 6 polls
+    Then at least 3 ends were acknowledged
+
   # Guards against runs that were dropped, and their tasks started again.
   Scenario: A late listing of an earlier life of a worker changes nothing
     Given a pool with 1 workers
--- a/tests/features/steps/pool_log_steps.py
+++ b/tests/features/steps/pool_log_steps.py
@@ -264,6 +264,8 @@
         """Let time pass; return whether the mark is stored."""
         self._context.now += self._context.store_seconds
         self._context.while_storing()
+        if self._context.stored:
+            self.state.journal.stored = self.state.journal.marked
         return bool(self._context.stored)
 
     def request_planning(self) -> None:
@@ -335,6 +337,8 @@
     incarnation: int = 1,
     outcome: str = ports.END_DONE,
 ) -> None:
+    # Stands for the progress of the ended tasks, whose jobs are not loaded.
+    context.state.journal.marked += 1
     ends = [
         ports.Ended(number, f"{number:016x}.0.0.0", 1, outcome, "")
         for number in range(first, last + 1)
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -162,6 +162,7 @@
         self.lease = leases.Lease(job_builders.POOL, 1, 1e9)
         self.lease.epoch = job_builders.EPOCH
         self.on_wait: t.Callable[[], None] = lambda: None
+        self.stores = True
 
     def holds_lease(self) -> bool:
         """Hold the lease."""
@@ -177,7 +178,9 @@
     def wait_stored(self, mark: int, timeout: float) -> bool:
         """Store at once, after what is set to happen meanwhile."""
         self.on_wait()
-        return True
+        if self.stores:
+            self.state.journal.stored = self.state.journal.marked
+        return self.stores
 
 
 @behave.given("a worker loop whose worker has listed {count:d} ends")
@@ -189,6 +192,7 @@
         for number in range(1, count + 1)
     ]
     context.link = _Link([job_builders.listing(ended=ends)])
+    context.state.journal.marked = count
     context.worker.link = context.link
     context.holder = _Holder(context.state)
     context.loop = workerloop.WorkerLoop(
@@ -199,6 +203,32 @@
     context.cleanups.append(sleep.stop)
 
 
+@behave.given("a worker loop whose store is {behind:d} ends behind")
+def step_loop_behind(context: Context, behind: int) -> None:
+    step_loop(context, 0)
+    context.behind = behind
+    context.holder.stores = False
+
+
+@behave.when("the worker lists {more:d} more end at each of {polls:d} polls")
+def step_more_ends(context: Context, more: int, polls: int) -> None:
+    journal = context.state.journal
+    for last in range(more, (polls + 1) * more, more):
+        ends = [
+            ports.Ended(number, "gone.0.0.0", number, ports.END_DONE, "")
+            for number in range(1, last + 1)
+        ]
+        context.link.answers = [job_builders.listing(ended=ends)]
+        journal.marked = last
+        journal.stored = max(last - context.behind, 0)
+        context.loop._poll()
+
+
+@behave.then("at least {count:d} ends were acknowledged")
+def step_acknowledged(context: Context, count: int) -> None:
+    assert max(context.link.acknowledged) >= count, context.link.acknowledged
+
+
 @behave.when("the worker restarts while the loop waits for the store")
 def step_restart_in_wait(context: Context) -> None:
     def restart() -> None:
