Forget a worker only when it has surely ended and its ends are stored

Callers saw tasks that ran twice (TWICE), with leases that had not lapsed. A worker that left the stored list of the pool's workers is not waited for by the next holder, which starts the tasks whose ends it lists, and reads them 0.1 to 0.5 s later. Class: an unclear answer read as yes. Change: without an answer the worker stays cordoned and the order is repeated; maintenance ends a worker when a list asked for later shows it; a worker is released or removed only when its ends are stored; a recovery waits for all registered workers too.

--- a/src/agaterudder/jobs/autoscaler.py
+++ b/src/agaterudder/jobs/autoscaler.py
@@ -23,6 +23,7 @@
 # After a failed claim or a rejected move, a machine is not tried again for
 # this long, as another process probably ordered it.
 CLAIM_RETRY_SECONDS = 1.0
+NOT_CLAIMED = "another process orders the machine"
 # Shortest time between two log lines on too few machines.
 SHORTAGE_INTERVAL_SECONDS = 1.0
 
@@ -99,6 +100,7 @@
             return
         now = clock.now()
         self._drop_joined_moves(now)
+        self._repeat_unanswered_moves()
         match scaling.decide(self._holder.state, len(self._moves), now):
             case scaling.ScaleUp(count=count, reason=reason):
                 self._scale_up(count, reason)
@@ -122,6 +124,18 @@
                 worker.busy_at = now
                 self._holder.uncordon_worker(worker)
 
+    def _repeat_unanswered_moves(self) -> None:
+        workers = [
+            worker
+            for worker in self._holder.state.workers.values()
+            if worker.cordon_reason == scaling.MOVE_UNANSWERED
+            and worker.drained
+            and not worker.terminated
+        ]
+        gevent.joinall(
+            [gevent.spawn(self._scale_down, worker) for worker in workers]
+        )
+
     def _drop_joined_moves(self, now: float) -> None:
         joined = {
             worker.name
@@ -213,22 +227,32 @@
                 "why": reason,
             },
         )
-        if self._move(machine, self._holder.pool):
+        answer = self._move(machine, self._holder.pool)
+        if not isinstance(answer, ports.Rejected):
             self._moves[machine.machine] = Move(machine, clock.now())
 
-    def _move(self, machine: ports.Machine, pool: str) -> bool:
+    def _move(
+        self, machine: ports.Machine, pool: str
+    ) -> ports.Done | ports.Rejected | ports.NoAnswer:
+        """Order a move, unless the machine is another process's to order."""
         name = machine.machine
         token = self._orders.claim(name, self._holder.store_clock())
         if token is None or not self._holder.holds_lease():
             self._refused[name] = clock.now()
-            return False
+            return ports.Rejected(NOT_CLAIMED)
         answer = self._orders.move(name, pool, token)
+        if isinstance(answer, ports.NoAnswer) and not answer.may_take_effect:
+            answer = ports.Rejected(answer.reason)
         if isinstance(answer, ports.Rejected):
             self._refused[name] = clock.now()
-            return False
-        return True
+        return answer
 
     def _scale_down(self, worker: fleet.WorkerState) -> None:
+        """Order the move of a worker's machine to standby.
+
+        Without an answer the worker may run on: it stays cordoned, and the
+        order is repeated until it is answered or the worker has ended.
+        """
         standby = self._holder.standby_pools()
         if not standby or not self._machine_cache.refresh():
             return
@@ -241,10 +265,14 @@
             ),
             None,
         )
-        if machine is None or worker.runs:
+        if machine is None or not worker.drained:
             return
-        self._holder.cordon_worker(worker, scaling.NOT_NEEDED)
-        if worker.runs or not self._move(machine, standby[0]):
-            self._holder.uncordon_worker(worker)
-            return
-        self._holder.mark_worker_terminated(worker, "moved to standby")
+        if worker.cordon_reason != scaling.MOVE_UNANSWERED:
+            self._holder.cordon_worker(worker, scaling.NOT_NEEDED)
+        match self._move(machine, standby[0]):
+            case ports.Done():
+                self._holder.mark_worker_terminated(worker, "moved to standby")
+            case ports.NoAnswer():
+                self._holder.cordon_worker(worker, scaling.MOVE_UNANSWERED)
+            case _ if worker.cordon_reason != scaling.MOVE_UNANSWERED:
+                self._holder.uncordon_worker(worker)
--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -211,8 +211,8 @@
 
     @property
     def drained(self) -> bool:
-        """Whether it has no runs."""
-        return not self.runs
+        """Whether it has no runs, and the ends of all are stored."""
+        return not self.runs and not self.unstored_ends
 
     @property
     def has_mixed_load(self) -> bool:
--- a/src/agaterudder/jobs/maintenance.py
+++ b/src/agaterudder/jobs/maintenance.py
@@ -317,14 +317,27 @@
         self, wave: operatorconfig.Wave, machine: ports.Machine
     ) -> None:
         step = self._step(machine)
-        if step.ordered_at:
-            up = machine.state == ports.MACHINE_UP
-            if up and self._machine_cache.asked_at > step.ordered_at:
-                self._finish(wave, step)
+        if not step.ordered_at:
+            if self._drained(step, machine):
+                self._order(wave, step)
+            return
+        if self._machine_cache.asked_at <= step.ordered_at:
             return
-        if self._drained(step, machine):
-            worker = self._holder.worker_state(step.worker)
-            self._order(wave, step, worker)
+        up = machine.state == ports.MACHINE_UP
+        if not up or machine.worker != step.worker:
+            self._end_worker(step)
+        if up:
+            self._finish(wave, step)
+
+    def _end_worker(self, step: _Step) -> None:
+        """Record that maintenance has ended a machine's worker.
+
+        The answer to the order doesn't show it: the maintenance may have
+        been over, and the worker started after it.
+        """
+        worker = self._holder.worker_state(step.worker)
+        if worker is not None and not worker.terminated:
+            self._holder.mark_worker_terminated(worker, MAINTENANCE_REASON)
 
     def _drained(self, step: _Step, machine: ports.Machine) -> bool:
         """Drain a machine's worker; return whether it is drained."""
@@ -340,12 +353,7 @@
             or clock.now() - step.started_at > JOIN_SECONDS
         )
 
-    def _order(
-        self,
-        wave: operatorconfig.Wave,
-        step: _Step,
-        worker: fleet.WorkerState | None,
-    ) -> None:
+    def _order(self, wave: operatorconfig.Wave, step: _Step) -> None:
         token = self._orders.claim(step.machine, self._holder.store_clock())
         if token is None or not self._holder.holds_lease():
             return
@@ -353,10 +361,6 @@
         match answer:
             case ports.Done():
                 step.ordered_at = clock.now()
-                if worker is not None:
-                    self._holder.mark_worker_terminated(
-                        worker, MAINTENANCE_REASON
-                    )
             case ports.Rejected(reason="wave"):
                 self._finish(wave, step)
             case _:
@@ -375,7 +379,7 @@
             return
         del self._steps[step.machine]
         worker = self._holder.worker_state(step.worker)
-        if worker is not None:
+        if worker is not None and not worker.terminated:
             self._holder.uncordon_worker(worker)
         LOG.info(
             "machine maintenance finished",
--- a/src/agaterudder/jobs/scaling.py
+++ b/src/agaterudder/jobs/scaling.py
@@ -28,6 +28,8 @@
 # After the loss of a worker, another must have capacity for its tasks.
 MIN_WORKERS = 2
 NOT_NEEDED = "not needed"
+# The order of its move got no answer and may be carried out later.
+MOVE_UNANSWERED = "move not answered"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,7 +142,7 @@
     """
     if needed or now - worker.cordoned_since > DRAIN_TIMEOUT_SECONDS:
         return Uncordon(worker)
-    return NoChange() if worker.runs else ScaleDown((worker,))
+    return ScaleDown((worker,)) if worker.drained else NoChange()
 
 
 def _release_workers(
@@ -177,7 +179,7 @@
     idle = [
         worker
         for worker in workers
-        if not worker.runs
+        if worker.drained
         and worker.fenced
         and not worker.terminated
         and not worker.unresponsive(now)
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -132,7 +132,7 @@
         worker = self._worker
         if worker.terminated and not worker.runs:
             return True
-        if worker.registered or worker.runs:
+        if worker.registered or not worker.drained:
             return False
         now = clock.now()
         if now - worker.unregistered_at < UNREGISTERED_GRACE_SECONDS:
--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -117,7 +117,11 @@
             )
             worker = self._add_worker(registration)
             worker.persisted = True
-            self._context.state.unconfirmed_workers.add(worker.name)
+        # The stored list may lack one that an earlier holder had given up.
+        self.sync_registrations()
+        self._context.state.unconfirmed_workers.update(
+            self._context.state.workers
+        )
 
     def sync_registrations(self) -> None:
         """Bring the workers in line with their registrations."""
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -25,6 +25,15 @@
     Then at most 1 machines were down at once
     And each machine was maintained once
 
+  # Guards against a living worker that was taken for ended and forgotten.
+  Scenario: Maintenance that was over before it was ordered ends no worker
+    Given a wave of 2 machines with at most 1 down at once
+    And two pools with 2 and 0 of them, without running tasks
+    And the first machine was maintained under an earlier holder
+    When the maintenance of both pools has run 100 times
+    Then each machine was maintained once
+    And 1 workers count as ended
+
   Scenario: Maintenance is not ordered before the worker has drained
     Given a wave of 1 machines with at most 1 down at once
     And two pools with 1 and 0 of them, with running tasks
--- a/tests/features/recovery.feature
+++ b/tests/features/recovery.feature
@@ -83,3 +83,35 @@
     Given an inbox with a job that has ended
     When the job's row is read again from a delayed change
     Then the pool has no jobs
+
+  # Guards against a task that ran again as its worker was not asked.
+  Scenario: A recovery waits for a registered worker that the stored list lacks
+    Given a registry of a pool with a worker of life 200
+    When a new holder recovers the workers without a stored list
+    Then the worker is unconfirmed
+
+  # Guards against a task that ran again as its worker was not asked.
+  Scenario: A worker stays in the pool until its ends are stored
+    Given a worker loop whose worker has listed 57 ends
+    And the store does not answer
+    When the loop polls again
+    And the worker's registration is removed for 60 seconds
+    Then the worker is not removed and its machine is not released
+    When the store answers again
+    And the loop polls again
+    Then the worker may be removed
+
+  # Guards against a living worker that was taken for ended and forgotten.
+  Scenario Outline: The move of an idle worker to standby: <answer>
+    Given an autoscaler of a pool with an idle worker
+    When the order to move it to standby is <answer>
+    Then the worker <state>
+
+    Examples:
+      | answer                     | state                         |
+      | confirmed                 | has ended                    |
+      | rejected                  | is used again                |
+      | not sent                  | is used again                |
+      | not answered              | is cordoned and has not ended |
+      | not answered, then sent   | has ended                    |
+      | not answered, then refused | is cordoned and has not ended |
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -90,6 +90,7 @@
         self.pool = pool
         self.workers_registered = True
         self.waiting = 0.0
+        self.ended: list[str] = []
         self._workers: dict[str, fleet.WorkerState] = {}
 
     def holds_lease(self) -> bool:
@@ -114,7 +115,8 @@
     def mark_worker_terminated(
         self, worker: fleet.WorkerState, reason: str
     ) -> None:
-        """Do nothing."""
+        """Record that a worker counts as ended."""
+        self.ended.append(worker.name)
 
     def backlog_ratio(self) -> float:
         """Return the waiting work as the test says."""
@@ -147,6 +149,19 @@
     )
 
 
+@behave.given("the first machine was maintained under an earlier holder")
+def step_maintained_before(context: Context) -> None:
+    context.machines.maintained.append("m0")
+
+
+@behave.then("{count:d} workers count as ended")
+def step_ended_workers(context: Context, count: int) -> None:
+    ended = {
+        name for holder in context.holders.values() for name in holder.ended
+    }
+    assert len(ended) == count, ended
+
+
 @behave.given(
     "a wave of {count:d} machines with at most {most:d} down at once"
 )
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -7,6 +7,7 @@
 import behave
 
 from agaterudder import escrow
+from agaterudder.jobs import autoscaler
 from agaterudder.jobs import clock
 from agaterudder.jobs import context as contexts
 from agaterudder.jobs import inbox
@@ -15,6 +16,7 @@
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import scaling
 from agaterudder.jobs import teamlimits
 from agaterudder.jobs import workerloop
 from agaterudder.jobs import workerregistry
@@ -310,14 +312,8 @@
     )
 
 
-@behave.given("a registry of a pool with a worker of life {life:d}")
-def step_registry(context: Context, life: int) -> None:
-    context.state = job_builders.state()
-    context.registration = job_builders.registration(incarnation=life)
-    context.cluster = types.SimpleNamespace(
-        workers={context.registration.worker: context.registration}
-    )
-    context.registry = workerregistry.WorkerRegistry(
+def _registry(context: Context) -> workerregistry.WorkerRegistry:
+    return workerregistry.WorkerRegistry(
         _context(context.state, memory_store.MemoryStore()),
         context.cluster,
         lambda registration: t.cast(ports.Worker, _Link([])),
@@ -325,6 +321,16 @@
         6.0,
         t.cast(t.Any, _Holder(context.state)),
     )
+
+
+@behave.given("a registry of a pool with a worker of life {life:d}")
+def step_registry(context: Context, life: int) -> None:
+    context.state = job_builders.state()
+    context.registration = job_builders.registration(incarnation=life)
+    context.cluster = types.SimpleNamespace(
+        workers={context.registration.worker: context.registration}
+    )
+    context.registry = _registry(context)
     spawn = mock.patch.object(workerloop.gevent, "spawn", lambda *_: None)
     spawn.start()
     context.cleanups.append(spawn.stop)
@@ -384,3 +390,132 @@
 @behave.then("the pool has no jobs")
 def step_no_jobs(context: Context) -> None:
     assert not context.state.jobs
+
+
+# Workers that an earlier holder had given up
+
+
+@behave.when("a new holder recovers the workers without a stored list")
+def step_recover_workers(context: Context) -> None:
+    context.state = job_builders.state()
+    context.registry = _registry(context)
+    context.registry.recover()
+
+
+@behave.then("the worker is unconfirmed")
+def step_unconfirmed(context: Context) -> None:
+    assert context.state.unconfirmed_workers == set(context.state.workers)
+    assert context.state.workers
+
+
+@behave.given("the store does not answer")
+def step_store_silent(context: Context) -> None:
+    context.holder.stores = False
+
+
+@behave.when("the store answers again")
+def step_store_answers(context: Context) -> None:
+    context.holder.stores = True
+
+
+@behave.when("the worker's registration is removed for {seconds:g} seconds")
+def step_unregistered(context: Context, seconds: float) -> None:
+    context.worker.registered = False
+    context.worker.unregistered_at = clock.now() - seconds
+
+
+@behave.then("the worker is not removed and its machine is not released")
+def step_kept(context: Context) -> None:
+    assert not context.loop._removable()
+    now = clock.now()
+    context.worker.idle_since = now - 60.0
+    assert not scaling._idle([context.worker], now)
+
+
+@behave.then("the worker may be removed")
+def step_removable(context: Context) -> None:
+    assert context.loop._removable()
+
+
+class _Orders:
+    """Orders for machines that are answered as the test says."""
+
+    def __init__(self) -> None:
+        self.answers: list[t.Any] = []
+
+    def claim(self, machine: str, store_clock: float) -> int:
+        """Grant every claim."""
+        return 1
+
+    def move(self, machine: str, pool: str, token: int) -> t.Any:
+        """Answer as set."""
+        return self.answers.pop(0)
+
+
+ORDER_ANSWERS = {
+    "confirmed": [ports.Done()],
+    "rejected": [ports.Rejected("busy")],
+    "not sent": [ports.NoAnswer("no connection", False)],
+    "not answered": [ports.NoAnswer("time-out", True)],
+    "not answered, then sent": [
+        ports.NoAnswer("time-out", True),
+        ports.Done(),
+    ],
+    "not answered, then refused": [
+        ports.NoAnswer("time-out", True),
+        ports.Rejected("busy"),
+    ],
+}
+
+
+@behave.given("an autoscaler of a pool with an idle worker")
+def step_autoscaler(context: Context) -> None:
+    context.state = job_builders.state([job_builders.worker()])
+    (context.worker,) = context.state.workers.values()
+    machine = ports.Machine(
+        "m1", job_builders.POOL, ports.MACHINE_UP, "north", "w1"
+    )
+    cache = mock.Mock()
+    cache.refresh.return_value = True
+    cache.in_pool.return_value = [machine]
+    holder = mock.create_autospec(autoscaler.PoolHolder, instance=True)
+    holder.pool = job_builders.POOL
+    holder.state = context.state
+    holder.standby_pools.return_value = ["spare"]
+    holder.holds_lease.return_value = True
+    holder.cordon_worker.side_effect = lambda worker, reason: worker.cordon(
+        reason, job_builders.START
+    )
+    holder.uncordon_worker.side_effect = lambda worker: setattr(
+        worker, "cordon_reason", ""
+    )
+    holder.mark_worker_terminated.side_effect = lambda worker, reason: setattr(
+        worker, "terminated", True
+    )
+    context.orders = _Orders()
+    context.autoscaler = autoscaler.Autoscaler(
+        holder, cache, t.cast(t.Any, context.orders)
+    )
+
+
+@behave.when("the order to move it to standby is {answer}")
+def step_move_answered(context: Context, answer: str) -> None:
+    context.orders.answers = list(ORDER_ANSWERS[answer])
+    context.autoscaler._scale_down(context.worker)
+    while context.orders.answers:
+        context.autoscaler._repeat_unanswered_moves()
+
+
+@behave.then("the worker has ended")
+def step_has_ended(context: Context) -> None:
+    assert context.worker.terminated
+
+
+@behave.then("the worker is used again")
+def step_used_again(context: Context) -> None:
+    assert not context.worker.terminated and not context.worker.cordon_reason
+
+
+@behave.then("the worker is cordoned and has not ended")
+def step_still_cordoned(context: Context) -> None:
+    assert not context.worker.terminated and context.worker.cordon_reason
