Keep a start apart from the restart that it may precede or follow

A start that the earlier incarnation accepted, whose answer was handled after the restart was known, left a run that no listing removes: its task never ended and its room was lost. A start that the new incarnation accepted before the restart was known was dropped with the runs of the old one, and its task started again beside it. And a worker was given up after one unanswered poll and a second, so that a process that stood still for a second gave it up without asking again. Class: a stale answer, and time that passed, read as the present state. Change: a run that the worker has not listed is stopped before its task starts elsewhere; an accepted start counts only if no restart came between; three polls in a row have to go unanswered.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -16,6 +16,8 @@
 MIN_CLOCK_RATE = 0.98
 # A worker that has not answered a poll for this long gets no new tasks.
 UNRESPONSIVE_SECONDS = 1.0
+# Polls in a row without an answer before a worker is given up.
+MIN_UNANSWERED_POLLS = 3
 LEASE_MARGIN_SECONDS = 0.2
 # Fraction of the longest lease that is requested; the rest covers the delay
 # of the message.
@@ -51,6 +53,7 @@
     :ivar polled_at: when the last answered poll was sent, 0 before.
     :ivar unanswered_since: when the first poll or start since the last
         answered poll failed, 0 before.
+    :ivar unanswered_polls: number of polls since the last answered one.
     :ivar latest_deadline: latest end of a lease given to it, seconds of
         its clock.
     :ivar acknowledged_end: number up to which the ends of this incarnation
@@ -89,6 +92,7 @@
         "incarnation_known_at",
         "polled_at",
         "unanswered_since",
+        "unanswered_polls",
         "latest_deadline",
         "acknowledged_end",
         "unstored_ends",
@@ -127,6 +131,7 @@
         self.incarnation_known_at = 0.0
         self.polled_at = 0.0
         self.unanswered_since = 0.0
+        self.unanswered_polls = 0
         self.latest_deadline = 0.0
         self.acknowledged_end = 0
         self.unstored_ends: collections.deque[ListedEnds] = collections.deque()
@@ -164,9 +169,12 @@
         )
 
     def given_up(self, now: float) -> bool:
-        """Return whether it was asked repeatedly and has not answered."""
+        """Return whether it was asked repeatedly and has not answered.
+
+        Time alone does not tell: this process may have stood still.
+        """
         return bool(
-            self.unanswered_since
+            self.unanswered_polls >= MIN_UNANSWERED_POLLS
             and now - self.unanswered_since > UNRESPONSIVE_SECONDS
         )
 
@@ -254,6 +262,7 @@
         """Record an answered poll."""
         self.polled_at = max(self.polled_at, sent_at)
         self.unanswered_since = 0.0
+        self.unanswered_polls = 0
         self.clock = listing.clock
         self.clock_at = now
 
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -363,8 +363,8 @@
         """Handle the restart of a worker, which ended its runs.
 
         The process of a worker between two restarts is an incarnation. The
-        new one may still carry out an unanswered start; that run is stopped
-        before its task starts elsewhere.
+        new one may still carry out an unanswered start, or may have accepted
+        one; such a run is stopped before its task starts elsewhere.
 
         :param incarnation: start of the new incarnation, Unix milliseconds.
         """
@@ -380,7 +380,7 @@
         )
         worker.reset_incarnation(incarnation, now)
         for run in list(worker.runs.values()):
-            if run.state is runs.RunState.RUNNING:
+            if run.state is runs.RunState.RUNNING and run.listed_at:
                 self.remove_run(run, now, "worker restarted")
             else:
                 run.state = runs.RunState.UNCERTAIN
@@ -512,7 +512,9 @@
             # It was removed in the meantime. If the worker runs it, the next
             # listing contains it and it is adopted again.
             return
-        if run.state is not runs.RunState.RUNNING:
+        if run.state is runs.RunState.SENT:
+            # Otherwise the worker has restarted since, perhaps after it
+            # accepted the start.
             run.state = runs.RunState.RUNNING
             self._record_start(run, now)
 
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -308,6 +308,7 @@
         self, answer: ports.Rejected | ports.NoAnswer, now: float
     ) -> None:
         worker = self._worker
+        worker.unanswered_polls += 1
         if not worker.unanswered_since:
             worker.unanswered_since = now
             LOG.warning(
