--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -31,13 +31,15 @@
     :ivar fenced: whether this incarnation has accepted the current epoch.
     :ivar fenced_at: when it first accepted the current epoch.
     :ivar incarnation: start of its incarnation, Unix milliseconds.
+    :ivar incarnation_known_at: when that incarnation became known.
     :ivar polled_at: when the last answered poll was sent, 0 before.
     :ivar unanswered_since: when the first poll or start since the last
         answered poll failed, 0 before.
     :ivar latest_deadline: latest end of a lease given to it, seconds of
         its clock.
-    :ivar acknowledged_end: number up to which its ends are stored, so that it
-        may discard them.
+    :ivar acknowledged_end: number up to which the ends of this incarnation
+        are stored, so that it may discard them.
+    :ivar discarded_end: number up to which it has discarded them.
     :ivar last_end_number: number of the last end that was applied.
     :ivar persisted: whether it is in the stored row of the pool's workers.
     :ivar cordon_reason: why it is cordoned, empty otherwise.
@@ -66,10 +68,12 @@
         "fenced",
         "fenced_at",
         "incarnation",
+        "incarnation_known_at",
         "polled_at",
         "unanswered_since",
         "latest_deadline",
         "acknowledged_end",
+        "discarded_end",
         "last_end_number",
         "persisted",
         "cordon_reason",
@@ -101,10 +105,12 @@
         self.fenced = False
         self.fenced_at = 0.0
         self.incarnation = registration.incarnation
+        self.incarnation_known_at = 0.0
         self.polled_at = 0.0
         self.unanswered_since = 0.0
         self.latest_deadline = 0.0
         self.acknowledged_end = 0
+        self.discarded_end = 0
         self.last_end_number = 0
         self.persisted = False
         self.cordon_reason = ""
@@ -137,6 +143,13 @@
             and now - self.polled_at > UNRESPONSIVE_SECONDS
         )
 
+    def given_up(self, now: float) -> bool:
+        """Return whether it was asked repeatedly and has not answered."""
+        return bool(
+            self.unanswered_since
+            and now - self.unanswered_since > UNRESPONSIVE_SECONDS
+        )
+
     def earlier_stops_visible(self, stop_seconds: float) -> bool:
         """Return whether its listing reflects stops of earlier holders.
 
@@ -218,6 +231,26 @@
         self.clock = listing.clock
         self.clock_at = now
 
+    @property
+    def end_to_acknowledge(self) -> int:
+        """Number up to which the next poll acknowledges ends, 0 for none.
+
+        A worker that restarts numbers its ends from 1 again, and would
+        discard those that nobody has read: a number is not sent once more
+        when it was answered, and not after a poll without an answer.
+        """
+        if (
+            self.unanswered_since
+            or self.acknowledged_end <= self.discarded_end
+        ):
+            return 0
+        return self.acknowledged_end
+
+    def acknowledge(self, incarnation: int, number: int) -> None:
+        """Record that the ends of an incarnation are stored up to a number."""
+        if incarnation == self.incarnation:
+            self.acknowledged_end = max(self.acknowledged_end, number)
+
     def min_clock(self, now: float) -> float:
         """Return the lowest value that the worker's clock may show."""
         return self.clock + max(now - self.clock_at, 0.0) * MIN_CLOCK_RATE
@@ -248,12 +281,14 @@
         bound = MAX_ORDER_DELAY_SECONDS + lease_seconds / MIN_CLOCK_RATE
         return now - last > bound
 
-    def reset_incarnation(self, incarnation: int) -> None:
+    def reset_incarnation(self, incarnation: int, now: float) -> None:
         """Reset the state that belonged to an earlier incarnation."""
         self.incarnation = incarnation
+        self.incarnation_known_at = now
         self.fenced = False
         self.terminated = False
         self.acknowledged_end = 0
+        self.discarded_end = 0
         self.last_end_number = 0
         self.latest_deadline = 0.0
         self.clock = 0.0
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -4,6 +4,7 @@
 the time, and carries out the orders of :mod:`planning`.
 """
 
+import itertools
 import logging
 
 from agaterudder.jobs import demand
@@ -30,6 +31,9 @@
 QUARANTINE_FAILURES = 4
 # Also the delay before the next start of a task that was rejected as invalid.
 QUARANTINE_SECONDS = 4.0
+# For this long, a job that has ended may still be read from the store, in an
+# answer that is older than its end.
+ENDED_JOB_SECONDS = 30.0
 # A worker that rejected a start as full or busy gets no starts for this long.
 REJECTION_PAUSE_SECONDS = 0.2
 
@@ -49,8 +53,8 @@
     :ivar limits: grants of the teams' upper limits to this pool.
     :ivar taken_out: data centres that operators took out of service; no
         task starts in them.
-    :ivar recovery_until: until then, tasks of earlier holders may run on
-        workers that have not accepted this epoch yet.
+    :ivar recovery_until: until then, leases that earlier holders gave may
+        last on workers that have not accepted this epoch yet.
     :ivar unconfirmed_workers: names of the workers that earlier holders used
         and that have neither accepted this epoch nor been found lost.
     :ivar orphaned_runs: runs whose job has ended or is unknown; they are
@@ -76,6 +80,7 @@
         "orphaned_runs",
         "demand",
         "_submission_buckets",
+        "_ended_jobs",
     )
 
     def __init__(
@@ -108,6 +113,7 @@
         self.orphaned_runs: list[runs.Run] = []
         self.demand = demand.Demand()
         self._submission_buckets: dict[str, ratelimit.TokenBucket] = {}
+        self._ended_jobs: dict[str, float] = {}
 
     # Jobs
 
@@ -125,7 +131,7 @@
         :param recovered: whether it was accepted before this holder acquired
             the pool.
         """
-        if job.job in self.jobs:
+        if job.job in self.jobs or job.job in self._ended_jobs:
             return
         found = runs.JobRun(job, accepted_at, recovered)
         found.progress = progress
@@ -195,13 +201,23 @@
             },
         )
 
-    def remove_ended_job(self, job: runs.JobRun) -> None:
+    def remove_ended_job(self, job: runs.JobRun, now: float) -> None:
         """Remove a job whose end is stored.
 
         Runs of it that have not ended become orphaned.
         """
         if self.jobs.get(job.job.job) is job:
             del self.jobs[job.job.job]
+        self._ended_jobs[job.job.job] = now
+        forgotten = [
+            name
+            for name, _ in itertools.takewhile(
+                lambda item: now - item[1] > ENDED_JOB_SECONDS,
+                self._ended_jobs.items(),
+            )
+        ]
+        for name in forgotten:
+            del self._ended_jobs[name]
         for run in job.live_runs():
             run.task = None
             self.orphaned_runs.append(run)
@@ -232,8 +248,15 @@
             self.unconfirmed_workers.discard(worker.name)
 
     def recovering(self, now: float) -> bool:
-        """Return whether some runs of earlier holders may be unknown."""
-        return bool(self.unconfirmed_workers) and now < self.recovery_until
+        """Return whether some runs or ends of earlier holders may be unknown.
+
+        A worker keeps the ends of its runs when its lease is over, so it has
+        to be asked in any case.
+        """
+        return any(
+            now < self.recovery_until or not self.workers[name].given_up(now)
+            for name in self.unconfirmed_workers
+        )
 
     def worker_restarted(
         self, worker: fleet.WorkerState, incarnation: int, now: float
@@ -254,7 +277,7 @@
                 "runs": len(worker.runs),
             },
         )
-        worker.reset_incarnation(incarnation)
+        worker.reset_incarnation(incarnation, now)
         for run in list(worker.runs.values()):
             if run.state is runs.RunState.RUNNING:
                 self.remove_run(run, now)
@@ -422,6 +445,9 @@
             acknowledged to the worker once it is stored.
         """
         if listing.incarnation and listing.incarnation != worker.incarnation:
+            if sent_at < worker.incarnation_known_at:
+                # It may come from before the restart.
+                return worker.last_end_number
             self.worker_restarted(worker, listing.incarnation, now)
         if not worker.latest_deadline:
             # An earlier holder may have granted a lease of the full length.
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -355,6 +355,11 @@
     _answer(context, name, ends, more_ends=False)
 
 
+@behave.given('a first poll of worker "{name}" was not answered')
+def step_first_unanswered(context: Context, name: str) -> None:
+    context.state.workers[name].unanswered_since = context.now
+
+
 @behave.when('worker "{name}" answers')
 def step_answered_epoch(context: Context, name: str) -> None:
     context.state.worker_fenced(context.state.workers[name], context.now)
