Split the execution of tasks along its jobs

Cause: execution.py held scheduling and starts, checkpoints, leases with the stopping of tasks, and the settling of batches in one class of 705 lines.

Change: starting (368 lines), checkpoints (97) and taskleases (143) each hold one; execution (280) makes them, settles batches and answers calls. The methods are moved as they were; a line by line comparison leaves only names and imports. No change of behaviour.

Evidence: features maintenance, tasks, limits, models, documents, configuration: 108 passed; fleet, requests, input, processes, whole_path, combined_faults and again documents, tasks, limits: 138 passed.

--- a/models/claim.py
+++ b/models/claim.py
@@ -56,7 +56,7 @@
     "worker ignores a repeated start": "workers.Worker.start",
     "adoption is conditional on the row version": "batches.Batches.adopt",
     "settlement is conditional on the row version": "batches.Batches.write",
-    "cancel before starting elsewhere": "execution.Execution._revoke_unanswered_start",
+    "cancel before starting elsewhere": "taskleases.TaskLeases._revoke_unanswered_start",
 }
 # Highest epoch, which bounds the state space.
 MAX_EPOCH = 3
--- a/src/agaterudder/adoption.py
+++ b/src/agaterudder/adoption.py
@@ -304,4 +304,6 @@
             "no grant for the tasks taken over; they are checkpointed",
             extra={"team": team},
         )
-        self._execution.checkpoint_all(adopted, "no grant covers it")
+        self._execution.checkpoints.checkpoint_all(
+            adopted, "no grant covers it"
+        )
--- a/src/agaterudder/controlloops.py
+++ b/src/agaterudder/controlloops.py
@@ -195,9 +195,9 @@
         if now >= self._reservations_end:
             held.end_reservations()
         for team, request in list(
-            self._entry.execution.grant_requests.items()
+            self._entry.execution.starter.grant_requests.items()
         ):
-            del self._entry.execution.grant_requests[team]
+            del self._entry.execution.starter.grant_requests[team]
             self._request_grant(team, request, now)
         self._return_idle_grants(now)
 
@@ -351,7 +351,7 @@
         )
         cordoned = self._entry.maintenance.cordoned()
         self._entry.fleet.cordon(cordoned)
-        self._entry.execution.evacuate(cordoned, time.monotonic())
+        self._entry.execution.checkpoints.evacuate(cordoned, time.monotonic())
         if is_coordinator:
             self._entry.maintenance.balance(
                 self._entry.demands(time.monotonic()),
--- a/src/agaterudder/entry.py
+++ b/src/agaterudder/entry.py
@@ -347,7 +347,7 @@
 
     def stop(self) -> None:
         """Release batches, grants and slots, then stop the loops."""
-        self.execution.stopping = True
+        self.execution.starter.stopping = True
         try:
             self.execution.release_batches()
             self.control_loops.return_all_grants()
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -174,11 +174,11 @@
         """Let a process get grants, start tasks and handle reports."""
         entry = self.entries[vm]
         for _ in range(turns):
-            entry.execution.schedule(time.monotonic(), time.time())
-            entry.execution._starts.join()
+            entry.execution.starter.schedule(time.monotonic(), time.time())
+            entry.execution.starter._starts.join()
             entry.control_loops.update_grants()
-            for name in entry.execution._workers_to_renew():
-                entry.execution.renew(name)
+            for name in entry.execution.leases.workers_to_renew():
+                entry.execution.leases.renew(name)
             gevent.sleep(0)
 
     def task(self, name: str) -> tasks.Task:
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -137,7 +137,7 @@
     gevent.sleep(0.1)
     for vm in context.cell.entries:
         for name in context.cell.workers:
-            context.cell.entries[vm].execution.renew(name)
+            context.cell.entries[vm].execution.leases.renew(name)
 
 
 @behave.given('"a" holds a grant and is listed as {listed}')
@@ -242,7 +242,7 @@
     entry = context.cell.entries["b"]
     held = entry.execution.held_grants
     entry.adopter._lease_expiry_seconds = 2.0
-    entry.execution.stopping = True
+    entry.execution.starter.stopping = True
     original = held._change
     refusals_left = [refusals]
 
--- a/tests/features/steps/maintenance_steps.py
+++ b/tests/features/steps/maintenance_steps.py
@@ -11,10 +11,10 @@
 
 from agaterudder import assurances
 from agaterudder import budgets
+from agaterudder import checkpoints
 from agaterudder import codes
 from agaterudder import configuration
 from agaterudder import exceptions
-from agaterudder import execution
 from agaterudder import maintenance
 from agaterudder import platform
 from agaterudder import store
@@ -231,11 +231,11 @@
 
 @behave.then("the tasks on draining workers are checkpointed at")
 def step_grace_time(context: Context) -> None:
-    running = context.cell.entries["a"].execution
+    running = context.cell.entries["a"].execution.checkpoints
     for row in context.table:
         draining = [] if row["draining"] == "none" else [row["draining"]]
         with mock.patch.object(
-            execution.Execution, "checkpoint_all", autospec=True
+            checkpoints.Checkpoints, "checkpoint_all", autospec=True
         ) as checkpoint:
             running.evacuate(draining, 100.0 + float(row["second"]))
         expected = row["checkpointed"] == "yes"
--- a/tests/features/steps/task_steps.py
+++ b/tests/features/steps/task_steps.py
@@ -85,7 +85,7 @@
 @behave.when('"{vm}" releases its batches')
 def step_release(context: Context, vm: str) -> None:
     context.cell.run_tasks(vm, 2)
-    context.cell.entries[vm].execution.stopping = True
+    context.cell.entries[vm].execution.starter.stopping = True
     context.cell.entries[vm].execution.release_batches()
 
 
@@ -104,8 +104,10 @@
         if placement.worker == "w0":
             placement.last_contact_at -= 2 * cell.LEASE_SECONDS
     for name in context.cell.workers:
-        context.cell.entries["a"].execution.renew(name)
-    context.cell.entries["a"].execution.resolve_expired(time.monotonic())
+        context.cell.entries["a"].execution.leases.renew(name)
+    context.cell.entries["a"].execution._outcomes.resolve_expired(
+        time.monotonic()
+    )
 
 
 @behave.when('"{vm}" is taken over by "{successor}" while paused')
