--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -4,9 +4,12 @@
 the time, and carries out the orders of :mod:`planning`.
 """
 
+import dataclasses
 import itertools
 import logging
+import typing as t
 
+from agaterudder.jobs import acknowledgements
 from agaterudder.jobs import demand
 from agaterudder.jobs import deployment
 from agaterudder.jobs import estimates
@@ -18,6 +21,7 @@
 from agaterudder.jobs import ratelimit
 from agaterudder.jobs import runs
 from agaterudder.jobs import teamlimits
+from agaterudder import metrics
 from agaterudder import resources
 
 LOG = logging.getLogger(__name__)
@@ -36,6 +40,20 @@
 ENDED_JOB_SECONDS = 30.0
 # A worker that rejected a start as full or busy gets no starts for this long.
 REJECTION_PAUSE_SECONDS = 0.2
+# Limit of the names in one log line.
+MAX_LOGGED_NAMES = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstStarts:
+    """Jobs that wait for their first start.
+
+    :ivar longest: seconds that the oldest of them has waited.
+    :ivar late: those that have waited longer than the target of their queue.
+    """
+
+    longest: float
+    late: int
 
 
 class Pool:
@@ -53,6 +71,9 @@
     :ivar limits: grants of the teams' upper limits to this pool.
     :ivar taken_out: data centres that operators took out of service; no
         task starts in them.
+    :ivar metrics: metrics of the process.
+    :ivar acknowledged: stored ends that are not logged yet.
+    :ivar acquired_at: when this holder acquired the pool.
     :ivar recovery_until: until then, leases that earlier holders gave may
         last on workers that have not accepted this epoch yet.
     :ivar unconfirmed_workers: names of the workers that earlier holders used
@@ -74,6 +95,9 @@
         "estimates",
         "queues",
         "taken_out",
+        "metrics",
+        "acknowledged",
+        "acquired_at",
         "recovery_until",
         "unconfirmed_workers",
         "_run_count",
@@ -90,6 +114,7 @@
         bounds: deployment.Bounds,
         limits: teamlimits.TeamLimits,
         now: float,
+        metrics_registry: metrics.Metrics | None = None,
     ) -> None:
         self.name = name
         self.epoch = epoch
@@ -103,6 +128,11 @@
         self.estimates = estimates.Estimates()
         self.queues: dict[str, operatorconfig.Queue] = {}
         self.taken_out: frozenset[str] = frozenset()
+        self.metrics = metrics_registry or metrics.Metrics()
+        self.acknowledged = acknowledgements.Acknowledgements(
+            name, self.metrics
+        )
+        self.acquired_at = now
         self.recovery_until = (
             now
             + bounds.worker_lease / fleet.MIN_CLOCK_RATE
@@ -131,7 +161,18 @@
         :param recovered: whether it was accepted before this holder acquired
             the pool.
         """
-        if job.job in self.jobs or job.job in self._ended_jobs:
+        if job.job in self.jobs:
+            return
+        if job.job in self._ended_jobs:
+            LOG.info(
+                "job read again after its end was stored, not loaded",
+                extra={
+                    "job": job.job,
+                    "queue": job.queue,
+                    "pool": self.name,
+                },
+            )
+            self.metrics.count("ended_jobs_read", pool=self.name)
             return
         found = runs.JobRun(job, accepted_at, recovered)
         found.progress = progress
@@ -258,6 +299,64 @@
             for name in self.unconfirmed_workers
         )
 
+    def discard_unconfirmed(
+        self, name: str, reason: str, evidence: str, now: float
+    ) -> None:
+        """Wait no longer for an answer of a worker of earlier holders.
+
+        :param evidence: what the reason rests on, and its age.
+        """
+        if name not in self.unconfirmed_workers:
+            return
+        self.unconfirmed_workers.discard(name)
+        worker = self.workers.get(name)
+        extra = {
+            "pool": self.name,
+            "worker": name,
+            "why": reason,
+            "evidence": evidence,
+            "recovering": round(now - self.acquired_at, 3),
+        }
+        if worker is not None:
+            extra["heard"] = worker.heard(now)
+        LOG.info("worker left recovery without an answer", extra=extra)
+
+    def finish_recovery(self, now: float) -> None:
+        """End the recovery: no run of an earlier holder is unknown."""
+        missing = sorted(self.unconfirmed_workers)
+        LOG.info(
+            "pool recovery complete",
+            extra={
+                "pool": self.name,
+                "epoch": self.epoch,
+                "why": (
+                    "time passed" if missing else "no worker is unconfirmed"
+                ),
+                "took": round(now - self.acquired_at, 3),
+                "workers": len(self.workers),
+                "unconfirmed": len(missing),
+                "missing": _names(missing),
+                "held_back": self._held_back_tasks(),
+            },
+        )
+        for name in missing:
+            self.discard_unconfirmed(
+                name,
+                "time passed",
+                "longest lease of an earlier holder",
+                now,
+            )
+
+    def _held_back_tasks(self) -> int:
+        """Return how many tasks wait for the end of the recovery."""
+        return sum(
+            1
+            for step in self.ready.values()
+            if step.job.recovered and step.ready_at
+            for task in step.tasks
+            if task.waiting
+        )
+
     def worker_restarted(
         self, worker: fleet.WorkerState, incarnation: int, now: float
     ) -> None:
@@ -274,13 +373,15 @@
             extra={
                 "worker": worker.name,
                 "life_start": incarnation,
+                "before": worker.incarnation,
                 "runs": len(worker.runs),
+                "heard": worker.heard(now),
             },
         )
         worker.reset_incarnation(incarnation, now)
         for run in list(worker.runs.values()):
             if run.state is runs.RunState.RUNNING:
-                self.remove_run(run, now)
+                self.remove_run(run, now, "worker restarted")
             else:
                 run.state = runs.RunState.UNCERTAIN
                 run.stop_reason = run.stop_reason or "worker restarted"
@@ -300,12 +401,14 @@
                 "worker": worker.name,
                 "why": reason,
                 "runs": len(worker.runs),
+                "tasks": _names([task for task, _ in worker.runs]),
+                "heard": worker.heard(now),
             },
         )
         for run in list(worker.runs.values()):
             may_arrive = now - run.sent_at < fleet.MAX_ORDER_DELAY_SECONDS
             if run.state is runs.RunState.RUNNING or not may_arrive:
-                self.remove_run(run, now)
+                self.remove_run(run, now, reason)
 
     # Runs
 
@@ -326,9 +429,24 @@
             task.name, task, number, worker, now, self.reserved_size(task.step)
         )
         task.runs.append(run)
+        task.last_run = max(task.last_run, number)
         worker.add(run)
         return run
 
+    def record_placement(self, task: runs.Task, kind: str, now: float) -> None:
+        """Count a start that is about to be ordered.
+
+        :param kind: first, restart or copy.
+        """
+        self.metrics.count("task_starts", pool=self.name, kind=kind)
+        job = task.step.job
+        waited = job.first_start_wait(now)
+        job.placed = True
+        if waited is not None:
+            self.metrics.observe(
+                "first_start", waited, pool=self.name, queue=job.job.queue
+            )
+
     @staticmethod
     def reserved_size(step: runs.StepRun) -> resources.Vector:
         """Return the capacity that a task of a step reserves on a worker."""
@@ -350,8 +468,26 @@
             peak_size = peak_size.elementwise_max(size)
         return demand.Arrival(arrived_at, work, peak_size)
 
-    def remove_run(self, run: runs.Run, now: float) -> None:
-        """Remove a run that has ended, whatever the outcome."""
+    def remove_run(
+        self, run: runs.Run, now: float, unlisted_reason: str = ""
+    ) -> None:
+        """Remove a run that has ended, whatever the outcome.
+
+        :param unlisted_reason: why it counts as ended although the worker
+            listed no end of it.
+        """
+        if unlisted_reason:
+            LOG.info(
+                "run removed without a listed end",
+                extra={
+                    "task": run.task_name,
+                    "run": run.number,
+                    "worker": run.worker.name,
+                    "why": unlisted_reason,
+                    "state": run.state.value,
+                    "heard": run.worker.heard(now),
+                },
+            )
         run.worker.remove(run, now)
         task = run.task
         if task is not None:
@@ -455,6 +591,7 @@
         worker.record_poll(listing, sent_at, now)
         for ended in listing.ended:
             if ended.number > worker.last_end_number:
+                self._check_skipped_ends(worker, ended.number)
                 worker.last_end_number = ended.number
                 self._apply_end(worker, ended, now)
         present = {(item.task, item.run): item for item in listing.running}
@@ -465,6 +602,25 @@
                 self._check_unlisted(run, listing, sent_at, now)
         return worker.last_end_number
 
+    @staticmethod
+    def _check_skipped_ends(worker: fleet.WorkerState, number: int) -> None:
+        """Report ends that the worker discarded before they were read.
+
+        :param number: number of the next end that it listed.
+        """
+        if not worker.last_end_number or number == worker.last_end_number + 1:
+            return
+        LOG.info(
+            "ends missing from listing",
+            extra={
+                "worker": worker.name,
+                "life_start": worker.incarnation,
+                "after": worker.last_end_number,
+                "listed": number,
+                "acknowledged": worker.acknowledged_end,
+            },
+        )
+
     def _apply_running(
         self, worker: fleet.WorkerState, item: ports.Running, now: float
     ) -> None:
@@ -494,6 +650,8 @@
             self.orphaned_runs.append(run)
             return run
         job = task.step.job
+        self._report_duplicates(task, worker, item.run, "running")
+        task.last_run = max(task.last_run, item.run)
         task.runs.append(run)
         self.limits.adopt(job.job.team, run.limit_key, task.step.step.size)
         if job.ending is not None or task.done:
@@ -520,7 +678,8 @@
         start_expired = listing.clock > run.deadline and run.deadline > 0
         stopped = run.stop_answered_at and sent_at >= run.stop_answered_at
         if start_expired or stopped:
-            self.remove_run(run, now)
+            reason = "start expired" if start_expired else "stop answered"
+            self.remove_run(run, now, f"not listed: {reason}")
 
     def _apply_end(
         self, worker: fleet.WorkerState, ended: ports.Ended, now: float
@@ -542,11 +701,17 @@
             },
         )
         if task is None:
+            self._log_unknown_end(worker, ended)
             return
+        if ended.outcome in (ports.END_DONE, ports.END_FAILED):
+            self._report_duplicates(task, worker, ended.run, ended.outcome)
+        task.last_run = max(task.last_run, ended.run)
         job = task.step.job
         match ended.outcome:
             case ports.END_DONE:
                 self._task_done(task, run, worker, now)
+                if task.done:
+                    task.done_run = task.done_run or ended.run
             case ports.END_FAILED:
                 self._task_failed(task, ended.run, worker, now)
             case _:
@@ -554,6 +719,64 @@
                     self._record_checkpoint(task, ended.checkpoint)
                     self.journal.mark(job)
 
+    def _report_duplicates(
+        self,
+        task: runs.Task,
+        worker: fleet.WorkerState,
+        number: int,
+        outcome: str,
+    ) -> None:
+        """Report other runs of a task that must run only once at a time.
+
+        :param number: the run that was listed.
+        :param outcome: how it was listed: running, done or failed.
+        """
+        if task.step.step.speculative:
+            return
+        others = [
+            (run.number, run.worker.name, run.state.value)
+            for run in task.runs
+            if run.number != number
+        ]
+        if task.done_run not in (0, number):
+            others.append((task.done_run, "", ports.END_DONE))
+        for other_number, other_worker, other_state in others:
+            LOG.warning(
+                "task has two runs",
+                extra={
+                    "task": task.name,
+                    "run": number,
+                    "worker": worker.name,
+                    "how": outcome,
+                    "other_run": other_number,
+                    "other_worker": other_worker,
+                    "other": other_state,
+                },
+            )
+            self.metrics.count("duplicate_runs", pool=self.name)
+
+    def _log_unknown_end(
+        self, worker: fleet.WorkerState, ended: ports.Ended
+    ) -> None:
+        """Log the end of a run whose task is not known."""
+        job = ended.task.partition(".")[0]
+        if job in self._ended_jobs:
+            reason = "job is stored as ended"
+        elif job in self.jobs:
+            reason = "job has no such task"
+        else:
+            reason = "job is not loaded"
+        LOG.info(
+            "end of unknown task",
+            extra={
+                "task": ended.task,
+                "run": ended.run,
+                "worker": worker.name,
+                "how": ended.outcome,
+                "why": reason,
+            },
+        )
+
     def _find_task(self, name: str, now: float) -> runs.Task | None:
         """Return the task of a listed run, None when its job is unknown.
 
@@ -643,6 +866,28 @@
                 0.0,
             )
 
+    def unacknowledged_ends(self) -> int:
+        """Return how many ends were applied and not acknowledged."""
+        return sum(
+            worker.last_end_number - worker.acknowledged_end
+            for worker in self.workers.values()
+            if worker.last_end_number > worker.acknowledged_end
+        )
+
+    def first_starts(self, now: float) -> FirstStarts:
+        """Return how long jobs wait for their first start."""
+        longest = 0.0
+        late = 0
+        for job in self.jobs.values():
+            waited = job.first_start_wait(now)
+            if waited is None:
+                continue
+            longest = max(longest, waited)
+            queue = self.queues.get(job.job.queue)
+            if queue is not None and waited > queue.target_seconds:
+                late += 1
+        return FirstStarts(longest, late)
+
     def pending_counts(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         counts: dict[str, int] = {}
@@ -651,3 +896,10 @@
                 queue = job.job.queue
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
+
+
+def _names(names: t.Sequence[str]) -> str:
+    """Return the first names, and the number of the others."""
+    shown = " ".join(names[:MAX_LOGGED_NAMES])
+    others = len(names) - MAX_LOGGED_NAMES
+    return f"{shown} +{others}" if others > 0 else shown
