Pause between the readings that answer a call

Seen: while the store resets each connection, one request for a job's state made 1,075 readings in its 3 s (each is priced, and opens a connection).

Cause: a reading without an answer was repeated at once.

Change: it is repeated at most every 50 ms, like a write. The unused suffix of _read is gone.

Evidence: the scenario failed before (1,075 calls; now at most 60). Feature job_api: 24 passed.

--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -24,7 +24,8 @@
 # Part of the caller's time that is kept for the response to reach it.
 RESPONSE_MARGIN_SECONDS = 0.25
 MIN_CALL_SECONDS = 0.05
-# The store may answer at once without saying whether it stored a write.
+# The store may fail a call at once: it resets connections, or answers without
+# saying whether it stored a write.
 MIN_REPEAT_INTERVAL_SECONDS = 0.05
 MAX_PENDING_AGE_SECONDS = 1.9
 RETRY_AFTER_SECONDS = 1
@@ -177,8 +178,7 @@
                     return Accepted()
                 case codes.Refused(code=codes.Result.CHANGE_UNKNOWN):
                     may_be_stored = True
-                    next_at = sent_at + MIN_REPEAT_INTERVAL_SECONDS
-                    gevent.sleep(max(next_at - clock.now(), 0.0))
+                    _pause_before_repeat(sent_at)
                 case codes.Refused():
                     if not may_be_stored:
                         return outcome
@@ -219,18 +219,17 @@
             return None
         return JobState(model.decode(ended.value, model.Ended).state)
 
-    def _read(
-        self, table: str, pool: str, call: Call, suffix: str = ""
-    ) -> ports.Row | None:
+    def _read(self, table: str, pool: str, call: Call) -> ports.Row | None:
         """Read a row of the job; retry without an answer if time is left."""
         until = call.deadline - RESPONSE_MARGIN_SECONDS
         while True:
-            left = until - clock.now()
+            asked_at = clock.now()
+            left = until - asked_at
             try:
                 return self._store.read(
                     table,
                     pool,
-                    call.job + suffix,
+                    call.job,
                     min(READ_TIMEOUT_SECONDS, max(left, MIN_CALL_SECONDS)),
                 )
             except exceptions.CallFailed as error:
@@ -239,6 +238,7 @@
                     or until - clock.now() < READ_TIMEOUT_SECONDS
                 ):
                     raise
+            _pause_before_repeat(asked_at)
 
     def cancel(self, call: Call) -> Accepted | codes.Refused:
         """Cancel a job."""
@@ -330,6 +330,12 @@
         return [queue.pool, *(name for name in others if name != queue.pool)]
 
 
+def _pause_before_repeat(sent_at: float) -> None:
+    """Wait as long as a call may not be repeated after it was sent."""
+    next_at = sent_at + MIN_REPEAT_INTERVAL_SECONDS
+    gevent.sleep(max(next_at - clock.now(), 0.0))
+
+
 def _code(outcome: t.Any) -> str:
     if isinstance(outcome, codes.Refused):
         return outcome.code.name
--- a/tests/features/job_api.feature
+++ b/tests/features/job_api.feature
@@ -57,6 +57,13 @@
     Then the answers are "CHANGE_UNKNOWN"
     And the store got between 10 and 60 calls
 
+  # Guards against a flood of calls while the store resets each connection.
+  Scenario: The store fails each reading at once
+    When the store fails each reading within 0.002 seconds
+    And the state of job 1 is read
+    Then the answers are "STORE_AWAY"
+    And the store got between 10 and 60 calls
+
   Scenario Outline: The key is <key>, the configuration <age> seconds old
     When the key is "<key>"
     And the configuration was confirmed <age> seconds ago
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -7,6 +7,7 @@
 import gevent
 
 from agaterudder import codes
+from agaterudder import exceptions
 from agaterudder.jobs import clock
 from agaterudder.jobs import clustercache
 from agaterudder.jobs import jobapi
@@ -46,6 +47,18 @@
     )
 
 
+def _pass_time_in_sleeps(context: Context) -> None:
+    """Count calls of the store from now on; pauses advance the clock."""
+    context.calls = 0
+
+    def sleep(duration: float) -> None:
+        context.now += duration
+
+    patch = mock.patch.object(gevent, "sleep", sleep)
+    patch.start()
+    context.cleanups.append(patch.stop)
+
+
 def _name(answer: t.Any) -> str:
     if isinstance(answer, codes.Refused):
         return answer.code.name
@@ -159,22 +172,28 @@
     "the store answers within {seconds:g} seconds that the outcome is unknown"
 )
 def step_unknown(context: Context, seconds: float) -> None:
-    context.calls = 0
-
-    def sleep(duration: float) -> None:
-        context.now += duration
+    _pass_time_in_sleeps(context)
 
     def transact(*arguments: t.Any, **named: t.Any) -> ports.Outcome:
         context.calls += 1
         context.now += seconds
         return memory_store.UNKNOWN
 
-    patch = mock.patch.object(gevent, "sleep", sleep)
-    patch.start()
-    context.cleanups.append(patch.stop)
     context.store.transact = transact
 
 
+@behave.when("the store fails each reading within {seconds:g} seconds")
+def step_readings_fail(context: Context, seconds: float) -> None:
+    _pass_time_in_sleeps(context)
+
+    def read(*arguments: t.Any, **named: t.Any) -> ports.Row | None:
+        context.calls += 1
+        context.now += seconds
+        raise exceptions.CallFailed("connection reset", True)
+
+    context.store.read = read
+
+
 @behave.then("the store got between {least:d} and {most:d} calls")
 def step_calls(context: Context, least: int, most: int) -> None:
     assert least <= context.calls <= most, context.calls
