--- a/tests/features/recovery.feature
+++ b/tests/features/recovery.feature
@@ -50,6 +50,27 @@
     When the loop polls again
     Then the poll acknowledged 57 ends
 
+  # Guards against ends that were stored and never acknowledged.
+  Scenario: A worker without runs is polled until it has discarded its ends
+    Given a worker loop whose worker has listed 57 ends
+    When the loop polls once
+    Then the worker is not idle
+    When the loop polls again
+    Then the worker is idle
+
+  # Guards against a worker that seems silent for longer than it is.
+  Scenario: The poll after one without an answer is answered at once
+    Given a worker loop whose worker has listed 57 ends
+    When a poll of the loop gets no answer
+    And the loop polls again
+    Then the poll asked for no wait
+
+  # Guards against a recovery that ends by an answer of an earlier life.
+  Scenario: An answer of an earlier life does not confirm a restarted worker
+    Given a worker loop whose worker has listed 57 ends
+    When the worker restarts while a poll is under way
+    Then the worker has not accepted the epoch
+
   # Guards against ends that were stored and never acknowledged.
   Scenario: Ends are acknowledged while later ones wait for the store
     Given a worker loop whose store is 2 ends behind
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -140,6 +140,8 @@
     def __init__(self, answers: t.Sequence[t.Any]) -> None:
         self.answers = list(answers)
         self.acknowledged: list[int] = []
+        self.waits: list[float] = []
+        self.on_renew: t.Callable[[], None] = lambda: None
 
     def renew(
         self,
@@ -151,6 +153,8 @@
     ) -> t.Any:
         """Answer as set, else with a listing without ends."""
         self.acknowledged.append(acknowledged)
+        self.waits.append(wait_seconds)
+        self.on_renew()
         if self.answers:
             return self.answers.pop(0)
         return job_builders.listing()
@@ -242,6 +246,42 @@
     context.link.answers = [job_builders.listing(incarnation=2)] * 2
 
 
+@behave.when("the loop polls once")
+def step_poll_once(context: Context) -> None:
+    context.loop._poll()
+
+
+@behave.then("the worker is not idle")
+def step_not_idle(context: Context) -> None:
+    assert not context.loop._idle()
+
+
+@behave.then("the worker is idle")
+def step_idle(context: Context) -> None:
+    assert context.loop._idle()
+
+
+@behave.then("the poll asked for no wait")
+def step_no_wait(context: Context) -> None:
+    assert context.link.waits[-1] == 0.0, context.link.waits
+
+
+@behave.when("the worker restarts while a poll is under way")
+def step_restart_in_poll(context: Context) -> None:
+    def restart() -> None:
+        now = clock.now()
+        context.state.worker_restarted(context.worker, 2, now)
+
+    context.link.on_renew = restart
+    context.loop._poll()
+
+
+@behave.then("the worker has not accepted the epoch")
+def step_not_fenced(context: Context) -> None:
+    assert context.worker.incarnation == 2
+    assert not context.worker.fenced
+
+
 @behave.when("a poll of the loop gets no answer")
 def step_no_answer(context: Context) -> None:
     context.loop._poll()
