Give a pool up when a loop of its holder fails

Class: a part that fails while the whole stays. Change: one line at level ERROR and the pool is given up, so that another VM takes it when the lease ends.

--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -145,7 +145,17 @@
         self.state.acknowledged.write()
 
     def _spawn(self, loop: t.Callable[[], None]) -> None:
-        self._loops.append(gevent.spawn(loop))
+        greenlet = gevent.spawn(loop)
+        greenlet.link_exception(self._loop_failed)
+        self._loops.append(greenlet)
+
+    def _loop_failed(self, greenlet: gevent.Greenlet) -> None:
+        """Give the pool up: without one of its loops it would stand still."""
+        LOG.error(
+            "loop of the pool's holder failed; giving the pool up",
+            extra={"pool": self.pool, "why": repr(greenlet.exception)},
+        )
+        self.step_down("a loop of its holder failed")
 
     def holds_lease(self) -> bool:
         """Return whether the lease is valid, so that orders may be sent."""
--- a/tests/features/recovery.feature
+++ b/tests/features/recovery.feature
@@ -160,3 +160,9 @@
       | not answered              | is cordoned and has not ended |
       | not answered, then sent   | has ended                    |
       | not answered, then refused | is cordoned and has not ended |
+
+  # Guards against a pool whose holder lives on without one of its loops.
+  Scenario: A holder whose loop fails gives its pool up
+    Given a holder of a pool
+    When one of its loops fails
+    Then it has given the pool up
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -5,11 +5,14 @@
 from unittest import mock
 
 import behave
+import gevent
 
 from agaterudder import escrow
 from agaterudder.jobs import autoscaler
 from agaterudder.jobs import clock
 from agaterudder.jobs import context as contexts
+from agaterudder.jobs import deployment
+from agaterudder.jobs import holder as holders
 from agaterudder.jobs import inbox
 from agaterudder.jobs import leases
 from agaterudder.jobs import model
@@ -580,3 +583,35 @@
 @behave.then("the worker is cordoned and has not ended")
 def step_still_cordoned(context: Context) -> None:
     assert not context.worker.terminated and context.worker.cordon_reason
+
+
+@behave.given("a holder of a pool")
+def step_holder(context: Context) -> None:
+    lease = leases.Lease(job_builders.POOL, 1, 1e9)
+    lease.epoch = job_builders.EPOCH
+    context.manager = mock.create_autospec(leases.LeaseManager, instance=True)
+    context.holder = holders.Holder(
+        lease,
+        context.manager,
+        memory_store.MemoryStore(),
+        mock.Mock(subscribers=()),
+        deployment.Bounds(),
+        mock.Mock(),
+        None,
+        mock.Mock(),
+        metrics.Metrics(),
+    )
+
+
+@behave.when("one of its loops fails")
+def step_loop_fails(context: Context) -> None:
+    def loop() -> None:
+        raise ValueError("a row that can't be decoded")
+
+    context.holder._spawn(loop)
+    gevent.wait(timeout=1.0)
+
+
+@behave.then("it has given the pool up")
+def step_given_up(context: Context) -> None:
+    context.manager.step_down.assert_called_once()
