Make one call for the machines when many workers fall silent

Class: the same work for each of many that fail together. The scenario failed before (20 calls of 20 workers).

--- a/src/agaterudder/jobs/machines.py
+++ b/src/agaterudder/jobs/machines.py
@@ -8,6 +8,7 @@
 
 import logging
 
+import gevent.lock
 import msgspec
 
 from agaterudder import exceptions
@@ -61,27 +62,37 @@
     :ivar asked_at: when the list was requested, by :func:`clock.now`.
     """
 
-    __slots__ = ("_machines", "machines", "asked_at")
+    __slots__ = ("_machines", "_turn", "_failed_at", "machines", "asked_at")
 
     def __init__(self, machines: ports.Machines) -> None:
         self._machines = machines
+        self._turn = gevent.lock.RLock()
+        self._failed_at = 0.0
         self.machines: dict[str, ports.Machine] = {}
         self.asked_at = 0.0
 
     def refresh(self, after: float = 0.0) -> bool:
         """Read the list again if it is old; return whether it is current.
 
+        One call at a time serves all that wait for it.
+
         :param after: the list must have been requested later than this.
         """
-        now = clock.now()
+        with self._turn:
+            return self._refresh(after, clock.now())
+
+    def _refresh(self, after: float, now: float) -> bool:
         if (
             now - self.asked_at < MAX_CACHE_AGE_SECONDS
             and self.asked_at > after
         ):
             return True
+        if now - self._failed_at < MAX_CACHE_AGE_SECONDS:
+            return False
         try:
             found = self._machines.list()
         except exceptions.CallFailed as error:
+            self._failed_at = clock.now()
             LOG.info("machine list not read", extra={"why": error})
             return False
         self.machines = {machine.machine: machine for machine in found}
--- a/tests/features/recovery.feature
+++ b/tests/features/recovery.feature
@@ -166,3 +166,11 @@
     Given a holder of a pool
     When one of its loops fails
     Then it has given the pool up
+
+  # Guards against a holder that spends its time on lists of machines.
+  Scenario: Workers that fall silent together cause one call for the machines
+    Given a cache of the list of machines
+    When 20 workers ask for it at the same time
+    Then 1 calls were made
+    When 20 workers ask for it at the same time while it fails
+    Then 2 calls were made
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -8,6 +8,7 @@
 import gevent
 
 from agaterudder import escrow
+from agaterudder import exceptions
 from agaterudder.jobs import autoscaler
 from agaterudder.jobs import clock
 from agaterudder.jobs import context as contexts
@@ -15,6 +16,7 @@
 from agaterudder.jobs import holder as holders
 from agaterudder.jobs import inbox
 from agaterudder.jobs import leases
+from agaterudder.jobs import machines
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
@@ -615,3 +617,42 @@
 @behave.then("it has given the pool up")
 def step_given_up(context: Context) -> None:
     context.manager.step_down.assert_called_once()
+
+
+@behave.given("a cache of the list of machines")
+def step_cache(context: Context) -> None:
+    context.machines = mock.Mock()
+
+    def answer() -> tuple[ports.Machine, ...]:
+        gevent.sleep(0.01)
+        return ()
+
+    context.machines.list.side_effect = answer
+    context.cache = machines.MachineCache(context.machines)
+
+
+def _ask_together(context: Context, count: int) -> None:
+    asked_at = clock.now()
+    gevent.joinall(
+        [gevent.spawn(context.cache.refresh, asked_at) for _ in range(count)]
+    )
+
+
+@behave.when("{count:d} workers ask for it at the same time")
+def step_ask(context: Context, count: int) -> None:
+    _ask_together(context, count)
+
+
+@behave.when("{count:d} workers ask for it at the same time while it fails")
+def step_ask_failing(context: Context, count: int) -> None:
+    def fail() -> None:
+        gevent.sleep(0.01)
+        raise exceptions.CallFailed("time-out", True)
+
+    context.machines.list.side_effect = fail
+    _ask_together(context, count)
+
+
+@behave.then("{count:d} calls were made")
+def step_calls(context: Context, count: int) -> None:
+    assert context.machines.list.call_count == count
