Let starts above 100 a second share log lines

Above 100 starts a second a pool now writes "tasks placed" with up to 20 starts, so that each has its task, run, worker and kind.

--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -11,7 +11,6 @@
 
 import collections
 import itertools
-import logging
 import typing as t
 
 from agaterudder.jobs import draining
@@ -24,8 +23,6 @@
 from agaterudder.jobs import throttling
 from agaterudder import resources
 
-LOG = logging.getLogger(__name__)
-
 # An order is sent again after this time while it has not taken effect.
 STOP_RETRY_SECONDS = 0.5
 THROTTLE_RETRY_SECONDS = 0.3
@@ -78,6 +75,7 @@
             if recovering and step.job.recovered:
                 continue
             self._place_step(step)
+        state.placements.write()
         return self._orders
 
     def _accepts_tasks(self, worker: fleet.WorkerState) -> bool:
@@ -500,7 +498,7 @@
         state = self._state
         step = task.step
         kind = task.start_kind
-        history = self._history(task)
+        before = task.last_run
         state.record_placement(task, kind, self._now)
         run = state.add_run(task, worker, number, self._now)
         state.limits.charge(step.job.job.team, run.limit_key, step.step.size)
@@ -512,30 +510,7 @@
         ticket = tickets.by_worker.get(worker.name, "") if tickets else ""
         self._orders.append(orders.Start(run, task.checkpoint, ticket))
         self._starts += 1
-        LOG.info(
-            "task placed",
-            extra={
-                "task": task.name,
-                "run": number,
-                "worker": worker.name,
-                "free": round(worker.free.cores, 2),
-                "team": step.job.job.team,
-                "heard": round(self._now - worker.polled_at, 3),
-                "kind": kind,
-                "ready": round(self._now - step.ready_at, 3),
-            }
-            | history,
-        )
-
-    @staticmethod
-    def _history(task: runs.Task) -> dict[str, t.Any]:
-        """Return fields on earlier runs of a task for its log line."""
-        history: dict[str, t.Any] = {}
-        if task.last_run:
-            history["before"] = task.last_run
-        if task.step.job.recovered:
-            history["recovered"] = True
-        return history
+        state.placements.add(run, kind, before, self._now)
 
     # Preemption
 
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -16,6 +16,7 @@
 from agaterudder.jobs import journal
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
+from agaterudder.jobs import placements
 from agaterudder.jobs import ports
 from agaterudder.jobs import ratelimit
 from agaterudder.jobs import runs
@@ -70,6 +71,7 @@
     :ivar taken_out: data centres that operators took out of service; no
         task starts in them.
     :ivar metrics: metrics of the process.
+    :ivar placements: starts that are to be logged.
     :ivar acknowledged: stored ends that are not logged yet.
     :ivar acquired_at: when this holder acquired the pool.
     :ivar recovery_until: until then, tasks of earlier holders may run on
@@ -94,6 +96,7 @@
         "queues",
         "taken_out",
         "metrics",
+        "placements",
         "acknowledged",
         "acquired_at",
         "recovery_until",
@@ -127,6 +130,7 @@
         self.queues: dict[str, operatorconfig.Queue] = {}
         self.taken_out: frozenset[str] = frozenset()
         self.metrics = metrics_registry or metrics.Metrics()
+        self.placements = placements.Placements(name)
         self.acknowledged = acknowledgements.Acknowledgements(
             name, self.metrics
         )
--- a/tests/features/pool_logs.feature
+++ b/tests/features/pool_logs.feature
@@ -128,6 +128,20 @@
       | first_start_seconds_count{pool="count",queue="checks"} | 1     |
     And the "first_start" median of the queue is 0.4 seconds
 
+  Scenario: More starts within a second than lines are written for
+    Given a pool with 10 workers
+    And a job of 150 tasks of 1 core
+    When the pool is planned
+    Then 100 lines "task placed" are written
+    And 1 lines "tasks placed" are written
+    When the pool is planned
+    Then 3 lines "tasks placed" are written
+    And 50 starts are written in them, each with its run and worker
+    When 1.0 seconds pass
+    And the task of one of them fails
+    And the pool is planned
+    Then 101 lines "task placed" are written
+
   Scenario: The start of a task of an earlier holder's job
     Given a pool with 2 workers
     And a job of 1 tasks of 1 core from before the take-over
--- a/tests/features/steps/pool_log_steps.py
+++ b/tests/features/steps/pool_log_steps.py
@@ -471,3 +471,32 @@
         scaler._scale_up(count, "much work")
         scaler._refused.clear()
         context.now += SCALING_INTERVAL_SECONDS
+
+
+@behave.then(
+    "{count:d} starts are written in them, each with its run and worker"
+)
+def step_starts_written(context: Context, count: int) -> None:
+    found = [
+        entry
+        for line in _lines(context, "tasks placed")
+        for entry in line["starts"].split()
+    ]
+    ordered = {
+        f"{run.task_name}/{run.number}@{run.worker.name}:first"
+        for run in _runs(context)
+    }
+    assert len(found) == count, len(found)
+    assert set(found) <= ordered, found
+
+
+@behave.when("the task of one of them fails")
+def step_one_fails(context: Context) -> None:
+    run = _runs(context)[0]
+    ended = ports.Ended(1, run.task_name, run.number, ports.END_FAILED, "")
+    context.state.apply_listing(
+        run.worker,
+        job_builders.listing((), [ended]),
+        context.now,
+        context.now,
+    )
