--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -69,7 +69,7 @@
             case ports.Committed(version=version):
                 ended = journal.committed(batch, version)
                 for job in ended:
-                    self._context.state.remove_ended_job(job)
+                    self._context.state.remove_ended_job(job, clock.now())
                 if ended:
                     LOG.info(
                         "job ends stored",
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 import logging
 import typing as t
 
@@ -35,10 +36,11 @@
 QUARANTINE_FAILURES = 4
 # Also the delay before the next start of a task that was rejected as invalid.
 QUARANTINE_SECONDS = 4.0
+# For this long, a job that has ended may still be read from the store, in an
+# answer that is older than its end.
+ENDED_JOB_SECONDS = 30.0
 # A worker that rejected a start as full or busy gets no starts for this long.
 REJECTION_PAUSE_SECONDS = 0.2
-# Number of ended jobs that are remembered to notice one that is loaded again.
-MAX_ENDED_JOBS = 5_000
 # Limit of the names in one log line.
 MAX_LOGGED_NAMES = 5
 
@@ -74,8 +76,8 @@
     :ivar placements: starts that are to be logged.
     :ivar acknowledged: stored ends that are not logged yet.
     :ivar acquired_at: when this holder acquired the pool.
-    :ivar recovery_until: until then, tasks of earlier holders may run on
-        workers that have not accepted this epoch yet.
+    :ivar recovery_until: until then, leases that earlier holders gave may
+        last on workers that have not accepted this epoch yet.
     :ivar unconfirmed_workers: names of the workers that earlier holders used
         and that have neither accepted this epoch nor been found lost.
     :ivar orphaned_runs: runs whose job has ended or is unknown; they are
@@ -145,7 +147,7 @@
         self.orphaned_runs: list[runs.Run] = []
         self.demand = demand.Demand()
         self._submission_buckets: dict[str, ratelimit.TokenBucket] = {}
-        self._ended_jobs: dict[str, str] = {}
+        self._ended_jobs: dict[str, float] = {}
 
     # Jobs
 
@@ -166,16 +168,16 @@
         if job.job in self.jobs:
             return
         if job.job in self._ended_jobs:
-            LOG.warning(
-                "job whose end is stored loaded again",
+            LOG.info(
+                "job read again after its end was stored, not loaded",
                 extra={
                     "job": job.job,
                     "queue": job.queue,
                     "pool": self.name,
-                    "ended": self._ended_jobs[job.job],
                 },
             )
-            self.metrics.count("ended_jobs_loaded", pool=self.name)
+            self.metrics.count("ended_jobs_read", pool=self.name)
+            return
         found = runs.JobRun(job, accepted_at, recovered)
         found.progress = progress
         found.row_version = row_version
@@ -186,7 +188,7 @@
         self.jobs[job.job] = found
         self.awaiting_occurrences[job.job] = found
 
-    def cancel(self, job: str, clock: float, now: float) -> None:
+    def cancel(self, job: str, clock: float) -> None:
         """Cancel a job at the request of its team.
 
         :param clock: time of the cancellation by the store's clock.
@@ -244,17 +246,23 @@
             },
         )
 
-    def remove_ended_job(self, job: runs.JobRun) -> None:
+    def remove_ended_job(self, job: runs.JobRun, now: float) -> None:
         """Remove a job whose end is stored.
 
         Runs of it that have not ended become orphaned.
         """
         if self.jobs.get(job.job.job) is job:
             del self.jobs[job.job.job]
-        if job.ending is not None:
-            self._ended_jobs[job.job.job] = job.ending.state
-        if len(self._ended_jobs) > MAX_ENDED_JOBS:
-            del self._ended_jobs[next(iter(self._ended_jobs))]
+        self._ended_jobs[job.job.job] = now
+        forgotten = [
+            name
+            for name, _ in itertools.takewhile(
+                lambda item: now - item[1] > ENDED_JOB_SECONDS,
+                self._ended_jobs.items(),
+            )
+        ]
+        for name in forgotten:
+            del self._ended_jobs[name]
         for run in job.live_runs():
             run.task = None
             self.orphaned_runs.append(run)
@@ -269,19 +277,31 @@
         """Add a worker to this pool."""
         self.workers[worker.name] = worker
 
-    def worker_fenced(self, worker: fleet.WorkerState, now: float) -> None:
+    def worker_fenced(
+        self, worker: fleet.WorkerState, now: float, more_ends: bool = False
+    ) -> None:
         """Record that a worker has accepted this epoch.
 
         From then on it rejects orders of earlier holders.
+
+        :param more_ends: whether it has not listed all ends yet.
         """
         if not worker.fenced:
             worker.fenced_at = now
         worker.fenced = True
-        self.unconfirmed_workers.discard(worker.name)
+        if not more_ends:
+            self.unconfirmed_workers.discard(worker.name)
 
     def recovering(self, now: float) -> bool:
-        """Return whether some runs of earlier holders may be unknown."""
-        return bool(self.unconfirmed_workers) and now < self.recovery_until
+        """Return whether some runs or ends of earlier holders may be unknown.
+
+        A worker keeps the ends of its runs when its lease is over, so it has
+        to be asked in any case.
+        """
+        return any(
+            now < self.recovery_until or not self.workers[name].given_up(now)
+            for name in self.unconfirmed_workers
+        )
 
     def discard_unconfirmed(
         self, name: str, reason: str, evidence: str, now: float
@@ -362,7 +382,7 @@
                 "heard": worker.heard(now),
             },
         )
-        worker.reset_incarnation(incarnation)
+        worker.reset_incarnation(incarnation, now)
         for run in list(worker.runs.values()):
             if run.state is runs.RunState.RUNNING:
                 self.remove_run(run, now, "worker restarted")
@@ -565,6 +585,9 @@
             acknowledged to the worker once it is stored.
         """
         if listing.incarnation and listing.incarnation != worker.incarnation:
+            if sent_at < worker.incarnation_known_at:
+                # It may come from before the restart.
+                return worker.last_end_number
             self.worker_restarted(worker, listing.incarnation, now)
         if not worker.latest_deadline:
             # An earlier holder may have granted a lease of the full length.
@@ -653,9 +676,8 @@
         That is when its start has expired by the worker's clock, or the
         worker had confirmed a stop before the poll was sent.
         """
-        if run.state is runs.RunState.RUNNING:
-            # It has ended. A listing may be split into pages, and a later one
-            # contains the end.
+        if run.state is runs.RunState.RUNNING or listing.more_ends:
+            # It has ended, or may have; a later listing contains the end.
             return
         start_expired = listing.clock > run.deadline and run.deadline > 0
         stopped = run.stop_answered_at and sent_at >= run.stop_answered_at
@@ -744,7 +766,7 @@
         """Log the end of a run whose task is not known."""
         job = ended.task.partition(".")[0]
         if job in self._ended_jobs:
-            reason = f"job is stored as {self._ended_jobs[job]}"
+            reason = "job is stored as ended"
         elif job in self.jobs:
             reason = "job has no such task"
         else:
--- a/src/agaterudder/jobs/teamlimits.py
+++ b/src/agaterudder/jobs/teamlimits.py
@@ -6,6 +6,7 @@
 
 import logging
 
+from agaterudder import codes
 from agaterudder import escrow
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
@@ -23,10 +24,12 @@
 class _Account:
     """One team's grant in this pool.
 
-    :ivar return_pending: whether unused amounts were given up here and the
-        row may not show it yet.
+    :ivar return_pending: whether the row may hold more for this pool than
+        the local grant: unused amounts were given up here, or a larger grant
+        was written without an answer.
     :ivar exhausted: whether the last request failed because the limit was
         fully granted.
+    :ivar taken_over: whether the grant of the earlier holders was taken over.
     """
 
     __slots__ = (
@@ -35,6 +38,7 @@
         "needed_at",
         "return_pending",
         "exhausted",
+        "taken_over",
     )
 
     def __init__(self) -> None:
@@ -43,6 +47,7 @@
         self.needed_at = 0.0
         self.return_pending = False
         self.exhausted = False
+        self.taken_over = False
 
 
 class TeamLimits:
@@ -152,7 +157,9 @@
         """Take over the grants of the earlier holders of this pool.
 
         Each row is written again, so that a late write of an earlier
-        holder conflicts and has no effect.
+        holder conflicts and has no effect. A grant that was taken over is not
+        written by a repeated call: other pools change the same rows, and
+        would otherwise let some write of each call fail.
 
         :returns: whether all grants were taken over.
         :raises CallFailed: when the store did not answer.
@@ -163,8 +170,13 @@
             if self._pool not in limit_row.grants:
                 continue
             account = self._account(row.key)
-            complete &= self._write(store, row.key, row, limit_row, account)
-            account.local_grant.reserved = account.local_grant.grant
+            if account.taken_over:
+                continue
+            if self._write(store, row.key, row, limit_row, account):
+                account.local_grant.reserved = account.local_grant.grant
+                account.taken_over = True
+            else:
+                complete = False
         return complete
 
     def rebalance(self, store: ports.Store, now: float) -> bool:
@@ -229,8 +241,7 @@
             self._pool,
             (held - local_grant.grant).elementwise_max(resources.ZERO),
         )
-        if self._write(store, team, row, smaller, account):
-            account.return_pending = False
+        self._write(store, team, row, smaller, account)
 
     def _read(
         self, store: ports.Store, team: str
@@ -258,6 +269,7 @@
         if isinstance(outcome, ports.Committed):
             grant = limit_row.grants.get(self._pool) or resources.ZERO
             account.local_grant.load_row(limit_row, self._pool)
+            account.return_pending = False
             LOG.info(
                 "team grant stored",
                 extra={
@@ -268,4 +280,9 @@
                 },
             )
             return True
+        if (
+            isinstance(outcome, codes.Refused)
+            and outcome.code is codes.Result.CHANGE_UNKNOWN
+        ):
+            account.return_pending = True
         return False
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -69,7 +69,6 @@
         "_lease_seconds",
         "_wake",
         "_greenlet",
-        "_acknowledged_end",
         "_ends_listed_at",
         "_store_slow",
     )
@@ -85,7 +84,6 @@
         self._lease_seconds = lease_seconds
         self._wake = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
-        self._acknowledged_end = 0
         self._ends_listed_at = 0.0
         self._store_slow = False
 
@@ -129,7 +127,7 @@
         return (
             worker.fenced
             and not worker.runs
-            and self._acknowledged_end >= worker.last_end_number
+            and worker.discarded_end >= worker.last_end_number
         )
 
     def _removable(self) -> bool:
@@ -149,6 +147,7 @@
         worker = self._worker
         if (
             not worker.fenced
+            or worker.unanswered_since
             or worker.last_end_number > worker.acknowledged_end
         ):
             return 0.0
@@ -177,7 +176,7 @@
         if worker.clock_at and not worker.unanswered_since:
             deadline = worker.lease_deadline(sent_at, self._lease_seconds)
             worker.latest_deadline = max(worker.latest_deadline, deadline)
-        acknowledged_end = worker.acknowledged_end
+        acknowledged_end = worker.end_to_acknowledge
         incarnation = worker.incarnation
         answer = worker.link.renew(
             self._holder.lease.epoch,
@@ -189,11 +188,7 @@
         now = clock.now()
         match answer:
             case ports.Listing():
-                if worker.incarnation == incarnation:
-                    self._acknowledged_end = acknowledged_end
-                self._check_cursor(
-                    incarnation, answer.incarnation, acknowledged_end
-                )
+                self._record_discarded(answer, incarnation, acknowledged_end)
                 self._apply_listing(answer, sent_at, now)
             case ports.Rejected(reason=ports.REJECTED_FENCED):
                 self._holder.step_down("a worker has seen a higher epoch")
@@ -202,6 +197,30 @@
             case ports.Rejected() | ports.NoAnswer():
                 self._handle_no_answer(answer, now)
 
+    def _record_discarded(
+        self, listing: ports.Listing, incarnation: int, acknowledged_end: int
+    ) -> None:
+        """Record that a worker has discarded the acknowledged ends.
+
+        :param incarnation: the incarnation that they belong to.
+        """
+        worker = self._worker
+        if listing.incarnation in (0, incarnation):
+            if worker.incarnation == incarnation:
+                worker.discarded_end = max(
+                    worker.discarded_end, acknowledged_end
+                )
+        elif acknowledged_end:
+            LOG.warning(
+                "ends of another incarnation acknowledged",
+                extra={
+                    "worker": worker.name,
+                    "ends_of": incarnation,
+                    "sent_to": listing.incarnation,
+                    "upto": acknowledged_end,
+                },
+            )
+
     def _apply_listing(
         self, listing: ports.Listing, sent_at: float, now: float
     ) -> None:
@@ -215,7 +234,7 @@
             and listing.incarnation == worker.incarnation
             or not listing.incarnation
         ):
-            state.worker_fenced(worker, now)
+            state.worker_fenced(worker, now, listing.more_ends)
         if first:
             LOG.info(
                 "worker accepted the pool's epoch",
@@ -252,29 +271,10 @@
             return
         self._store_slow = False
         self._ends_listed_at = 0.0
-        self._check_cursor(listing.incarnation, worker.incarnation, last)
-        worker.acknowledged_end = max(worker.acknowledged_end, last)
+        worker.acknowledge(incarnation, last)
         if worker.incarnation == incarnation:
             state.acknowledged.add(worker.name, listing, before, last, waited)
 
-    def _check_cursor(self, ends_of: int, sent_to: int, cursor: int) -> None:
-        """Report a cursor that counts the ends of another incarnation.
-
-        :param ends_of: incarnation whose ends it counts.
-        :param sent_to: incarnation that discards ends up to it.
-        """
-        if not cursor or not sent_to or ends_of == sent_to:
-            return
-        LOG.warning(
-            "ends of another incarnation acknowledged",
-            extra={
-                "worker": self._worker.name,
-                "ends_of": ends_of,
-                "sent_to": sent_to,
-                "upto": cursor,
-            },
-        )
-
     def _log_not_stored(
         self, before: int, last: int, mark: int, waited: float
     ) -> None:
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -55,6 +55,43 @@
     And it lists task "a.0.1.17" run 2 at 41 per cent
     And end event 58 is "done"
 
+  # Guards against a reading that ends the greenlet which renews the lease of
+  # a worker, so that all that runs there lapses.
+  Scenario: A reading that is no number leaves the rest of a listing usable
+    Then readings in a worker's listing are taken as
+      | reading | taken as |
+      | 12      | 12.0     |
+      | 0.5     | 0.5      |
+      | "slow"  | none     |
+      | "12"    | none     |
+      | null    | none     |
+      | true    | none     |
+      | [1]     | none     |
+      | {}      | none     |
+
+  # Guards against a run that counts as ended, or an end that is acknowledged
+  # unread, since one row of a listing can't be read.
+  Scenario: A listing with a row that can't be read says nothing
+    Then listings with these rows are not read at all
+      | list     | row                          |
+      | running  | []                           |
+      | running  | ["a.0.0.0",1]                |
+      | running  | ["a.0.0.0","1","",9]         |
+      | running  | ["a.0.0.0",1,null,9]         |
+      | running  | ["a.0.0.0",1,"","9"]         |
+      | running  | "a.0.0.0"                    |
+      | finished | [1,"a.0.0.0",1,"done"]       |
+      | finished | ["1","a.0.0.0",1,"done",""]  |
+      | finished | [1,"a.0.0.0",1,null,""]      |
+
+  # Guards against a first page of ends that is taken as all of them.
+  Scenario: A worker lists 500 ends at a time
+    Then listings tell whether more ends follow
+      | ends | more follow |
+      | 0    | no          |
+      | 499  | no          |
+      | 500  | yes         |
+
   Scenario: Rejections and unusable responses of a worker
     Then a worker's responses are interpreted as
       | status | body                  | meaning          |
@@ -72,6 +109,38 @@
       | 400    |                       | Rejected invalid |
       | 500    |                       | NoAnswer         |
 
+  # Guards against a 5xx status that is reported as "nothing was written",
+  # although the store may have executed the transaction.
+  Scenario: Responses of the store to a transaction
+    Then a transaction's responses are interpreted as
+      | status | body                  | meaning        | log event           |
+      | 200    | {"ver":5,"now_ms":1}  | Committed      | none                |
+      | 200    | no json               | CHANGE_UNKNOWN | none                |
+      | 412    | {"ver":5,"now_ms":1}  | Conflicted     | none                |
+      | 403    |                       | STORE_AWAY     | store rejected a transaction |
+      | 429    |                       | STORE_AWAY     | none                |
+      | 503    |                       | STORE_AWAY     | none                |
+      | 400    |                       | CHANGE_UNKNOWN | store answered a transaction with an unexpected status |
+      | 413    |                       | CHANGE_UNKNOWN | store answered a transaction with an unexpected status |
+      | 500    |                       | CHANGE_UNKNOWN | store answered a transaction with an unexpected status |
+      | 502    |                       | CHANGE_UNKNOWN | store answered a transaction with an unexpected status |
+      | 504    |                       | CHANGE_UNKNOWN | store answered a transaction with an unexpected status |
+
+  # Guards against an order that is repeated or given up for undone although
+  # a machine, a worker or the policy service may have carried it out.
+  Scenario: Statuses that the pages don't name, by the client of the platform
+    Then other statuses leave an order's outcome as
+      | client   | status | meaning                        |
+      | worker   | 404    | NoAnswer, may take effect      |
+      | worker   | 500    | NoAnswer, may take effect      |
+      | worker   | 502    | NoAnswer, may take effect      |
+      | machines | 404    | NoAnswer, may take effect      |
+      | machines | 500    | NoAnswer, may take effect      |
+      | machines | 503    | NoAnswer, may take effect      |
+      | machines | 429    | Rejected                       |
+      | policy   | 500    | NoAnswer, can't take effect    |
+      | policy   | 429    | NoAnswer, can't take effect    |
+
   Scenario: Random bytes cause no unexpected exception
     Then 2000 random bodies with seed 5 are decoded or refused
 
@@ -82,3 +151,10 @@
     Then they can be read
     When the field "zone" is removed
     Then they are refused with an error that names "zone"
+
+  Scenario: The processor capacity of the VM is read from its settings
+    Given the example settings of the platform's documentation
+    When its processor is 0.5 of a core that is 3 times as fast
+    Then the VM has 1.5 cores
+    When its processor is 0 of a core that is 3 times as fast
+    Then they are refused with an error that names "cpu_share"
