--- a/src/agaterudder/grants.py
+++ b/src/agaterudder/grants.py
@@ -34,13 +34,21 @@
 class Grants:
     """Grants of this VM by team, and the operations that change them."""
 
-    __slots__ = ("_vm", "_store", "_local_grants", "_restored", "_change_lock")
+    __slots__ = (
+        "_vm",
+        "_store",
+        "_local_grants",
+        "_restored",
+        "_restored_teams",
+        "_change_lock",
+    )
 
     def __init__(self, vm: str, table: store.Store) -> None:
         self._vm = vm
         self._store = table
         self._local_grants: dict[str, escrow.LocalGrant] = {}
         self._restored = False
+        self._restored_teams: set[str] = set()
         # Serializes changes: a concurrent change would overwrite the local
         # grant with an outdated value of the row.
         self._change_lock = gevent.lock.BoundedSemaphore(1)
@@ -77,7 +85,9 @@
 
         They stay reserved until the leases of that incarnation have
         expired. Each row is rewritten to raise its version, so that a
-        delayed write of the earlier incarnation fails.
+        delayed write of the earlier incarnation fails; a row that was
+        rewritten is not written by a repeated call, as other VMs change the
+        same rows.
 
         :returns: whether every row was taken over.
         :raises StoreUnavailable: when the table service is unavailable.
@@ -85,16 +95,19 @@
         complete = True
         for row in self._store.scan(PREFIX, escrow.LimitRow):
             limit_row = row.value
+            team = row.key.removeprefix(PREFIX)
             if limit_row is None or self._vm not in limit_row.grants:
                 continue
+            if team in self._restored_teams:
+                continue
             outcome = self._store.transact([store.replace(row, limit_row)])
             if not isinstance(outcome, store.Committed):
                 complete = False
                 continue
-            local_grant = self.local_grant(row.key.removeprefix(PREFIX))
-            if not self._restored:
-                local_grant.load_row(limit_row, self._vm)
-                local_grant.reserved = limit_row.grants[self._vm]
+            self._restored_teams.add(team)
+            local_grant = self.local_grant(team)
+            local_grant.load_row(limit_row, self._vm)
+            local_grant.reserved = limit_row.grants[self._vm]
         self._restored = complete
         return complete
 
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -65,6 +65,12 @@
     And "b" has done 20 rounds of all periodic work
     Then at most 6 tasks are running and at least 5 are
 
+  # Guards against a VM that never takes its grants over, and starts nothing.
+  Scenario: Grants are restored although other VMs change their rows
+    Given 5 rows with a grant of VM "a", one of which changes before each write
+    When VM "a" restores its grants 3 times
+    Then all its grants are restored
+
   Scenario: A grant is returned while another change of it is in progress
     Given a VM with a grant of 4 out of 6 in the row
     When it returns 3 and adopts 1 from another VM at the same time
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -2,6 +2,7 @@
 
 import random
 import re
+import itertools
 import time
 import typing as t
 
@@ -202,6 +203,64 @@
     return resources.Vector(0.0, 0.0, 0.0, count)
 
 
+class _ContendedTransport(fakes.PlatformTransport):
+    """Lets another VM change one row before each write."""
+
+    def __init__(self, target: platform.Platform, teams: list[str]) -> None:
+        super().__init__(target)
+        self._other = grants.Grants(
+            "b", store.Store(fakes.PlatformTransport(target), 0.0)
+        )
+        self._teams = itertools.cycle(teams)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Carry out one call after another VM's change."""
+        if method == "POST":
+            limit = grants.TeamLimit(_tasks(600.0), 1)
+            request = escrow.GrantRequest(_tasks(1.0), _tasks(1.0))
+            self._other.enlarge(next(self._teams), request, limit)
+        return super().call(method, path, body, headers)
+
+
+@behave.given(
+    '{count:d} rows with a grant of VM "a", '
+    "one of which changes before each write"
+)
+def step_contended_rows(context: Context, count: int) -> None:
+    target = platform.Platform([], 0.0)
+    before = grants.Grants(
+        "a", store.Store(fakes.PlatformTransport(target), 0.0)
+    )
+    context.teams = [f"team-{number}" for number in range(count)]
+    request = escrow.GrantRequest(_tasks(2.0), _tasks(2.0))
+    for team in context.teams:
+        limit = grants.TeamLimit(_tasks(600.0), 1)
+        assert before.enlarge(team, request, limit) is None
+    later = [*context.teams[1:], context.teams[0]]
+    context.grants = grants.Grants(
+        "a", store.Store(_ContendedTransport(target, later), 0.0)
+    )
+
+
+@behave.when('VM "a" restores its grants {times:d} times')
+def step_restores(context: Context, times: int) -> None:
+    for _ in range(times):
+        context.grants.restore()
+
+
+@behave.then("all its grants are restored")
+def step_all_restored(context: Context) -> None:
+    assert context.grants.restored
+    for team in context.teams:
+        assert context.grants.local_grant(team).reserved == _tasks(2.0)
+
+
 @behave.given("a VM with a grant of 4 out of 6 in the row")
 def step_holds_four(context: Context) -> None:
     context.platform = platform.Platform([], 0.0)
