Take a failed answer to a start for no answer, not for a refusal

Change: only the worker's own refusals count as such. Three of six rows of the scenario failed before.

--- a/src/agaterudder/workers.py
+++ b/src/agaterudder/workers.py
@@ -120,8 +120,10 @@
                 return Started()
             case 409:
                 return NotStarted("a higher epoch owns the batch", True)
-            case _:
+            case 400 | 404 | 410 | 429:
                 return NotStarted(f"the worker refused ({status})")
+            case _:
+                return NoAnswer(f"unexpected status {status}")
 
     def renew(
         self,
--- a/tests/features/steps/task_steps.py
+++ b/tests/features/steps/task_steps.py
@@ -3,6 +3,7 @@
 import re
 import time
 import typing as t
+from unittest import mock
 
 import behave
 import gevent
@@ -311,3 +312,17 @@
     lines = entry.decisions.explain("task", context.urgent)
     explained = [line for line in lines if "class.urgent" in line]
     assert len(explained) == count, lines
+
+
+@behave.when("a worker answers a start with status {status:d}")
+def step_start_status(context: Context, status: int) -> None:
+    transport = mock.Mock()
+    transport.call.return_value = (status, b"")
+    start = mock.create_autospec(workers.Start, instance=True)
+    with mock.patch.object(workers.msgspec.json, "encode", lambda _: b""):
+        context.answer = workers.Worker(transport).start(start)
+
+
+@behave.then("the start counts as {outcome}")
+def step_start_counts(context: Context, outcome: str) -> None:
+    assert type(context.answer).__name__ == outcome, context.answer
--- a/tests/features/tasks.feature
+++ b/tests/features/tasks.feature
@@ -77,3 +77,17 @@
       | late | count |
       | 4    | 0     |
       | 5    | 1     |
+
+  # Guards against a task that runs twice as a failed answer was read as no.
+  Scenario Outline: A worker answers a start with status <status>
+    When a worker answers a start with status <status>
+    Then the start counts as <outcome>
+
+    Examples:
+      | status | outcome    |
+      | 200    | Started    |
+      | 409    | NotStarted |
+      | 429    | NotStarted |
+      | 500    | NoAnswer   |
+      | 502    | NoAnswer   |
+      | 503    | NoAnswer   |
