--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -1,8 +1,8 @@
 """Steps for entry processes that the test drives explicitly."""
 
 import random
-import re
 import itertools
+import re
 import time
 import typing as t
 
