--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -1,7 +1,7 @@
 """Steps for entry processes that the test drives explicitly."""
 
-import random
 import itertools
+import random
 import re
 import time
 import typing as t
