--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -26,6 +26,7 @@
 # Monotonic time of the measurement, in seconds.
 NOW = 10.0
 SIZE = resources.Vector(16.0, 32_000.0)
+TASK_CORES = 1.6
 
 
 def _worker(number: int) -> fleet.WorkerState:
@@ -47,7 +48,7 @@
 
 
 def _job(number: int) -> model.Job:
-    step = model.Step(TASKS_PER_JOB, resources.Vector(1.6, 800.0), 1.0)
+    step = model.Step(TASKS_PER_JOB, resources.Vector(TASK_CORES, 800.0), 1.0)
     request = model.Request("text " * 20, (step,))
     return model.Job(f"{number:016x}", "queue", "team", 0.0, request)
 
@@ -92,17 +93,33 @@
         f"| {workers} | {tasks} | {len(orders)} |"
         f" {first_seconds * 1_000:.1f} ms |"
         f" {first_seconds / len(orders) * 1e6:.0f} us |"
-        f" {idle_seconds * 1_000:.1f} ms | {retained_bytes / tasks:.0f} B |"
+        f" {idle_seconds * 1_000:.1f} ms |"
+        f" {_full_turn_seconds(workers, tasks) * 1_000:.1f} ms |"
+        f" {retained_bytes / tasks:.0f} B |"
     )
 
 
+def _full_turn_seconds(workers: int, tasks: int) -> float:
+    """Return the time of a pass when no worker has room for a task."""
+    state = _pool(workers)
+    fitting = workers * int(SIZE.cores / TASK_CORES)
+    for number in range((fitting + tasks) // TASKS_PER_JOB):
+        state.accept(_job(number), model.Progress(), 0, NOW, False)
+    state.create_due(0.0, NOW)
+    while planning.Plan(state, NOW).orders():
+        pass
+    started_at = time.perf_counter()
+    planning.Plan(state, NOW).orders()
+    return time.perf_counter() - started_at
+
+
 def main() -> None:
     """Print the table."""
     print(
         "| workers | waiting tasks | starts | turn | a start |"
-        " next turn | memory a task |"
+        " next turn | turn when full | memory a task |"
     )
-    print("| --- | --- | --- | --- | --- | --- | --- |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for workers, tasks in SIZES:
         print(measure(workers, tasks))
     stored = len(model.encode(_job(1)))
