--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -10,6 +10,7 @@
 from agaterudder.jobs import context as contexts
 from agaterudder.jobs import load as loads
 from agaterudder.jobs import model
+from agaterudder.jobs import poolstatus
 from agaterudder.jobs import ports
 
 LOG = logging.getLogger(__name__)
@@ -113,7 +114,7 @@
             content = model.encode(
                 model.Pending(
                     self._context.store_clock(),
-                    self._context.state.pending_counts(),
+                    poolstatus.pending_counts(self._context.state),
                 )
             )
             if self._context.holds_lease():
@@ -141,8 +142,8 @@
         workers = state.workers.values()
         usable = [worker for worker in workers if worker.accepts_tasks(now)]
         waiting = round(loads.waiting_cores(state), 1)
-        first_starts = state.first_starts(now)
-        unacknowledged = state.unacknowledged_ends()
+        first_starts = poolstatus.first_starts(state, now)
+        unacknowledged = poolstatus.unacknowledged_ends(state)
         self._context.metrics.gauge(
             "pool_jobs", len(state.jobs), pool=self._context.pool
         )
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -4,10 +4,8 @@
 the time, and carries out the orders of :mod:`planning`.
 """
 
-import dataclasses
 import itertools
 import logging
-import typing as t
 
 from agaterudder.jobs import acknowledgements
 from agaterudder.jobs import demand
@@ -18,6 +16,7 @@
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import placements
+from agaterudder.jobs import poolreports
 from agaterudder.jobs import ports
 from agaterudder.jobs import ratelimit
 from agaterudder.jobs import runs
@@ -41,20 +40,6 @@
 ENDED_JOB_SECONDS = 30.0
 # A worker that rejected a start as full or busy gets no starts for this long.
 REJECTION_PAUSE_SECONDS = 0.2
-# Limit of the names in one log line.
-MAX_LOGGED_NAMES = 5
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FirstStarts:
-    """Jobs that wait for their first start.
-
-    :ivar longest: seconds that the oldest of them has waited.
-    :ivar late: those that have waited longer than the target of their queue.
-    """
-
-    longest: float
-    late: int
 
 
 class Pool:
@@ -339,7 +324,7 @@
                 "took": round(now - self.acquired_at, 3),
                 "workers": len(self.workers),
                 "unconfirmed": len(missing),
-                "missing": _names(missing),
+                "missing": poolreports.names(missing),
                 "held_back": self._held_back_tasks(),
             },
         )
@@ -405,7 +390,7 @@
                 "worker": worker.name,
                 "why": reason,
                 "runs": len(worker.runs),
-                "tasks": _names([task for task, _ in worker.runs]),
+                "tasks": poolreports.names([task for task, _ in worker.runs]),
                 "heard": worker.heard(now),
             },
         )
@@ -597,7 +582,7 @@
         worker.record_poll(listing, sent_at, now)
         for ended in listing.ended:
             if ended.number > worker.last_end_number:
-                self._check_skipped_ends(worker, ended.number)
+                poolreports.skipped_ends(worker, ended.number)
                 worker.last_end_number = ended.number
                 self._apply_end(worker, ended, now)
         present = {(item.task, item.run): item for item in listing.running}
@@ -608,25 +593,6 @@
                 self._check_unlisted(run, listing, sent_at, now)
         return worker.last_end_number
 
-    @staticmethod
-    def _check_skipped_ends(worker: fleet.WorkerState, number: int) -> None:
-        """Report ends that the worker discarded before they were read.
-
-        :param number: number of the next end that it listed.
-        """
-        if not worker.last_end_number or number == worker.last_end_number + 1:
-            return
-        LOG.info(
-            "ends missing from listing",
-            extra={
-                "worker": worker.name,
-                "life_start": worker.incarnation,
-                "after": worker.last_end_number,
-                "listed": number,
-                "acknowledged": worker.acknowledged_end,
-            },
-        )
-
     def _apply_running(
         self, worker: fleet.WorkerState, item: ports.Running, now: float
     ) -> None:
@@ -707,7 +673,9 @@
             },
         )
         if task is None:
-            self._log_unknown_end(worker, ended)
+            poolreports.unknown_end(
+                worker, ended, self._unknown_reason(ended.task)
+            )
             return
         if ended.outcome == ports.END_DONE:
             self._report_duplicates(task, worker, ended.run, ended.outcome)
@@ -732,62 +700,18 @@
         number: int,
         outcome: str,
     ) -> None:
-        """Report other runs of a task that must run only once at a time.
-
-        :param number: the run that was listed.
-        :param outcome: how it was listed: running or done. One that failed
-            may have been restarted by an earlier holder.
-        """
-        if task.step.step.speculative:
-            return
-        others = [
-            (run.number, run.worker.name, run.state.value)
-            for run in task.runs
-            if run.number != number
-        ]
-        if task.done_run not in (0, number):
-            others.append((task.done_run, "", ports.END_DONE))
-        for other_number, other_worker, other_state in others:
-            LOG.warning(
-                "task has two runs",
-                extra={
-                    "task": task.name,
-                    "run": number,
-                    "worker": worker.name,
-                    "how": outcome,
-                    "other_run": other_number,
-                    "other_worker": other_worker,
-                    "other": other_state,
-                },
-            )
-            self.metrics.count("duplicate_runs", pool=self.name)
+        count = poolreports.duplicate_runs(task, worker, number, outcome)
+        if count:
+            self.metrics.count("duplicate_runs", count, pool=self.name)
 
-    def _log_unknown_end(
-        self, worker: fleet.WorkerState, ended: ports.Ended
-    ) -> None:
-        """Log the end of a run whose task is not known."""
-        job = ended.task.partition(".")[0]
+    def _unknown_reason(self, task: str) -> str:
+        """Return why the task of a listed end is not known."""
+        job = task.partition(".")[0]
         if job in self._ended_jobs:
-            reason = "job is stored as ended"
-        elif job in self.jobs:
-            reason = "job has no such task"
-        else:
-            reason = "job is not loaded"
-        LOG.log(
-            (
-                logging.INFO
-                if ended.outcome in (ports.END_DONE, ports.END_FAILED)
-                else logging.DEBUG
-            ),
-            "end of unknown task",
-            extra={
-                "task": ended.task,
-                "run": ended.run,
-                "worker": worker.name,
-                "how": ended.outcome,
-                "why": reason,
-            },
-        )
+            return "job is stored as ended"
+        if job in self.jobs:
+            return "job has no such task"
+        return "job is not loaded"
 
     def _find_task(self, name: str, now: float) -> runs.Task | None:
         """Return the task of a listed run, None when its job is unknown.
@@ -877,41 +801,3 @@
                 f"task {task.name} failed {count} times",
                 0.0,
             )
-
-    def unacknowledged_ends(self) -> int:
-        """Return how many ends were applied and not acknowledged."""
-        return sum(
-            worker.last_end_number - worker.acknowledged_end
-            for worker in self.workers.values()
-            if worker.last_end_number > worker.acknowledged_end
-        )
-
-    def first_starts(self, now: float) -> FirstStarts:
-        """Return how long jobs wait for their first start."""
-        longest = 0.0
-        late = 0
-        for job in self.jobs.values():
-            waited = job.first_start_wait(now)
-            if waited is None:
-                continue
-            longest = max(longest, waited)
-            queue = self.queues.get(job.job.queue)
-            if queue is not None and waited > queue.target_seconds:
-                late += 1
-        return FirstStarts(longest, late)
-
-    def pending_counts(self) -> dict[str, int]:
-        """Return the number of jobs without a started task, by queue."""
-        counts: dict[str, int] = {}
-        for job in self.jobs.values():
-            if not job.started and job.ending is None:
-                queue = job.job.queue
-                counts[queue] = counts.get(queue, 0) + 1
-        return counts
-
-
-def _names(names: t.Sequence[str]) -> str:
-    """Return the first names, and the number of the others."""
-    shown = " ".join(names[:MAX_LOGGED_NAMES])
-    others = len(names) - MAX_LOGGED_NAMES
-    return f"{shown} +{others}" if others > 0 else shown
--- a/tests/features/steps/pool_log_steps.py
+++ b/tests/features/steps/pool_log_steps.py
@@ -14,6 +14,7 @@
 from agaterudder.jobs import machines
 from agaterudder.jobs import model
 from agaterudder.jobs import planning
+from agaterudder.jobs import poolstatus
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 from agaterudder.jobs import workerloop
@@ -395,7 +396,7 @@
 
 @behave.then("{count:d} ends are not acknowledged")
 def step_unacknowledged(context: Context, count: int) -> None:
-    assert context.state.unacknowledged_ends() == count
+    assert poolstatus.unacknowledged_ends(context.state) == count
 
 
 @behave.then("each poll in them names {count:d} tasks and {others:d} others")
