Let a long-running task return to a worker on which it has failed

Cause: a task is kept from workers on which it failed as long as another worker is a candidate, also when the others already run as many tasks of the step as one worker may. Class: a preference treated as a rule. Change: a long-running task goes wherever it can; any other returns when no other worker can ever take it.

--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -314,14 +314,9 @@
             for worker in candidates
             if worker.name not in task.excluded_workers
         ]
-        with_room = self._free.fitting(need, others or candidates)
-        if not with_room and len(others) == len(self._usable):
-            self._free.mark_unplaceable(need)
-        fitting = [
-            worker
-            for worker in with_room
-            if self._within_worker_limit(step, worker)
-        ]
+        fitting = self._fitting(step, need, others)
+        if not fitting and self._may_use_excluded(step, others):
+            fitting = self._fitting(step, need, candidates)
         preferred = self._prefer_data_rack(step, fitting, candidates)
         if not preferred:
             return None
@@ -339,6 +334,34 @@
             )
         return min(preferred, key=lambda worker: self._free.of(worker).cores)
 
+    def _fitting(
+        self,
+        step: runs.StepRun,
+        need: resources.Vector,
+        workers: list[fleet.WorkerState],
+    ) -> list[fleet.WorkerState]:
+        """Return the workers that can take one more task of a step."""
+        with_room = self._free.fitting(need, workers)
+        if not with_room and len(workers) == len(self._usable):
+            self._free.mark_unplaceable(need)
+        return [
+            worker
+            for worker in with_room
+            if self._within_worker_limit(step, worker)
+        ]
+
+    def _may_use_excluded(
+        self, step: runs.StepRun, others: list[fleet.WorkerState]
+    ) -> bool:
+        """Return whether a task may return to a worker that it is kept from.
+
+        A long-running task is to run wherever it can; any other waits for
+        room on the others, if they can take it at all.
+        """
+        return step.step.long_running or not any(
+            self._within_worker_limit(step, worker) for worker in others
+        )
+
     def _prefer_data_rack(
         self,
         step: runs.StepRun,
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -376,3 +376,24 @@
       | took  | pause |
       | 0.001 | 0.004 |
       | 0.3   | 0.3   |
+
+  # Guards against a long-running task that stays away beside free workers.
+  Scenario: A long-running task returns to the only worker that can take it
+    Given a pool with 2 workers
+    And a job of 3 long-running tasks with at most 2 per worker
+    When the pool is planned
+    And the workers accept all starts
+    And all runs are listed as running
+    And the run that is alone on its worker fails
+    And the pool is planned
+    Then 4 starts are ordered
+
+  # Guards against a task that fails again where all tasks fail.
+  Scenario: Another task waits for room on a worker on which it has not failed
+    Given a pool with 2 workers
+    And 2 jobs of 1 tasks of 16 cores
+    When the pool is planned
+    And the workers accept all starts
+    And one run fails
+    And the pool is planned
+    Then 2 starts are ordered
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -727,3 +727,24 @@
 @behave.then("planning pauses for {pause:g} s after a round of {took:g} s")
 def step_pause(context: Context, pause: float, took: float) -> None:
     assert abs(holder.planning_pause(took) - pause) < 1e-9
+
+
+@behave.given(
+    "a job of {count:d} long-running tasks with at most {most:d} per worker"
+)
+def step_lasting_spread(context: Context, count: int, most: int) -> None:
+    step = job_builders.step(
+        count=count, long_running=True, max_per_worker=most
+    )
+    _accept(context, job_builders.job(step))
+
+
+@behave.when("the run that is alone on its worker fails")
+def step_alone_fails(context: Context) -> None:
+    (run,) = (run for run in _runs(context) if len(run.worker.runs) == 1)
+    _end(context, run, ports.END_FAILED)
+
+
+@behave.when("one run fails")
+def step_one_fails(context: Context) -> None:
+    _end(context, _runs(context)[0], ports.END_FAILED)
