Do not drain a worker whose registration is missing at a take-over

Excluded: late stops of the predecessor (none in the log). Class: a missing answer read as a state. Change: it gets no new tasks, but is not drained. The scenario failed before.

--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -109,7 +109,7 @@
                 self._context.pool,
                 item.address,
                 item.data_centre,
-                ports.WORKER_DRAINING,
+                ports.WORKER_READY,
                 fleet.NO_CAPACITY,
                 (),
                 "",
--- a/tests/features/recovery.feature
+++ b/tests/features/recovery.feature
@@ -135,6 +135,13 @@
     When a new holder recovers the workers without a stored list
     Then the worker is unconfirmed
 
+  # Guards against long-running tasks that were all stopped at a take-over.
+  Scenario: A worker without a registration at a take-over is not drained
+    Given a registry of a pool with a worker of life 200
+    When a new holder recovers the workers without its registration
+    Then the worker is unconfirmed
+    And it gets no tasks and is not drained
+
   # Guards against a task that ran again as its worker was not asked.
   Scenario: A worker stays in the pool until its ends are stored
     Given a worker loop whose worker has listed 57 ends
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -378,9 +378,11 @@
     )
 
 
-def _registry(context: Context) -> workerregistry.WorkerRegistry:
+def _registry(
+    context: Context, store: memory_store.MemoryStore | None = None
+) -> workerregistry.WorkerRegistry:
     return workerregistry.WorkerRegistry(
-        _context(context.state, memory_store.MemoryStore()),
+        _context(context.state, store or memory_store.MemoryStore()),
         context.cluster,
         lambda registration: t.cast(ports.Worker, _Link([])),
         t.cast(t.Any, None),
@@ -468,6 +470,28 @@
     context.registry.recover()
 
 
+@behave.when("a new holder recovers the workers without its registration")
+def step_recover_unregistered(context: Context) -> None:
+    known = workerregistry.KnownWorker("w1", "127.0.0.1:9", "north", 200)
+    store = memory_store.MemoryStore()
+    put = ports.Put(
+        model.HOLDERS_TABLE, workerregistry.WORKERS_KEY, model.encode([known])
+    )
+    store.transact(job_builders.POOL, [], [put])
+    context.cluster.workers = {}
+    context.state = job_builders.state()
+    context.registry = _registry(context, store)
+    context.registry.recover()
+
+
+@behave.then("it gets no tasks and is not drained")
+def step_not_drained(context: Context) -> None:
+    (worker,) = context.state.workers.values()
+    worker.fenced = True
+    assert not worker.accepts_tasks(clock.now())
+    assert not worker.draining and not worker.cordon_reason
+
+
 @behave.then("the worker is unconfirmed")
 def step_unconfirmed(context: Context) -> None:
     assert context.state.unconfirmed_workers == set(context.state.workers)
