Order no maintenance of a worker that was not read

Cause: a new holder counts a worker that has not answered yet as one without runs. front-zone-c-1 took deje65b at 4.62 s; its first poll of i-0e68011192 timed out; at 5.552 s it ordered the maintenance of its machine, and lost the two runs that the worker had listed 14 ms before. Change: a worker is drained only when it was read or given up by the recovery.

--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -265,6 +265,10 @@
         """Return a worker, None when it is not known."""
         return self.state.workers.get(worker)
 
+    def worker_confirmed(self, worker: fleet.WorkerState) -> bool:
+        """Return whether the runs of earlier holders on it are known."""
+        return worker.name not in self.state.unconfirmed_workers
+
     def cordon_worker(self, worker: fleet.WorkerState, reason: str) -> None:
         """Place no more tasks on a worker."""
         worker.cordon(reason, clock.now())
--- a/src/agaterudder/jobs/maintenance.py
+++ b/src/agaterudder/jobs/maintenance.py
@@ -80,6 +80,9 @@
     def worker_state(self, worker: str) -> fleet.WorkerState | None:
         """Return a worker, None when it is not known."""
 
+    def worker_confirmed(self, worker: fleet.WorkerState) -> bool:
+        """Return whether the runs of earlier holders on it are known."""
+
     def cordon_worker(self, worker: fleet.WorkerState, reason: str) -> None:
         """Place no more tasks on a worker."""
 
@@ -346,7 +349,7 @@
         if worker is not None:
             if worker.cordon_reason != MAINTENANCE_REASON:
                 self._holder.cordon_worker(worker, MAINTENANCE_REASON)
-            return worker.drained
+            return worker.drained and self._holder.worker_confirmed(worker)
         expected_to_join = bool(machine.worker) and not self._holder.standby
         return (
             not expected_to_join
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -34,6 +34,17 @@
     Then each machine was maintained once
     And 1 workers count as ended
 
+  # Guards against maintenance that ends tasks which the holder doesn't know.
+  Scenario: Maintenance is not ordered before the worker was read
+    Given a wave of 1 machines with at most 1 down at once
+    And two pools with 1 and 0 of them, without running tasks
+    And the holder has not read its workers yet
+    When the maintenance of both pools has run 20 times
+    Then no machine was maintained
+    When the holder has read its workers
+    And the maintenance of both pools has run 20 times
+    Then each machine was maintained once
+
   Scenario: Maintenance is not ordered before the worker has drained
     Given a wave of 1 machines with at most 1 down at once
     And two pools with 1 and 0 of them, with running tasks
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -91,6 +91,7 @@
         self.workers_registered = True
         self.waiting = 0.0
         self.ended: list[str] = []
+        self.workers_read = True
         self._workers: dict[str, fleet.WorkerState] = {}
 
     def holds_lease(self) -> bool:
@@ -105,6 +106,10 @@
         found.runs = {("t", 1): None} if self._context.loaded else {}
         return found
 
+    def worker_confirmed(self, worker: fleet.WorkerState) -> bool:
+        """Return whether the worker was read, as the test says."""
+        return self.workers_read
+
     def cordon_worker(self, worker: fleet.WorkerState, reason: str) -> None:
         """Place no more tasks on a worker."""
         worker.cordon(reason, self._context.now)
@@ -154,6 +159,18 @@
     context.machines.maintained.append("m0")
 
 
+@behave.given("the holder has not read its workers yet")
+def step_unread(context: Context) -> None:
+    for holder in context.holders.values():
+        holder.workers_read = False
+
+
+@behave.when("the holder has read its workers")
+def step_all_read(context: Context) -> None:
+    for holder in context.holders.values():
+        holder.workers_read = True
+
+
 @behave.then("{count:d} workers count as ended")
 def step_ended_workers(context: Context, count: int) -> None:
     ended = {
