--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -161,6 +161,16 @@
         """Capacity that no run reserves."""
         return self.registration.size - self.used
 
+    @property
+    def free_without_short_tasks(self) -> resources.Vector:
+        """Capacity that is free once all but long-running tasks have ended."""
+        short = (
+            run.size
+            for run in self.runs.values()
+            if run.task is not None and not run.task.step.step.long_running
+        )
+        return sum(short, self.free)
+
     def unresponsive(self, now: float) -> bool:
         """Return whether polls have gone unanswered for too long."""
         return bool(
--- a/src/agaterudder/jobs/freecapacity.py
+++ b/src/agaterudder/jobs/freecapacity.py
@@ -14,10 +14,11 @@
     remembered, and greater ones are not tried again.
     """
 
-    __slots__ = ("_free", "_largest", "_unplaceable")
+    __slots__ = ("_free", "_held", "_largest", "_unplaceable")
 
     def __init__(self, workers: t.Iterable[fleet.WorkerState]) -> None:
         self._free = {worker.name: worker.free for worker in workers}
+        self._held: dict[str, resources.Vector] = {}
         self._largest: resources.Vector | None = None
         self._unplaceable: list[resources.Vector] = []
 
@@ -27,9 +28,16 @@
 
     def reread(self, worker: fleet.WorkerState) -> None:
         """Read a worker again on which a run was added."""
-        self._free[worker.name] = worker.free
+        held = self._held.get(worker.name, resources.ZERO)
+        self._free[worker.name] = worker.free - held
         self._largest = None
 
+    def hold(self, worker: fleet.WorkerState, need: resources.Vector) -> None:
+        """Keep room free on a worker for the rest of the round."""
+        held = self._held.get(worker.name, resources.ZERO)
+        self._held[worker.name] = held + need
+        self.reread(worker)
+
     def fitting(
         self,
         need: resources.Vector,
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -1,16 +1,18 @@
 """Scheduler of one pool: decides which tasks start where and which stop.
 
-Steps are ordered by the priority of their queue. Within a priority, jobs
-submitted above the rate limit of their team come last, before them the jobs
-that can no longer complete within their objective. Of the rest, started
-jobs precede those without a started task, so that an overloaded pool
-completes jobs rather than starting more; teams above their fair share come
-after the others, and among equals the step with the least laxity (time to
-spare) comes first.
+Steps are ordered by the priority of their queue. Within a priority,
+long-running tasks come first, in the order in which their turn came; room is
+held free for them in a full pool. Of the others, jobs submitted above the
+rate limit of their team come last, before them the jobs that can no longer
+complete within their objective. Of the rest, started jobs precede those
+without a started task, so that an overloaded pool completes jobs rather than
+starting more; teams above their fair share come after the others, and among
+equals the step with the least laxity (time to spare) comes first.
 """
 
 import collections
 import functools
+import math
 import typing as t
 
 from agaterudder.jobs import draining
@@ -187,10 +189,18 @@
 
     def _rank(
         self, step: runs.StepRun, shares: t.Mapping[str, float]
-    ) -> tuple[int, bool, bool, bool, bool, float]:
+    ) -> tuple[int, bool, bool, bool, bool, float, float]:
         queue = self._queue(step)
         if step.step.long_running:
-            return (queue.priority, False, False, False, False, step.ready_at)
+            return (
+                queue.priority,
+                False,
+                False,
+                False,
+                False,
+                -math.inf,
+                step.ready_at,
+            )
         job = step.job
         laxity = self._laxity(step, queue)
         overdue = laxity < (0.0 if job.started else MIN_START_LAXITY_SECONDS)
@@ -202,6 +212,7 @@
             not job.started,
             over_share,
             laxity,
+            step.ready_at,
         )
 
     def _laxity(
@@ -269,11 +280,41 @@
             worker = self._choose_worker(step, task, candidates)
             if worker is None:
                 self._preempt(step, task, candidates)
+                if step.step.long_running:
+                    self._hold_room(step, tasks, candidates)
                 return
             if not self._grant_covers(step, [task], tasks):
                 return
             self._start(task, worker, self._state.next_run())
 
+    def _hold_room(
+        self,
+        step: runs.StepRun,
+        tasks: list[runs.Task],
+        candidates: list[fleet.WorkerState],
+    ) -> None:
+        """Keep room free for the waiting tasks of a long-running step.
+
+        Each holds room on a worker of its own, the one with the most left:
+        later steps of the round get nothing there, so that the ends of its
+        shorter tasks make room.
+        """
+        waiting = [task for task in tasks if task.waiting]
+        if not self._grant_covers(step, waiting[:1], tasks):
+            return
+        need = self._state.reserved_size(step)
+        rack = step.step.data_rack
+        near = [w for w in candidates if w.registration.rack == rack]
+        able = [
+            worker
+            for worker in near or candidates
+            if need.fits_in(worker.free_without_short_tasks)
+            and self._within_worker_limit(step, worker)
+        ]
+        able.sort(key=lambda worker: -self._free.of(worker).cores)
+        for worker, _ in zip(able, waiting):
+            self._free.hold(worker, need)
+
     def _candidates(
         self, step: runs.StepRun
     ) -> list[fleet.WorkerState] | None:
@@ -501,7 +542,7 @@
     ) -> list[fleet.WorkerState] | None:
         need = self._state.reserved_size(step)
         limit = step.step.max_per_worker
-        free = {worker.name: worker.free for worker in group}
+        free = {worker.name: self._free.of(worker) for worker in group}
         count = {
             worker.name: step.count_on_worker(worker.name) for worker in group
         }
--- /dev/null
+++ b/tests/features/accepted_jobs.feature
@@ -0,0 +1,22 @@
+Feature: An accepted job reaches its end
+  From its acknowledgement on, a job is known, its tasks start when their turn
+  has come and there is room, and it ends only for a reason that it gave.
+
+  # Guards against a long-running task that stood still in a full pool.
+  Scenario: A long-running task gets room in a pool full of started jobs
+    Given a pool with 2 workers
+    And a started job of 200 tasks of 1 core
+    And a job of 1 long-running task of 2 cores
+    When the pool is planned, and each worker ends its oldest run, 3 times
+    Then the long-running task has a run
+    And no worker has more than 16 cores in use
+
+  # Guards against long-running tasks that waited behind each other for one
+  # worker of a full pool, and against a pool held free for them.
+  Scenario: Long-running tasks that may not share a worker get room on several
+    Given a pool with 4 workers
+    And a started job of 400 tasks of 1 core
+    And a job of 3 long-running tasks of 2 cores, one per worker
+    When the pool is planned, and each worker ends its oldest run, 3 times
+    Then every long-running task has a run
+    And at least 3 workers have less than 1 core free
--- /dev/null
+++ b/tests/features/steps/accepted_job_steps.py
@@ -0,0 +1,115 @@
+"""Steps for the way of an accepted job to its end."""
+
+import typing as t
+
+import behave
+
+from agaterudder.jobs import model
+from agaterudder.jobs import planning
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+from agaterudder import resources
+from tests import job_builders
+
+Context = t.Any
+ROUND_SECONDS = 0.1
+STARTED_VERSION = 1
+LASTING = "00000000000000bb"
+
+
+@behave.given("a started job of {count:d} tasks of 1 core")
+def step_started_job(context: Context, count: int) -> None:
+    job = job_builders.job(job_builders.step(count=count))
+    context.state.accept(
+        job, model.Progress(), STARTED_VERSION, context.now, False
+    )
+    context.state.create_due(0.0, context.now)
+    _plan(context)
+
+
+@behave.given("a job of 1 long-running task of {cores:g} cores")
+def step_lasting_job(context: Context, cores: float) -> None:
+    _accept_lasting(context, cores, 1, 0)
+
+
+@behave.given(
+    "a job of {count:d} long-running tasks of {cores:g} cores, one per worker"
+)
+def step_lasting_apart(context: Context, count: int, cores: float) -> None:
+    _accept_lasting(context, cores, count, 1)
+
+
+def _accept_lasting(
+    context: Context, cores: float, count: int, per_worker: int
+) -> None:
+    step = job_builders.step(
+        count=count,
+        size=resources.Vector(cores, 100.0),
+        long_running=True,
+        max_per_worker=per_worker,
+    )
+    job = job_builders.job(step, job=LASTING)
+    context.state.accept(job, model.Progress(), 0, context.now, False)
+    context.state.create_due(0.0, context.now)
+
+
+@behave.when(
+    "the pool is planned, and each worker ends its oldest run, {times:d} times"
+)
+def step_rounds(context: Context, times: int) -> None:
+    for _ in range(times):
+        _plan(context)
+        context.now += ROUND_SECONDS
+        for worker in context.state.workers.values():
+            _end_oldest(context, worker)
+    _plan(context)
+
+
+def _plan(context: Context) -> None:
+    planning.Plan(context.state, context.now).orders()
+    for worker in context.state.workers.values():
+        for run in worker.runs.values():
+            context.state.start_accepted(run, context.now)
+
+
+def _end_oldest(context: Context, worker: t.Any) -> None:
+    """List the oldest run that is not long-running as done."""
+    present = list(worker.runs.values())
+    ending = next(
+        run for run in present if not run.task.step.step.long_running
+    )
+    ended = ports.Ended(
+        worker.last_end_number + 1,
+        ending.task_name,
+        ending.number,
+        ports.END_DONE,
+        "",
+    )
+    running = [
+        ports.Running(run.task_name, run.number, "", 0)
+        for run in present
+        if run is not ending
+    ]
+    context.state.apply_listing(
+        worker,
+        job_builders.listing(running, [ended]),
+        context.now,
+        context.now,
+    )
+
+
+def _lasting_tasks(context: Context) -> list[runs.Task]:
+    return list(context.state.jobs[LASTING].steps["0.0"].tasks)
+
+
+@behave.then("the long-running task has a run")
+@behave.then("every long-running task has a run")
+def step_lasting_runs(context: Context) -> None:
+    waiting = [task.name for task in _lasting_tasks(context) if task.waiting]
+    assert not waiting, waiting
+
+
+@behave.then("at least {count:d} workers have less than 1 core free")
+def step_full_workers(context: Context, count: int) -> None:
+    free = [worker.free.cores for worker in context.state.workers.values()]
+    assert len([cores for cores in free if cores < 1.0]) >= count, free
