--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -27,6 +27,10 @@
 # The store may fail a call at once: it resets connections, or answers without
 # saying whether it stored a write.
 MIN_REPEAT_INTERVAL_SECONDS = 0.05
+# A store that rejects readings, as it does above its rate, may accept them
+# soon; after this time it counts as away.
+REJECTED_READ_SECONDS = 0.5
+REJECTED_READ_PAUSE_SECONDS = 0.2
 MAX_PENDING_AGE_SECONDS = 1.9
 RETRY_AFTER_SECONDS = 1
 
@@ -220,8 +224,9 @@
         return JobState(model.decode(ended.value, model.Ended).state)
 
     def _read(self, table: str, pool: str, call: Call) -> ports.Row | None:
-        """Read a row of the job; retry without an answer if time is left."""
+        """Read a row of the job; retry after a failure if time is left."""
         until = call.deadline - RESPONSE_MARGIN_SECONDS
+        began_at = clock.now()
         while True:
             asked_at = clock.now()
             left = until - asked_at
@@ -233,12 +238,10 @@
                     min(READ_TIMEOUT_SECONDS, max(left, MIN_CALL_SECONDS)),
                 )
             except exceptions.CallFailed as error:
-                if (
-                    not error.may_take_effect
-                    or until - clock.now() < READ_TIMEOUT_SECONDS
-                ):
+                pause = _pause_after(error, began_at, until, clock.now())
+                if pause is None:
                     raise
-            _pause_before_repeat(asked_at)
+            gevent.sleep(pause)
 
     def cancel(self, call: Call) -> Accepted | codes.Refused:
         """Cancel a job."""
@@ -336,6 +339,23 @@
     gevent.sleep(max(next_at - clock.now(), 0.0))
 
 
+def _pause_after(
+    error: exceptions.CallFailed, began_at: float, until: float, now: float
+) -> float | None:
+    """Return how long to wait before a reading is repeated.
+
+    :param began_at: when the row was first asked for.
+    :param until: when the answer is due.
+    :returns: None when the reading is not repeated.
+    """
+    if error.may_take_effect:
+        repeat = now + READ_TIMEOUT_SECONDS <= until
+        return MIN_REPEAT_INTERVAL_SECONDS if repeat else None
+    next_at = now + REJECTED_READ_PAUSE_SECONDS
+    repeat = next_at <= min(began_at + REJECTED_READ_SECONDS, until)
+    return REJECTED_READ_PAUSE_SECONDS if repeat else None
+
+
 def _code(outcome: t.Any) -> str:
     if isinstance(outcome, codes.Refused):
         return outcome.code.name
--- a/tests/features/job_api.feature
+++ b/tests/features/job_api.feature
@@ -64,6 +64,21 @@
     Then the answers are "STORE_AWAY"
     And the store got between 10 and 60 calls
 
+  # Guards against jobs that seem lost as the store is above its rate while
+  # all of them are asked for.
+  Scenario Outline: The store rejects the next <count> readings
+    When job 1 is submitted
+    And the store rejects the next <count> readings
+    And the state of job 1 is read
+    Then the answers are "Accepted, <answer>"
+    And the store got <calls> calls at most
+
+    Examples:
+      | count | calls | answer     |
+      | 1     | 3     | JobState   |
+      | 2     | 4     | JobState   |
+      | 40    | 4     | STORE_AWAY |
+
   Scenario Outline: The key is <key>, the configuration <age> seconds old
     When the key is "<key>"
     And the configuration was confirmed <age> seconds ago
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -194,6 +194,25 @@
     context.store.read = read
 
 
+@behave.when("the store rejects the next {count:d} readings")
+def step_readings_rejected(context: Context, count: int) -> None:
+    _pass_time_in_sleeps(context)
+    read = context.store.read
+
+    def reject(*arguments: t.Any, **named: t.Any) -> ports.Row | None:
+        context.calls += 1
+        if context.calls <= count:
+            raise exceptions.CallFailed("status 429", False)
+        return t.cast(ports.Row | None, read(*arguments, **named))
+
+    context.store.read = reject
+
+
+@behave.then("the store got {most:d} calls at most")
+def step_most_calls(context: Context, most: int) -> None:
+    assert context.calls <= most, context.calls
+
+
 @behave.then("the store got between {least:d} and {most:d} calls")
 def step_calls(context: Context, least: int, most: int) -> None:
     assert least <= context.calls <= most, context.calls
