--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -164,12 +164,12 @@
     @property
     def free_without_short_tasks(self) -> resources.Vector:
         """Capacity that is free once all but long-running tasks have ended."""
-        short = (
+        long_running = (
             run.size
             for run in self.runs.values()
-            if run.task is not None and not run.task.step.step.long_running
+            if run.task is not None and run.task.step.step.long_running
         )
-        return sum(short, self.free)
+        return self.registration.size - sum(long_running, resources.ZERO)
 
     def unresponsive(self, now: float) -> bool:
         """Return whether polls have gone unanswered for too long."""
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -282,6 +282,10 @@
                 self._preempt(step, task, candidates)
                 if step.step.long_running:
                     self._hold_room(step, tasks, candidates)
+                    return
+                if task.excluded_workers:
+                    # The next task may be kept from fewer workers.
+                    continue
                 return
             if not self._grant_covers(step, [task], tasks):
                 return
@@ -356,7 +360,7 @@
             if worker.name not in task.excluded_workers
         ]
         fitting = self._fitting(step, need, others)
-        if not fitting and self._may_use_excluded(step, others):
+        if not fitting and self._may_use_excluded(step, need, others):
             fitting = self._fitting(step, need, candidates)
         preferred = self._prefer_data_rack(step, fitting, candidates)
         if not preferred:
@@ -392,15 +396,20 @@
         ]
 
     def _may_use_excluded(
-        self, step: runs.StepRun, others: list[fleet.WorkerState]
+        self,
+        step: runs.StepRun,
+        need: resources.Vector,
+        others: list[fleet.WorkerState],
     ) -> bool:
         """Return whether a task may return to a worker that it is kept from.
 
         A long-running task is to run wherever it can; any other waits for
-        room on the others, if they can take it at all.
+        room on the others, if the ends of their short tasks can make room.
         """
         return step.step.long_running or not any(
-            self._within_worker_limit(step, worker) for worker in others
+            self._within_worker_limit(step, worker)
+            and need.fits_in(worker.free_without_short_tasks)
+            for worker in others
         )
 
     def _prefer_data_rack(
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -20,3 +20,24 @@
     When the pool is planned, and each worker ends its oldest run, 3 times
     Then every long-running task has a run
     And at least 3 workers have less than 1 core free
+
+  # Guards against a task that waited for room that only the end of
+  # long-running tasks would have made.
+  Scenario: A task returns to the worker on which it failed
+    Given a pool with 2 workers
+    And long-running tasks fill worker "w2"
+    And a job of 2 tasks of 1 core
+    When the pool is planned
+    And its first run on worker "w1" is listed as failed
+    And the pool is planned
+    Then 3 starts are ordered
+
+  # Guards against a task that waited behind another one of its step, which
+  # alone was kept from a worker.
+  Scenario: The tasks behind one that is kept from a worker start
+    Given a pool with 2 workers
+    And a job of 3 tasks of 1 core
+    And its first task is kept from worker "w1"
+    And short tasks fill worker "w2"
+    When the pool is planned
+    Then 2 starts are ordered
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -8,6 +8,7 @@
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import scaling
 from agaterudder import resources
 from tests import job_builders
 
@@ -15,6 +16,9 @@
 ROUND_SECONDS = 0.1
 STARTED_VERSION = 1
 LASTING = "00000000000000bb"
+FILLER = "00000000000000cc"
+FIRST = "00000000000000aa"
+WORKER_CORES = 16
 
 
 @behave.given("a started job of {count:d} tasks of 1 core")
@@ -113,3 +117,84 @@
 def step_full_workers(context: Context, count: int) -> None:
     free = [worker.free.cores for worker in context.state.workers.values()]
     assert len([cores for cores in free if cores < 1.0]) >= count, free
+
+
+@behave.given('long-running tasks fill worker "{name}"')
+def step_lasting_fill(context: Context, name: str) -> None:
+    _run_on(context, name, LASTING, float(WORKER_CORES), True)
+
+
+@behave.given('short tasks fill worker "{name}"')
+def step_short_fill(context: Context, name: str) -> None:
+    _run_on(context, name, FILLER, float(WORKER_CORES), False)
+
+
+@behave.given("a long-running task of {cores:g} cores on each worker")
+def step_lasting_on_each(context: Context, cores: float) -> None:
+    for number, name in enumerate(context.state.workers):
+        _run_on(context, name, f"{number:016x}", cores, True)
+
+
+def _run_on(
+    context: Context, worker: str, job: str, cores: float, lasting: bool
+) -> None:
+    """Add a job of one task that runs on a worker."""
+    step = job_builders.step(
+        count=1, size=resources.Vector(cores, 100.0), long_running=lasting
+    )
+    context.state.accept(
+        job_builders.job(step, job=job),
+        model.Progress(),
+        0,
+        context.now,
+        False,
+    )
+    context.state.create_due(0.0, context.now)
+    task = context.state.jobs[job].steps["0.0"].tasks[0]
+    run = context.state.add_run(
+        task,
+        context.state.workers[worker],
+        context.state.next_run(),
+        context.now,
+    )
+    context.state.start_accepted(run, context.now)
+
+
+@behave.given("a job of 1 tasks of {cores:d} cores")
+def step_large_task(context: Context, cores: int) -> None:
+    step = job_builders.step(count=1, size=resources.Vector(cores, 100.0))
+    context.state.accept(
+        job_builders.job(step), model.Progress(), 0, context.now, False
+    )
+    context.state.create_due(0.0, context.now)
+
+
+@behave.given('its first task is kept from worker "{name}"')
+def step_kept_from(context: Context, name: str) -> None:
+    task = context.state.jobs[FIRST].steps["0.0"].tasks[0]
+    task.excluded_workers.add(name)
+
+
+@behave.when('its first run on worker "{name}" is listed as failed')
+def step_first_fails(context: Context, name: str) -> None:
+    worker = context.state.workers[name]
+    run = next(iter(worker.runs.values()))
+    ended = ports.Ended(1, run.task_name, run.number, ports.END_FAILED, "")
+    others = [
+        ports.Running(other.task_name, other.number, "", 0)
+        for other in worker.runs.values()
+        if other is not run
+    ]
+    context.state.apply_listing(
+        worker,
+        job_builders.listing(others, [ended]),
+        context.now,
+        context.now,
+    )
+
+
+@behave.then("the pool orders {count:d} machines")
+def step_machines(context: Context, count: int) -> None:
+    decision = scaling.decide(context.state, 0, context.now)
+    ordered = decision.count if isinstance(decision, scaling.ScaleUp) else 0
+    assert ordered == count, decision
