LOST: order a machine for a task that fits beside no long-running task

Callers would see: a large task that never starts, in a pool with enough room in sum.

Cause: the size of a pool is decided by sums. When each worker has long-running tasks, which end only with their jobs, none has room for a task that needs a nearly empty one, while the sum says that there is room: nothing was ordered.

Change: a task that waits for half a second, within its team's limit, and fits on no worker even without the short tasks there, orders one machine.

Evidence: by code reading and the scenario outline 'Tasks of <cores> cores beside workers with long-running ones' (12 cores: NoChange() before, one machine now; 10 cores, which fit: none). A pool without standby machines still waits: open.

--- a/src/agaterudder/jobs/load.py
+++ b/src/agaterudder/jobs/load.py
@@ -15,6 +15,9 @@
 
 # Time in which the backlog present when a machine joins is to be worked off.
 CATCH_UP_SECONDS = 1.5
+# A task that fits on no worker waits this long before a machine is ordered for
+# it, so that a worker that joins or restarts is seen first.
+FIT_WAIT_SECONDS = 0.5
 DEFAULT_WORKER_SIZE = resources.Vector(16.0, 32_000.0, 8.0)
 
 
@@ -134,6 +137,39 @@
     return sum(1 for task in step.tasks if task.waiting)
 
 
+def fits_beside_none(
+    state: pools.Pool, workers: list[fleet.WorkerState], now: float
+) -> runs.StepRun | None:
+    """Return a step whose tasks have no room beside long-running tasks.
+
+    Room that short tasks use becomes free; a task that needs more than the
+    long-running ones leave on any worker would wait until they are moved.
+
+    :param workers: those that have capacity for tasks now or soon.
+    """
+    return next(
+        (
+            step
+            for step in state.ready.values()
+            if step.ready_at
+            and step.job.ending is None
+            and not step.step.long_running
+            and now - step.ready_at > FIT_WAIT_SECONDS
+            and _waiting(step)
+            and step.step.size.fits_in(
+                state.limits.headroom(step.job.job.team)
+            )
+            and not any(
+                state.reserved_size(step).fits_in(
+                    worker.free_without_short_tasks
+                )
+                for worker in workers
+            )
+        ),
+        None,
+    )
+
+
 def min_workers_for_spread(state: pools.Pool) -> int:
     """Return the fewest workers that meet all per-worker limits."""
     return max(
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -41,3 +41,17 @@
     And short tasks fill worker "w2"
     When the pool is planned
     Then 2 starts are ordered
+
+  # Guards against a large task that waited for ever, as every worker had
+  # long-running tasks and the pool enough room in sum.
+  Scenario Outline: Tasks of <cores> cores beside workers with long-running ones
+    Given a pool with 3 workers
+    And a long-running task of 6 cores on each worker
+    And a job of 1 tasks of <cores> cores
+    When 1.0 seconds pass
+    Then the pool orders <machines> machines
+
+    Examples:
+      | cores | machines |
+      | 12    | 1        |
+      | 10    | 0        |
