LOST: keep the attempts of a job whose queue was removed

Callers would see: a job shown as failed after one failed run, once operators removed its queue while it ran; the rule allows max_attempts failed runs.

Cause: the number of attempts was read from the present configuration, and taken for 1 when the queue was not in it.

Change: a job stores the limit of its queue when it is accepted; it holds once the queue is not configured any more. Rows of earlier releases, which lack the field, are read as before.

--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -144,7 +144,12 @@
         pool = call.queue.pool
         table = model.jobs_table(pool)
         job = model.Job(
-            call.job, call.queue.name, team, self._store_clock(), request
+            call.job,
+            call.queue.name,
+            team,
+            self._store_clock(),
+            request,
+            call.queue.max_attempts,
         )
         preconditions = [
             ports.Precondition(table, call.job, 0),
--- a/src/agaterudder/jobs/model.py
+++ b/src/agaterudder/jobs/model.py
@@ -65,6 +65,8 @@
     """An accepted job.
 
     :ivar accepted_at: when it was accepted, seconds of the store's clock.
+    :ivar max_attempts: how many runs of a task its queue allowed to fail when
+        it was accepted; 0 in rows of releases that did not store it.
     """
 
     job: str
@@ -72,6 +74,7 @@
     team: str
     accepted_at: float
     request: Request
+    max_attempts: int = 0
 
     @property
     def occurrences(self) -> int:
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -792,12 +792,20 @@
         failed.append(run_number)
         count = len(failed)
         self.journal.mark(job)
-        queue = self.queues.get(job.job.queue)
-        max_attempts = queue.max_attempts if queue is not None else 1
-        if count >= max_attempts:
+        if count >= self._max_attempts(job.job):
             self._finish(
                 job,
                 model.STATE_FAILED,
                 f"task {task.name} failed {count} times",
                 0.0,
             )
+
+    def _max_attempts(self, job: model.Job) -> int:
+        """Return how many runs of a task of a job may fail.
+
+        A queue that operators removed keeps its limit for the jobs that it
+        has accepted.
+        """
+        queue = self.queues.get(job.queue)
+        known = queue.max_attempts if queue is not None else job.max_attempts
+        return max(known, 1)
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -55,3 +55,14 @@
       | cores | machines |
       | 12    | 1        |
       | 10    | 0        |
+
+  # Guards against a job shown as failed after one failed run, as its queue
+  # was not configured any more.
+  Scenario: A job of a queue that operators removed keeps its attempts
+    Given a pool with 1 workers
+    And a job that was submitted to a queue that allows 3 attempts
+    When operators remove the queue
+    And the task fails 2 times
+    Then the job has not ended
+    When the task fails 1 times
+    Then the job has failed
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -4,6 +4,8 @@
 
 import behave
 
+from agaterudder.jobs import clock
+from agaterudder.jobs import jobapi
 from agaterudder.jobs import model
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
@@ -11,6 +13,7 @@
 from agaterudder.jobs import scaling
 from agaterudder import resources
 from tests import job_builders
+from tests import memory_store
 
 Context = t.Any
 ROUND_SECONDS = 0.1
@@ -19,6 +22,7 @@
 FILLER = "00000000000000cc"
 FIRST = "00000000000000aa"
 WORKER_CORES = 16
+DEADLINE_SECONDS = 3.0
 
 
 @behave.given("a started job of {count:d} tasks of 1 core")
@@ -198,3 +202,33 @@
     decision = scaling.decide(context.state, 0, context.now)
     ordered = decision.count if isinstance(decision, scaling.ScaleUp) else 0
     assert ordered == count, decision
+
+
+@behave.given(
+    "a job that was submitted to a queue that allows {count:d} attempts"
+)
+def step_submitted(context: Context, count: int) -> None:
+    queue = job_builders.queue(max_attempts=count)
+    store = memory_store.MemoryStore()
+    api = job_builders.job_api(
+        store, job_builders.configuration(queues=(queue,))
+    )
+    request = job_builders.job(job_builders.step(count=1)).request
+    deadline = clock.now() + DEADLINE_SECONDS
+    api.submit(jobapi.Call(queue, FIRST, "key-1", deadline), request)
+    table = model.jobs_table(job_builders.POOL)
+    row = store.read(table, job_builders.POOL, FIRST)
+    assert row is not None
+    context.state.accept(
+        model.decode(row.value, model.Job),
+        model.Progress(),
+        0,
+        context.now,
+        False,
+    )
+    context.state.create_due(0.0, context.now)
+
+
+@behave.when("operators remove the queue")
+def step_queue_removed(context: Context) -> None:
+    context.state.queues = {}
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -9,17 +9,14 @@
 from agaterudder import codes
 from agaterudder import exceptions
 from agaterudder.jobs import clock
-from agaterudder.jobs import clustercache
 from agaterudder.jobs import jobapi
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
-from agaterudder import metrics
 from tests import job_builders
 from tests import memory_store
 
 Context = t.Any
-KEY_BOUND_SECONDS = 5.0
 DEADLINE_SECONDS = 3.0
 
 
@@ -72,22 +69,13 @@
     patch.start()
     context.cleanups.append(patch.stop)
     context.store = memory_store.MemoryStore()
-    context.cluster = clustercache.ClusterCache(
-        t.cast(ports.Operators, None),
-        t.cast(ports.WorkerList, None),
-        KEY_BOUND_SECONDS,
-    )
-    context.version = 0
+    context.version = 1
     context.key = "key-1"
     context.answers = []
-    _configure(context, keys="key-1")
-    context.cluster.operators.confirmed_at = context.now
-    context.job_api = jobapi.JobApi(
-        context.store,
-        context.cluster,
-        lambda: context.store.clock,
-        metrics.Metrics(),
+    context.job_api = job_builders.job_api(
+        context.store, job_builders.configuration(context.version)
     )
+    context.cluster = context.job_api._cluster
 
 
 @behave.given("the queue is public")
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -2,14 +2,19 @@
 
 import typing as t
 
+from agaterudder.jobs import clock
+from agaterudder.jobs import clustercache
 from agaterudder.jobs import deployment
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobapi
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import pool
 from agaterudder.jobs import ports
 from agaterudder.jobs import teamlimits
+from agaterudder import metrics
 from agaterudder import resources
+from tests import memory_store
 
 POOL = "count"
 QUEUE = "checks"
@@ -17,6 +22,7 @@
 # Time at which a test begins, and the reading of the workers' clocks then.
 START = 10.0
 START_CLOCK = 100.0
+KEY_BOUND_SECONDS = 5.0
 SIZE = resources.Vector(16.0, 32_000.0)
 
 
@@ -150,3 +156,19 @@
     return ports.Listing(
         incarnation, clock, tuple(running), tuple(ended), more_ends
     )
+
+
+def job_api(
+    store: memory_store.MemoryStore, configured: operatorconfig.Configuration
+) -> jobapi.JobApi:
+    """Return the job API of a VM whose configuration was just confirmed."""
+    cluster = clustercache.ClusterCache(
+        t.cast(ports.Operators, None),
+        t.cast(ports.WorkerList, None),
+        KEY_BOUND_SECONDS,
+    )
+    cluster._apply_operator_changes((ports.ConfigurationSet(configured),))
+    cluster.operators.confirmed_at = clock.now()
+    return jobapi.JobApi(
+        store, cluster, lambda: store.clock, metrics.Metrics()
+    )
