Split the state of a pool by what changes it

Change: Pool keeps jobs, workers and runs. poolrecovery.Recovery owns the unconfirmed workers (pool.recovery), endedjobs.EndedJobs the jobs stored as ended. runstarts, listings, listedtasks, runends and workerends are functions on the state; the checkpoint of a task is recorded by the task. The result of Pool.apply_listing, which nothing used, is dropped, and the match of the incarnations in WorkerLoop._record_discarded is one level deep. Steps call the moved names; no assertion differs.

--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -267,7 +267,7 @@
 
     def worker_confirmed(self, worker: fleet.WorkerState) -> bool:
         """Return whether the runs of earlier holders on it are known."""
-        return worker.name not in self.state.unconfirmed_workers
+        return worker.name not in self.state.recovery.unconfirmed_workers
 
     def cordon_worker(self, worker: fleet.WorkerState, reason: str) -> None:
         """Place no more tasks on a worker."""
@@ -332,10 +332,10 @@
             self._context.metrics.observe("plan", took, pool=self.pool)
 
     def _plan(self, now: float) -> None:
-        if self._recovery_pending and not self.state.recovering(now):
+        if self._recovery_pending and not self.state.recovery.pending(now):
             self._recovery_pending = False
             self._limits.release_reservations()
-            self.state.finish_recovery(now)
+            self.state.recovery.finish(now)
         self.state.create_due(wallclock.now(), now)
         for order in planning.Plan(self.state, now).orders():
             self._executor.spawn(order)
--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -182,7 +182,7 @@
                 "runs": sum(len(worker.runs) for worker in workers),
                 "unstored": len(state.journal),
                 "unacknowledged": unacknowledged,
-                "unconfirmed": len(state.unconfirmed_workers),
+                "unconfirmed": len(state.recovery.unconfirmed_workers),
                 "oldest_first_start": round(first_starts.longest, 3),
                 "late": first_starts.late,
                 "lag": round(lag, 3),
--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -10,6 +10,7 @@
 from agaterudder.jobs import orders
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import runstarts
 from agaterudder.jobs import workerregistry
 
 LOG = logging.getLogger(__name__)
@@ -61,8 +62,11 @@
     def _start_run(self, order: orders.Start) -> None:
         run = order.run
         if not self._context.holds_lease() or run.task is None:
-            self._context.state.start_rejected(
-                run, "not sent: pool lease not held", clock.now()
+            runstarts.rejected(
+                self._context.state,
+                run,
+                "not sent: pool lease not held",
+                clock.now(),
             )
             return
         job = run.task.step.job
@@ -85,24 +89,24 @@
         )
         match answer:
             case ports.Started():
-                self._context.state.start_accepted(run, now)
+                runstarts.accepted(self._context.state, run, now)
                 self._registry.wake(run.worker)
             case ports.Rejected(reason=ports.REJECTED_FENCED):
-                self._context.state.start_rejected(
-                    run, ports.REJECTED_FENCED, now
+                runstarts.rejected(
+                    self._context.state, run, ports.REJECTED_FENCED, now
                 )
                 self._context.step_down("a worker has seen a higher epoch")
             case ports.Rejected(reason=reason):
-                self._context.state.start_rejected(run, reason, now)
+                runstarts.rejected(self._context.state, run, reason, now)
             case ports.NoAnswer(reason=reason, may_take_effect=False):
                 run.worker.unanswered_since = (
                     run.worker.unanswered_since or now
                 )
-                self._context.state.start_rejected(
-                    run, f"not sent: {reason}", now
+                runstarts.rejected(
+                    self._context.state, run, f"not sent: {reason}", now
                 )
             case ports.NoAnswer(reason=reason):
-                self._context.state.start_unanswered(run, reason, now)
+                runstarts.unanswered(self._context.state, run, reason, now)
                 self._registry.wake(run.worker)
 
     def _stop_run(self, run: runs.Run) -> None:
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -21,6 +21,7 @@
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import preemption
 from agaterudder.jobs import runs
+from agaterudder.jobs import runstarts
 from agaterudder.jobs import stragglers
 from agaterudder.jobs import throttling
 from agaterudder import resources
@@ -70,7 +71,7 @@
         self._restart_stragglers()
         self._send_stops()
         self._throttle()
-        recovering = state.recovering(self._now)
+        recovering = state.recovery.pending(self._now)
         for step in self._sorted_steps():
             if self._starts >= MAX_STARTS_PER_ROUND:
                 break
@@ -528,7 +529,7 @@
         step = task.step
         kind = task.start_kind
         before = task.last_run
-        state.record_placement(task, kind, self._now)
+        runstarts.record_placement(state, task, kind, self._now)
         run = state.add_run(task, worker, number, self._now)
         self._free.reread(worker)
         state.limits.charge(step.job.job.team, run.limit_key, step.step.size)
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -188,6 +188,14 @@
         """Whether it is not done and has no run."""
         return not self.done and not self.runs
 
+    def record_checkpoint(self, checkpoint: str) -> None:
+        """Record from where its next run continues, or that of its gang."""
+        members = self.step.tasks if self.step.step.gang else [self]
+        for member in members:
+            member.checkpoint = checkpoint
+        progress = self.step.job.progress
+        progress.checkpoints[f"{self.step.key}.{self.index}"] = checkpoint
+
 
 class StepRun:
     """One occurrence of a step.
--- a/src/agaterudder/jobs/scaling.py
+++ b/src/agaterudder/jobs/scaling.py
@@ -114,7 +114,7 @@
         # Its long-running tasks may need room for one more.
         floor += 1
     spare = min(present - floor, math.floor(-shortage))
-    if spare <= 0 or state.recovering(now):
+    if spare <= 0 or state.recovery.pending(now):
         return NoChange()
     return _release_workers(usable, spare, draining is None, now)
 
--- /dev/null
+++ b/src/agaterudder/jobs/workerends.py
@@ -0,0 +1,65 @@
+"""Restart and loss of a worker, which end its runs."""
+
+import logging
+
+from agaterudder.jobs import fleet
+from agaterudder.jobs import pool as pools
+from agaterudder.jobs import poolreports
+from agaterudder.jobs import runs
+
+LOG = logging.getLogger(__name__)
+
+
+def restarted(
+    state: pools.Pool, worker: fleet.WorkerState, incarnation: int, now: float
+) -> None:
+    """Handle the restart of a worker, which ended its runs.
+
+    The process of a worker between two restarts is an incarnation. The
+    new one may still carry out an unanswered start, or may have accepted
+    one; such a run is stopped before its task starts elsewhere.
+
+    :param incarnation: start of the new incarnation, Unix milliseconds.
+    """
+    LOG.info(
+        "worker restarted as a new incarnation",
+        extra={
+            "worker": worker.name,
+            "life_start": incarnation,
+            "before": worker.incarnation,
+            "runs": len(worker.runs),
+            "heard": worker.heard(now),
+        },
+    )
+    worker.reset_incarnation(incarnation, now)
+    for run in list(worker.runs.values()):
+        if run.state is runs.RunState.RUNNING and run.listed_at:
+            state.remove_run(run, now, "worker restarted")
+        else:
+            run.state = runs.RunState.UNCERTAIN
+            run.stop_reason = run.stop_reason or "worker restarted"
+            run.stop_sent_at = run.stop_answered_at = 0.0
+
+
+def lost(
+    state: pools.Pool, worker: fleet.WorkerState, reason: str, now: float
+) -> None:
+    """Handle the loss of a worker, which ended its runs.
+
+    An unanswered start may still reach a later incarnation under the
+    same name, for as long as an order can be delayed.
+    """
+    LOG.info(
+        "worker lost, dropping its runs",
+        extra={
+            "worker": worker.name,
+            "why": reason,
+            "runs": len(worker.runs),
+            "tasks": poolreports.names([task for task, _ in worker.runs]),
+            "heard": worker.heard(now),
+        },
+    )
+    for run in list(worker.runs.values()):
+        may_arrive = now - run.sent_at < fleet.MAX_ORDER_DELAY_SECONDS
+        if run.state is runs.RunState.RUNNING or not may_arrive:
+            state.remove_run(run, now, reason)
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -9,9 +9,11 @@
 from agaterudder.jobs import clock
 from agaterudder.jobs import fleet
 from agaterudder.jobs import leases
+from agaterudder.jobs import listings
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import workerends
 
 LOG = logging.getLogger(__name__)
 
@@ -137,8 +139,8 @@
         now = clock.now()
         if now - worker.unregistered_at < UNREGISTERED_GRACE_SECONDS:
             return False
-        if worker.name in self._holder.state.unconfirmed_workers:
-            return not self._holder.state.recovering(now)
+        if worker.name in self._holder.state.recovery.unconfirmed_workers:
+            return not self._holder.state.recovery.pending(now)
         return True
 
     def _wait_seconds(self) -> float:
@@ -203,12 +205,10 @@
         :param incarnation: the incarnation that they belong to.
         """
         worker = self._worker
-        if listing.incarnation in (0, incarnation):
-            if worker.incarnation == incarnation:
-                worker.discarded_end = max(
-                    worker.discarded_end, acknowledged_end
-                )
-        elif acknowledged_end:
+        same_incarnation = listing.incarnation in (0, incarnation)
+        if same_incarnation and worker.incarnation == incarnation:
+            worker.discarded_end = max(worker.discarded_end, acknowledged_end)
+        if not same_incarnation and acknowledged_end:
             LOG.warning(
                 "ends of another incarnation acknowledged",
                 extra={
@@ -225,14 +225,14 @@
         worker = self._worker
         state = self._holder.state
         first = not worker.fenced
-        awaited = worker.name in state.unconfirmed_workers
-        state.apply_listing(worker, listing, sent_at, now)
+        awaited = worker.name in state.recovery.unconfirmed_workers
+        listings.apply(state, worker, listing, sent_at, now)
         if (
             listing.incarnation
             and listing.incarnation == worker.incarnation
             or not listing.incarnation
         ):
-            state.worker_fenced(worker, now, listing.more_ends)
+            state.recovery.worker_fenced(worker, now, listing.more_ends)
         if first:
             LOG.info(
                 "worker accepted the pool's epoch",
@@ -293,10 +293,10 @@
         """End the worker, as another one answers at its address."""
         worker = self._worker
         reason = "another worker answers at its address"
-        self._holder.state.worker_lost(worker, reason, now)
+        workerends.lost(self._holder.state, worker, reason, now)
         for run in list(worker.runs.values()):
             self._holder.state.remove_run(run, now, reason)
-        self._holder.state.discard_unconfirmed(
+        self._holder.state.recovery.discard_worker(
             worker.name, reason, "its answer, just now", now
         )
         worker.registered = False
@@ -329,9 +329,9 @@
         elif reason:
             worker.terminated = True
             evidence = self._holder.machine_evidence(clock.now())
-            state.discard_unconfirmed(worker.name, reason, evidence, now)
+            state.recovery.discard_worker(worker.name, reason, evidence, now)
         if reason and worker.runs:
-            state.worker_lost(worker, reason, now)
+            workerends.lost(state, worker, reason, now)
         for run in list(worker.runs.values()):
             if worker.run_expired(run, now, self._lease_seconds):
                 state.remove_run(run, now, "silent beyond order and lease")
--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -17,6 +17,7 @@
 from agaterudder.jobs import machines
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
+from agaterudder.jobs import workerends
 from agaterudder.jobs import workerloop
 
 LOG = logging.getLogger(__name__)
@@ -119,7 +120,7 @@
             worker.persisted = True
         # The stored list may lack one that an earlier holder had given up.
         self.sync_registrations()
-        self._context.state.unconfirmed_workers.update(
+        self._context.state.recovery.unconfirmed_workers.update(
             self._context.state.workers
         )
 
@@ -181,8 +182,11 @@
             registration.incarnation != worker.registration.incarnation
             and registration.incarnation > worker.incarnation
         ):
-            self._context.state.worker_restarted(
-                worker, registration.incarnation, clock.now()
+            workerends.restarted(
+                self._context.state,
+                worker,
+                registration.incarnation,
+                clock.now(),
             )
         worker.registration = registration
         _apply_drain_state(worker, registration)
@@ -194,7 +198,7 @@
             self._terminated_incarnations[worker.name] = worker.incarnation
         now = clock.now()
         away = now - worker.unregistered_at
-        self._context.state.discard_unconfirmed(
+        self._context.state.recovery.discard_worker(
             worker.name,
             "removed from pool",
             "terminated" if worker.terminated else f"away for {away:.3f} s",
@@ -220,7 +224,7 @@
     ) -> None:
         """Record that a worker and all its runs have ended."""
         now = clock.now()
-        self._context.state.worker_lost(worker, reason, now)
+        workerends.lost(self._context.state, worker, reason, now)
         for run in list(worker.runs.values()):
             # A late start can't arrive: the machine's next worker has
             # another name.
--- a/tests/features/steps/pool_log_steps.py
+++ b/tests/features/steps/pool_log_steps.py
@@ -11,12 +11,14 @@
 from agaterudder.jobs import context as contexts
 from agaterudder.jobs import journalwriter
 from agaterudder.jobs import leases
+from agaterudder.jobs import listings
 from agaterudder.jobs import machines
 from agaterudder.jobs import model
 from agaterudder.jobs import planning
 from agaterudder.jobs import poolstatus
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import workerends
 from agaterudder.jobs import workerloop
 from tests import job_builders
 from tests import memory_store
@@ -65,13 +67,13 @@
 def step_unanswered(context: Context, count: int) -> None:
     for worker in context.workers[:count]:
         worker.fenced = False
-        context.state.unconfirmed_workers.add(worker.name)
+        context.state.recovery.unconfirmed_workers.add(worker.name)
 
 
 @behave.when("the recovery is complete")
 def step_recovery_complete(context: Context) -> None:
-    assert not context.state.recovering(context.now)
-    context.state.finish_recovery(context.now)
+    assert not context.state.recovery.pending(context.now)
+    context.state.recovery.finish(context.now)
 
 
 @behave.when('worker "{name}" is not waited for, as "{reason}"')
@@ -82,20 +84,21 @@
     )
     cache.asked_at = context.now - EVIDENCE_AGE_SECONDS
     evidence = cache.evidence(context.now)
-    context.state.discard_unconfirmed(name, reason, evidence, context.now)
+    context.state.recovery.discard_worker(name, reason, evidence, context.now)
 
 
 @behave.when('worker "{name}" is lost, as "{reason}"')
 def step_lost(context: Context, name: str, reason: str) -> None:
     worker = context.state.workers[name]
-    context.state.worker_lost(worker, reason, context.now)
+    workerends.lost(context.state, worker, reason, context.now)
 
 
 @behave.when('worker "{name}" lists no runs as incarnation {incarnation:d}')
 def step_other_incarnation(
     context: Context, name: str, incarnation: int
 ) -> None:
-    context.state.apply_listing(
+    listings.apply(
+        context.state,
         context.state.workers[name],
         job_builders.listing(incarnation=incarnation),
         context.now,
@@ -131,7 +134,7 @@
 
 @behave.then("no worker is unconfirmed")
 def step_none_unconfirmed(context: Context) -> None:
-    assert not context.state.unconfirmed_workers
+    assert not context.state.recovery.unconfirmed_workers
 
 
 def _series(context: Context) -> dict[str, float]:
@@ -173,7 +176,7 @@
     (context.first,) = _runs(context)
     worker = context.first.worker
     worker.cordon("test", context.now)
-    context.state.worker_lost(worker, "its machine is down", context.now)
+    workerends.lost(context.state, worker, "its machine is down", context.now)
     planning.Plan(context.state, context.now).orders()
     (second,) = _runs(context)
     assert second.worker is not worker
@@ -195,8 +198,8 @@
         if how == "running"
         else job_builders.listing((), [ended])
     )
-    context.state.apply_listing(
-        first.worker, listing, context.now, context.now
+    listings.apply(
+        context.state, first.worker, listing, context.now, context.now
     )
 
 
@@ -325,8 +328,8 @@
 @behave.given("the worker restarts while its ends are being stored")
 def step_restarts_while_storing(context: Context) -> None:
     (worker,) = context.workers
-    context.while_storing = lambda: context.state.worker_restarted(
-        worker, 2, context.now
+    context.while_storing = lambda: workerends.restarted(
+        context.state, worker, 2, context.now
     )
 
 
@@ -413,7 +416,7 @@
     worker = context.workers[1]
     worker.fenced = False
     if state == "awaited":
-        context.state.unconfirmed_workers.add(worker.name)
+        context.state.recovery.unconfirmed_workers.add(worker.name)
 
 
 @behave.when('worker "{name}" is polled and lists a run')
@@ -499,7 +502,8 @@
 def step_one_fails(context: Context) -> None:
     run = _runs(context)[0]
     ended = ports.Ended(1, run.task_name, run.number, ports.END_FAILED, "")
-    context.state.apply_listing(
+    listings.apply(
+        context.state,
         run.worker,
         job_builders.listing((), [ended]),
         context.now,
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -8,6 +8,7 @@
 from agaterudder.jobs import fleet
 from agaterudder.jobs import holder
 from agaterudder.jobs import leases
+from agaterudder.jobs import listings
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import orders
@@ -15,6 +16,8 @@
 from agaterudder.jobs import ports
 from agaterudder.jobs import ratelimit
 from agaterudder.jobs import runs
+from agaterudder.jobs import runstarts
+from agaterudder.jobs import workerends
 from agaterudder.jobs import workerloop
 from agaterudder import resources
 from tests import job_builders
@@ -55,7 +58,9 @@
         listing = job_builders.listing(
             running, clock=_clock(context), incarnation=incarnation
         )
-        context.state.apply_listing(worker, listing, context.now, context.now)
+        listings.apply(
+            context.state, worker, listing, context.now, context.now
+        )
 
 
 def _end(context: Context, run: runs.Run, outcome: str) -> None:
@@ -68,8 +73,12 @@
     ended = ports.Ended(
         worker.last_end_number + 1, run.task_name, run.number, outcome, ""
     )
-    context.state.apply_listing(
-        worker, job_builders.listing(others, [ended]), context.now, context.now
+    listings.apply(
+        context.state,
+        worker,
+        job_builders.listing(others, [ended]),
+        context.now,
+        context.now,
     )
 
 
@@ -79,7 +88,8 @@
     incarnation: int = 1,
     more_ends: bool = False,
 ) -> None:
-    context.state.apply_listing(
+    listings.apply(
+        context.state,
         context.run.worker,
         job_builders.listing(
             clock=clock, incarnation=incarnation, more_ends=more_ends
@@ -249,7 +259,7 @@
 def step_epoch_accepted_now(context: Context) -> None:
     for worker in context.state.workers.values():
         worker.fenced = False
-        context.state.worker_fenced(worker, context.now)
+        context.state.recovery.worker_fenced(worker, context.now)
 
 
 @behave.given("a gang of {count:d} tasks of 1 core")
@@ -323,7 +333,7 @@
 @behave.given('worker "{name}" has not answered yet')
 def step_unanswered_epoch(context: Context, name: str) -> None:
     context.state.workers[name].fenced = False
-    context.state.unconfirmed_workers.add(name)
+    context.state.recovery.unconfirmed_workers.add(name)
 
 
 def _leave_polls_unanswered(context: Context, name: str) -> None:
@@ -369,13 +379,15 @@
 
 @behave.given("polls of these workers are not answered")
 def step_all_unanswered_polls(context: Context) -> None:
-    for name in context.state.unconfirmed_workers:
+    for name in context.state.recovery.unconfirmed_workers:
         _leave_polls_unanswered(context, name)
 
 
 @behave.when('worker "{name}" answers')
 def step_answered_epoch(context: Context, name: str) -> None:
-    context.state.worker_fenced(context.state.workers[name], context.now)
+    context.state.recovery.worker_fenced(
+        context.state.workers[name], context.now
+    )
 
 
 @behave.when("the pool is planned")
@@ -386,7 +398,7 @@
 @behave.when("the workers accept all starts")
 def step_accepted(context: Context) -> None:
     for run in _runs(context):
-        context.state.start_accepted(run, context.now)
+        runstarts.accepted(context.state, run, context.now)
 
 
 @behave.when("one run is being stopped")
@@ -420,7 +432,7 @@
 @behave.when("the start gets no answer")
 def step_unanswered(context: Context) -> None:
     (context.run,) = _runs(context)
-    context.state.start_unanswered(context.run, "time-out", context.now)
+    runstarts.unanswered(context.state, context.run, "time-out", context.now)
 
 
 @behave.when("nothing is received for {seconds:g} seconds")
@@ -487,7 +499,9 @@
     context.now += seconds
     worker = context.run.worker
     assert worker.lease_expired(context.now)
-    context.state.worker_lost(worker, "its lease has expired", context.now)
+    workerends.lost(
+        context.state, worker, "its lease has expired", context.now
+    )
 
 
 @behave.when("its run is listed as failed")
@@ -507,7 +521,8 @@
     ended = ports.Ended(
         1, context.run.task_name, context.run.number, ports.END_FAILED, ""
     )
-    context.state.apply_listing(
+    listings.apply(
+        context.state,
         context.state.workers["w1"],
         job_builders.listing((), [ended]),
         context.now,
@@ -538,7 +553,8 @@
 @behave.when('worker "{name}" lists a run of an unknown job')
 def step_unknown_run(context: Context, name: str) -> None:
     running = ports.Running("00000000000000ff.0.0.0", 3, "", 0)
-    context.state.apply_listing(
+    listings.apply(
+        context.state,
         context.state.workers[name],
         job_builders.listing([running], clock=_clock(context)),
         context.now,
@@ -559,8 +575,8 @@
     context.state.adopt_worker(context.worker)
     running = ports.Running("00000000000000aa.0.0.0", 3, "", 0)
     listing = job_builders.listing([running], clock=_clock(context))
-    context.state.apply_listing(
-        context.worker, listing, context.now, context.now
+    listings.apply(
+        context.state, context.worker, listing, context.now, context.now
     )
 
 
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -16,6 +16,7 @@
 from agaterudder.jobs import holder as holders
 from agaterudder.jobs import inbox
 from agaterudder.jobs import leases
+from agaterudder.jobs import listings
 from agaterudder.jobs import machines
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
@@ -23,6 +24,7 @@
 from agaterudder.jobs import runs
 from agaterudder.jobs import scaling
 from agaterudder.jobs import teamlimits
+from agaterudder.jobs import workerends
 from agaterudder.jobs import workerloop
 from agaterudder.jobs import workerregistry
 from agaterudder import metrics
@@ -126,7 +128,7 @@
     worker = context.state.workers[name]
     worker.fenced = False
     worker.polled_at = 0.0
-    context.state.unconfirmed_workers.add(name)
+    context.state.recovery.unconfirmed_workers.add(name)
 
 
 @behave.when('worker "{name}" does not answer a poll')
@@ -243,7 +245,7 @@
 @behave.when("the worker restarts while the loop waits for the store")
 def step_restart_in_wait(context: Context) -> None:
     def restart() -> None:
-        context.state.worker_restarted(context.worker, 2, clock.now())
+        workerends.restarted(context.state, context.worker, 2, clock.now())
 
     context.holder.on_wait = restart
     context.loop._poll()
@@ -275,7 +277,7 @@
 def step_restart_in_poll(context: Context) -> None:
     def restart() -> None:
         now = clock.now()
-        context.state.worker_restarted(context.worker, 2, now)
+        workerends.restarted(context.state, context.worker, 2, now)
 
     context.link.on_renew = restart
     context.loop._poll()
@@ -322,7 +324,7 @@
         for run in worker.runs.values()
     )
     context.now += 0.1
-    context.state.worker_restarted(context.run.worker, 2, context.now)
+    workerends.restarted(context.state, context.run.worker, 2, context.now)
 
 
 @behave.when("the worker answers a stop and lists nothing since its restart")
@@ -331,8 +333,8 @@
     context.now += 0.1
     listing = job_builders.listing(incarnation=2)
     worker = context.run.worker
-    context.state.apply_listing(worker, listing, context.now, context.now)
-    context.state.worker_fenced(worker, context.now)
+    listings.apply(context.state, worker, listing, context.now, context.now)
+    context.state.recovery.worker_fenced(worker, context.now)
 
 
 @behave.when("the worker restarts and lists the run")
@@ -343,16 +345,20 @@
     context.earlier = job_builders.listing([item])
     context.earlier_sent_at = context.now
     context.now += 1.0
-    context.state.worker_restarted(worker, 2, context.now)
+    workerends.restarted(context.state, worker, 2, context.now)
     listing = job_builders.listing([item], incarnation=2)
-    context.state.apply_listing(worker, listing, context.now, context.now)
+    listings.apply(context.state, worker, listing, context.now, context.now)
 
 
 @behave.when("a listing of its earlier life arrives late")
 def step_late_listing(context: Context) -> None:
     (worker,) = context.state.workers.values()
-    context.state.apply_listing(
-        worker, context.earlier, context.earlier_sent_at, context.now
+    listings.apply(
+        context.state,
+        worker,
+        context.earlier,
+        context.earlier_sent_at,
+        context.now,
     )
 
 
@@ -410,7 +416,7 @@
     (worker,) = context.state.workers.values()
     now = clock.now()
     listing = job_builders.listing(incarnation=life)
-    context.state.apply_listing(worker, listing, now, now)
+    listings.apply(context.state, worker, listing, now, now)
 
 
 @behave.when("its registration of life {life:d} is written again")
@@ -494,7 +500,9 @@
 
 @behave.then("the worker is unconfirmed")
 def step_unconfirmed(context: Context) -> None:
-    assert context.state.unconfirmed_workers == set(context.state.workers)
+    assert context.state.recovery.unconfirmed_workers == set(
+        context.state.workers
+    )
     assert context.state.workers
 
 
