--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -6,10 +6,12 @@
 
 from agaterudder.jobs import clock
 from agaterudder.jobs import jobapi
+from agaterudder.jobs import listings
 from agaterudder.jobs import model
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import runstarts
 from agaterudder.jobs import scaling
 from agaterudder import resources
 from tests import job_builders
@@ -77,7 +79,7 @@
     planning.Plan(context.state, context.now).orders()
     for worker in context.state.workers.values():
         for run in worker.runs.values():
-            context.state.start_accepted(run, context.now)
+            runstarts.accepted(context.state, run, context.now)
 
 
 def _end_oldest(context: Context, worker: t.Any) -> None:
@@ -98,7 +100,8 @@
         for run in present
         if run is not ending
     ]
-    context.state.apply_listing(
+    listings.apply(
+        context.state,
         worker,
         job_builders.listing(running, [ended]),
         context.now,
@@ -161,7 +164,7 @@
         context.state.next_run(),
         context.now,
     )
-    context.state.start_accepted(run, context.now)
+    runstarts.accepted(context.state, run, context.now)
 
 
 @behave.given("a job of 1 tasks of {cores:d} cores")
@@ -189,7 +192,8 @@
         for other in worker.runs.values()
         if other is not run
     ]
-    context.state.apply_listing(
+    listings.apply(
+        context.state,
         worker,
         job_builders.listing(others, [ended]),
         context.now,
