Give each parallel type check a cache of its own

The checks of a test run start two mypy processes at once. Both opened the SQLite database of .mypy_cache; on a cold cache one of them could find it locked and ended with an internal error, by its traceback "sqlite3.OperationalError: database is locked" in create_metastore.

--- a/tests/run.py
+++ b/tests/run.py
@@ -15,11 +15,23 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FEATURES = ROOT / "tests" / "features"
 SOURCES = ("src", "platform", "standins", "demo", "bench", "tests", "tools")
+# The cache of mypy is a database that one process may open at a time.
+TYPE_CACHES = ".mypy_cache"
 CHECKS = {
     "format": ("black", "--check", "--quiet", *SOURCES),
     "lint": ("flake8", *SOURCES),
-    "types": ("mypy", "src", "standins", "demo", "bench", "tools"),
-    "platform types": ("mypy", "platform/agaterudder_platform"),
+    "types": (
+        "mypy",
+        "--cache-dir",
+        f"{TYPE_CACHES}/product",
+        *("src", "standins", "demo", "bench", "tools"),
+    ),
+    "platform types": (
+        "mypy",
+        "--cache-dir",
+        f"{TYPE_CACHES}/platform",
+        "platform/agaterudder_platform",
+    ),
 }
 MAX_PARALLEL = 4
 COMMAND_TIMEOUT_SECONDS = 900
