Log each job and cancellation that a pool's holder loads

Between the acknowledgement of a job and its first placement the log said nothing of it, so that a job that the holder never loaded could not be told from one that it dropped. A row that another process removes gets a line as well.

--- a/src/agaterudder/jobs/inbox.py
+++ b/src/agaterudder/jobs/inbox.py
@@ -1,18 +1,17 @@
 """Loads the jobs and cancellations that callers stored for a pool."""
 
-import logging
+import typing as t
 
 import msgspec
 
 from agaterudder.jobs import clock
 from agaterudder.jobs import context as contexts
+from agaterudder.jobs import loadreports
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
 from agaterudder.jobs import wallclock
 from agaterudder.jobs import watcher
 
-LOG = logging.getLogger(__name__)
-
 WATCH_WAIT_SECONDS = 2.0
 
 
@@ -47,10 +46,13 @@
     :ivar recovered_version: version of the rows that were recovered from.
     """
 
-    __slots__ = ("_context", "_watcher", "recovered_version")
+    __slots__ = ("_context", "_reports", "_watcher", "recovered_version")
 
     def __init__(self, context: contexts.Context) -> None:
         self._context = context
+        self._reports = loadreports.LoadReports(
+            context.pool, context.lease.epoch
+        )
         self.recovered_version = 0
         self._watcher = watcher.Watcher(
             f"jobs of {context.pool}",
@@ -87,9 +89,17 @@
 
     def _apply_changes(self, rows: tuple[ports.Row, ...]) -> None:
         present = tuple(row for row in rows if row.version)
+        self._report_removed(row.key for row in rows if not row.version)
         self._load_rows(present, self._context.store_clock(), {}, False)
         self._context.plan_needed.set()
 
+    def _report_removed(self, keys: t.Iterable[str]) -> None:
+        """Report removed rows whose jobs have not ended here."""
+        for key in keys:
+            job = self._context.state.jobs.get(key)
+            if job is not None and job.ending is None:
+                self._reports.row_removed(job)
+
     def _load_rows(
         self,
         rows: tuple[ports.Row, ...],
@@ -105,6 +115,7 @@
         for row in rows:
             if row.key.endswith(model.CANCEL_SUFFIX):
                 self._load_cancellation(row, store_clock)
+        self._reports.write()
 
     def _load_job(
         self,
@@ -123,18 +134,22 @@
                 else model.Progress()
             )
         except msgspec.MsgspecError as error:
-            LOG.warning(
-                "job row skipped: not decodable",
-                extra={"table": row.table, "row": row.key, "why": error},
-            )
+            self._reports.row_skipped(row, error)
             return
         age = min(max(store_clock - job.accepted_at, 0.0), now)
         version = stored.version if stored is not None else 0
-        self._context.state.accept(job, known, version, now - age, recovering)
+        state = self._context.state
+        loaded_before = job.job in state.jobs
+        state.accept(job, known, version, now - age, recovering)
+        loaded = state.jobs.get(job.job)
+        if loaded is not None and not loaded_before:
+            self._reports.job_loaded(loaded, row.version, now)
 
     def _load_cancellation(self, row: ports.Row, store_clock: float) -> None:
         name = row.key.removesuffix(model.CANCEL_SUFFIX)
-        if name in self._context.state.jobs:
+        found = self._context.state.jobs.get(name)
+        self._reports.cancellation_loaded(name, row.version, found)
+        if found is not None:
             self._context.state.cancel(name, store_clock)
         else:
             table = model.jobs_table(self._context.pool)
--- a/src/agaterudder/jobs/placements.py
+++ b/src/agaterudder/jobs/placements.py
@@ -7,6 +7,7 @@
 import logging
 import typing as t
 
+from agaterudder.jobs import linelimit
 from agaterudder.jobs import runs
 
 LOG = logging.getLogger(__name__)
@@ -22,12 +23,11 @@
     :param pool: name of the pool.
     """
 
-    __slots__ = ("_pool", "_second", "_lines", "_starts")
+    __slots__ = ("_pool", "_limit", "_starts")
 
     def __init__(self, pool: str) -> None:
         self._pool = pool
-        self._second = 0
-        self._lines = 0
+        self._limit = linelimit.LineLimit(LINES_PER_SECOND)
         self._starts: list[str] = []
 
     def add(self, run: runs.Run, kind: str, before: int, now: float) -> None:
@@ -37,11 +37,7 @@
         :param before: highest run number of its task known before, 0
             without one.
         """
-        if int(now) != self._second:
-            self._second = int(now)
-            self._lines = 0
-        self._lines += 1
-        if self._lines <= LINES_PER_SECOND:
+        if self._limit.take(now):
             self._write_line(run, kind, before, now)
             return
         entry = f"{run.task_name}/{run.number}@{run.worker.name}:{kind}"
