Log lookups that find no job, and calls without an answer in time

A 410 left no line, so that it could not be told which pools were read, by which configuration, and whether the store answered. Lookups, cancels and counts of pending jobs are counted by outcome; the line of a submission names the version that was stored, or the row that was found.

--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -9,6 +9,7 @@
 
 from agaterudder import codes
 from agaterudder import exceptions
+from agaterudder.jobs import callreports
 from agaterudder.jobs import clock
 from agaterudder.jobs import clustercache
 from agaterudder.jobs import model
@@ -38,12 +39,16 @@
     :ivar job: identifier of the job, empty for a call about the queue.
     :ivar key: key of the team, empty without one.
     :ivar deadline: when the client gives up, by :func:`clock.now`.
+    :ivar usage: what the call has used so far, for the log.
     """
 
     queue: operatorconfig.Queue
     job: str
     key: str
     deadline: float
+    usage: callreports.Usage = dataclasses.field(
+        default_factory=callreports.Usage, compare=False
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +79,7 @@
     :param store_clock: returns an upper bound of the store's clock.
     """
 
-    __slots__ = ("_store", "_cluster", "_store_clock", "_metrics")
+    __slots__ = ("_store", "_cluster", "_store_clock", "_metrics", "_reports")
 
     def __init__(
         self,
@@ -87,6 +92,7 @@
         self._cluster = cluster
         self._store_clock = store_clock
         self._metrics = metrics_registry
+        self._reports = callreports.CallReports(cluster, metrics_registry)
 
     def queue(
         self, host: str, path: str
@@ -108,6 +114,7 @@
         """Store a job; a repeated submission changes nothing."""
         caller = self._cluster.authenticate(call.queue, call.key, clock.now())
         if isinstance(caller, codes.Refused):
+            self._report_submission(call, "", caller)
             return caller
         outcome = self._store_job(call, caller.team, request)
         if isinstance(outcome, Accepted):
@@ -119,8 +126,16 @@
                 outcome = codes.Refused(
                     codes.Result.OUTCOME_UNKNOWN, again.reason
                 )
+        self._report_submission(call, caller.team, outcome)
+        return outcome
+
+    def _report_submission(
+        self, call: Call, team: str, outcome: Accepted | codes.Refused
+    ) -> None:
         self._metrics.count(
-            "submissions", team=caller.team, outcome=_code(outcome)
+            "submissions",
+            team=team,
+            outcome=callreports.code(outcome, callreports.ACCEPTED),
         )
         LOG.info(
             "job submission handled",
@@ -128,11 +143,12 @@
                 "job": call.job,
                 "queue": call.queue.name,
                 "pool": call.queue.pool,
-                "team": caller.team,
-                "outcome": _name(outcome),
+                "team": team,
+                "outcome": callreports.describe(outcome),
+                **call.usage.written(),
             },
         )
-        return outcome
+        self._report_unanswered("submit", call, outcome)
 
     def _store_job(
         self, call: Call, team: str, request: model.Request
@@ -167,12 +183,14 @@
             left = call.deadline - RESPONSE_MARGIN_SECONDS - sent_at
             if left < MIN_CALL_SECONDS:
                 break
+            call.usage.store_calls += 1
             outcome = self._store.transact(
                 pool,
                 preconditions,
                 puts,
                 timeout=min(WRITE_TIMEOUT_SECONDS, left),
             )
+            call.usage.record_write(outcome)
             match outcome:
                 case ports.Committed() | ports.Conflicted():
                     return Accepted()
@@ -191,6 +209,22 @@
 
     def state(self, call: Call) -> JobState | codes.Refused:
         """Return the state of a job."""
+        outcome = self._state(call)
+        self._reports.lookup(
+            call.job, call.queue.name, call.usage, outcome, clock.now()
+        )
+        self._report_unanswered("state", call, outcome)
+        return outcome
+
+    def refuse_name(self, call: Call) -> codes.Refused:
+        """Refuse a call about a name that no job can have."""
+        refused = codes.Refused(codes.Result.NOT_FOUND, "no such job")
+        self._reports.lookup(
+            call.job, call.queue.name, call.usage, refused, clock.now()
+        )
+        return refused
+
+    def _state(self, call: Call) -> JobState | codes.Refused:
         refusal = self._authentication_error(call)
         if refusal is not None:
             return refusal
@@ -203,6 +237,7 @@
 
     def _find_state(self, call: Call) -> JobState | codes.Refused:
         for pool in self._pools(call.queue):
+            call.usage.pools.append(pool)
             found = self._state_in_pool(pool, call)
             if found is not None:
                 return found
@@ -225,6 +260,7 @@
         while True:
             asked_at = clock.now()
             left = until - asked_at
+            call.usage.store_calls += 1
             try:
                 return self._store.read(
                     table,
@@ -244,6 +280,7 @@
         """Cancel a job."""
         refusal = self._authentication_error(call)
         if refusal is not None:
+            self._reports.count("cancels", refusal, callreports.ACCEPTED)
             return refusal
         outcome: Accepted | codes.Refused
         try:
@@ -251,18 +288,24 @@
         except exceptions.CallFailed as error:
             outcome = codes.Refused(codes.Result.STORE_AWAY, str(error))
         again = self._authentication_error(call)
+        answer = again if again is not None else outcome
+        self._reports.count("cancels", answer, callreports.ACCEPTED)
         LOG.info(
             "job cancellation handled",
             extra={
                 "job": call.job,
                 "queue": call.queue.name,
-                "outcome": _name(outcome),
+                "outcome": callreports.describe(outcome),
+                "pools": " ".join(call.usage.pools),
+                **call.usage.written(),
             },
         )
-        return again if again is not None else outcome
+        self._report_unanswered("cancel", call, answer)
+        return answer
 
     def _cancel(self, call: Call) -> Accepted | codes.Refused:
         for pool in self._pools(call.queue):
+            call.usage.pools.append(pool)
             row = self._read(model.jobs_table(pool), pool, call)
             if row is not None:
                 return self._store_cancel(call, pool, row)
@@ -284,6 +327,12 @@
 
     def pending(self, call: Call) -> QueueState | codes.Refused:
         """Return how many jobs of a queue are pending."""
+        outcome = self._pending(call)
+        self._reports.count("pending_calls", outcome, callreports.COUNTED)
+        self._report_unanswered("pending", call, outcome)
+        return outcome
+
+    def _pending(self, call: Call) -> QueueState | codes.Refused:
         refusal = self._authentication_error(call)
         if refusal is not None:
             return refusal
@@ -294,6 +343,8 @@
 
     def _count_pending(self, call: Call) -> int:
         pool = call.queue.pool
+        call.usage.pools.append(pool)
+        call.usage.store_calls += 1
         row = self._store.read(
             model.PENDING_TABLE,
             model.pending_partition(pool),
@@ -307,6 +358,7 @@
                 < MAX_PENDING_AGE_SECONDS
             ):
                 return found.counts.get(call.queue.name, 0)
+        call.usage.store_calls += 2
         started = {
             row.key
             for row in self._store.scan(model.PROGRESS_TABLE, pool).rows
@@ -319,6 +371,13 @@
             and model.decode(row.value, model.Job).queue == call.queue.name
         )
 
+    def _report_unanswered(
+        self, kind: str, call: Call, outcome: t.Any
+    ) -> None:
+        self._reports.unanswered(
+            kind, call.job, call.usage, call.deadline, outcome, clock.now()
+        )
+
     def _authentication_error(self, call: Call) -> codes.Refused | None:
         caller = self._cluster.authenticate(call.queue, call.key, clock.now())
         return caller if isinstance(caller, codes.Refused) else None
@@ -334,15 +393,3 @@
     """Wait as long as a call may not be repeated after it was sent."""
     next_at = sent_at + MIN_REPEAT_INTERVAL_SECONDS
     gevent.sleep(max(next_at - clock.now(), 0.0))
-
-
-def _code(outcome: t.Any) -> str:
-    if isinstance(outcome, codes.Refused):
-        return outcome.code.name
-    return "ACCEPTED"
-
-
-def _name(outcome: t.Any) -> str:
-    if isinstance(outcome, codes.Refused):
-        return f"{outcome.code.name}: {outcome.reason}"
-    return type(outcome).__name__
--- a/tests/features/job_api.feature
+++ b/tests/features/job_api.feature
@@ -115,3 +115,115 @@
       | north.example | /c/b/1     | /c/   |
       | north.example | /d/1       | none  |
       | south.example | /a/1       | none  |
+
+  Scenario: A lookup that finds no job says where it looked
+    Given the log is recorded
+    When the configuration was confirmed 0.4 seconds ago
+    And the state of job 1 is read
+    Then a line "job not found" says
+      | field       | value                    |
+      | job         | 0000000000000001         |
+      | queue       | checks                   |
+      | outcome     | NOT_FOUND: no such job   |
+      | pools       | count                    |
+      | store_calls | 2                        |
+      | version     | 1                        |
+      | age         | 0.4                      |
+    And the job API counted
+      | series                       | value |
+      | lookups{outcome="NOT_FOUND"} | 1     |
+
+  Scenario: A lookup that finds a job is counted and has no line
+    Given the log is recorded
+    When job 1 is submitted
+    And the state of job 1 is read
+    Then no line "job not found" is written
+    And no line "job lookup refused" is written
+    And no line "call not answered in time" is written
+    And the job API counted
+      | series                   | value |
+      | lookups{outcome="FOUND"} | 1     |
+
+  Scenario: A lookup that is refused says by which configuration
+    Given the log is recorded
+    When the configuration was confirmed 2.6 seconds ago
+    And the state of job 1 is read
+    Then a line "job lookup refused" says
+      | field       | value                                             |
+      | job         | 0000000000000001                                  |
+      | outcome     | STALE: the configuration was not confirmed lately |
+      | pools       |                                                   |
+      | store_calls | 0                                                 |
+      | age         | 2.6                                               |
+    And the job API counted
+      | series                   | value |
+      | lookups{outcome="STALE"} | 1     |
+
+  Scenario: A submission that finds its job says so
+    Given the log is recorded
+    When job 1 is submitted
+    Then a line "job submission handled" says
+      | field       | value    |
+      | outcome     | Accepted |
+      | version     | 1        |
+      | found       | None     |
+      | store_calls | 1        |
+    When job 1 is submitted
+    Then a line "job submission handled" says
+      | field       | value        |
+      | outcome     | Accepted     |
+      | version     | None         |
+      | found       | jobs.count:1 |
+
+  Scenario: A submission that is refused for its key has a line
+    Given the log is recorded
+    When the key is "other"
+    And job 1 is submitted
+    Then a line "job submission handled" says
+      | field   | value                              |
+      | job     | 0000000000000001                   |
+      | outcome | KEY_REFUSED: the key is not known  |
+
+  Scenario: A call for which the store has no answer in time
+    Given the log is recorded
+    When the store fails each reading within 0.5 seconds
+    And the state of job 1 is read
+    Then a line "call not answered in time" says
+      | field       | value                        |
+      | call        | state                        |
+      | job         | 0000000000000001             |
+      | deadline    | 3.0                          |
+      | spent       | 2.5                          |
+      | late        | False                        |
+      | store_calls | 5                            |
+      | outcome     | STORE_AWAY: connection reset |
+    And the job API counted
+      | series                         | value |
+      | unanswered_calls{call="state"} | 1     |
+      | lookups{outcome="STORE_AWAY"}  | 1     |
+
+  Scenario: A count of pending jobs that comes after its deadline
+    Given the log is recorded
+    When the store answers each reading after 3.5 seconds
+    Then 0 job is pending
+    And a line "call not answered in time" says
+      | field       | value      |
+      | call        | pending    |
+      | deadline    | 3.0        |
+      | spent       | 3.5        |
+      | late        | True       |
+      | store_calls | 3          |
+      | outcome     | QueueState |
+    And the job API counted
+      | series                           | value |
+      | pending_calls{outcome="COUNTED"} | 1     |
+      | unanswered_calls{call="pending"} | 1     |
+
+  Scenario: Cancellations are counted by outcome
+    When job 1 is submitted
+    And job 1 is cancelled
+    And job 2 is cancelled
+    Then the job API counted
+      | series                       | value |
+      | cancels{outcome="ACCEPTED"}  | 1     |
+      | cancels{outcome="NOT_FOUND"} | 1     |
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -82,11 +82,12 @@
     context.answers = []
     _configure(context, keys="key-1")
     context.cluster.operators.confirmed_at = context.now
+    context.metrics = metrics.Metrics()
     context.job_api = jobapi.JobApi(
         context.store,
         context.cluster,
         lambda: context.store.clock,
-        metrics.Metrics(),
+        context.metrics,
     )
 
 
@@ -194,6 +195,28 @@
     context.store.read = read
 
 
+@behave.when("the store answers each reading after {seconds:g} seconds")
+def step_readings_late(context: Context, seconds: float) -> None:
+    read = context.store.read
+
+    def read_late(*arguments: t.Any, **named: t.Any) -> ports.Row | None:
+        context.now += seconds
+        return t.cast("ports.Row | None", read(*arguments, **named))
+
+    context.store.read = read_late
+
+
+@behave.then("the job API counted")
+def step_counted(context: Context) -> None:
+    lines = context.metrics.render().splitlines()
+    found = {
+        name.removeprefix("agaterudder_"): float(value)
+        for name, _, value in (line.rpartition(" ") for line in lines)
+    }
+    for row in context.table:
+        assert found.get(row["series"]) == float(row["value"]), found
+
+
 @behave.then("the store got between {least:d} and {most:d} calls")
 def step_calls(context: Context, least: int, most: int) -> None:
     assert least <= context.calls <= most, context.calls
