Log why a task whose turn has come does not run

A job that stood still could not be told from one that waited for capacity: no line said which worker, limit, ticket or recovery kept a task. Once a second, tasks that have not run for over 3 s are counted, and up to 20 of them get a warning with the reason, again after 5 s. A job that has not ended and has nothing left to start gets an error line.

--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -12,6 +12,7 @@
 from agaterudder.jobs import model
 from agaterudder.jobs import poolstatus
 from agaterudder.jobs import ports
+from agaterudder.jobs import stallreports
 
 LOG = logging.getLogger(__name__)
 
@@ -24,10 +25,11 @@
 class JournalWriter:
     """Writes the journal of a pool in batches."""
 
-    __slots__ = ("_context", "_stored")
+    __slots__ = ("_context", "_stalls", "_stored")
 
     def __init__(self, context: contexts.Context) -> None:
         self._context = context
+        self._stalls = stallreports.StallReports()
         self._stored = gevent.event.Event()
 
     def wait_stored(self, mark: int, timeout: float) -> bool:
@@ -169,6 +171,7 @@
             unacknowledged,
             pool=self._context.pool,
         )
+        self._stalls.report(state, self._context.holds_lease(), now)
         self._context.metrics.observe("loop_lag", lag, pool=self._context.pool)
         LOG.info(
             "pool status",
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -480,6 +480,7 @@
         run.worker.remove(run, now)
         task = run.task
         if task is not None:
+            task.record_end(run, now)
             if run in task.runs:
                 task.runs.remove(run)
             if run.checkpoint and not task.done:
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -145,6 +145,7 @@
     :ivar straggler_restarts: how often it was restarted as a straggler.
     :ivar last_run: highest run number known of it, 0 without one.
     :ivar done_run: number of the run whose end made it done, 0 if unknown.
+    :ivar stopped_at: when a run of it last ended, 0 before.
     """
 
     __slots__ = (
@@ -160,6 +161,7 @@
         "straggler_restarts",
         "last_run",
         "done_run",
+        "stopped_at",
     )
 
     def __init__(self, name: str, step: "StepRun", index: int) -> None:
@@ -175,6 +177,12 @@
         self.straggler_restarts = 0
         self.last_run = 0
         self.done_run = 0
+        self.stopped_at = 0.0
+
+    def record_end(self, run: Run, now: float) -> None:
+        """Record the end of a run, unless it never ran."""
+        if run.running_since:
+            self.stopped_at = self.step.job.stopped_at = now
 
     @property
     def start_kind(self) -> str:
@@ -320,6 +328,7 @@
     :ivar ending: the end that is to be stored, None until it ends.
     :ivar ending_stored: whether its end is stored; nothing more is written
         for it.
+    :ivar stopped_at: when a run of it last ended, 0 before.
     """
 
     __slots__ = (
@@ -336,6 +345,7 @@
         "ending_stored",
         "cancelled",
         "over_submission_rate",
+        "stopped_at",
     )
 
     def __init__(
@@ -354,6 +364,7 @@
         self.ending_stored = False
         self.over_submission_rate = False
         self.cancelled = False
+        self.stopped_at = 0.0
 
     def due_at(self, occurrence: int) -> float:
         """Return when an occurrence is due, Unix seconds; 0 for at once."""
--- a/src/agaterudder/jobs/teamlimits.py
+++ b/src/agaterudder/jobs/teamlimits.py
@@ -88,6 +88,14 @@
         local_grant.apply_limit(self._teams[team].limit)
         return size.fits_in(local_grant.free)
 
+    def covers(self, team: str, size: resources.Vector) -> bool:
+        """Return whether the present grant covers an amount.
+
+        Unlike :meth:`fits`, it applies no changed limit.
+        """
+        account = self._accounts.get(team)
+        return account is not None and size.fits_in(account.local_grant.free)
+
     def headroom(self, team: str) -> resources.Vector:
         """Return the most that a team may use here beyond its usage."""
         if not self.limited(team):
--- a/tests/features/job_traces.feature
+++ b/tests/features/job_traces.feature
@@ -76,3 +76,187 @@
       | field | value            |
       | job   | 00000000000000aa |
       | pool  | count            |
+
+  # Guards against a job that stands still without a line that says why.
+  Scenario Outline: A task that has not started, as <condition>
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    And <condition>
+    When 3.5 seconds pass
+    And the polls of all responsive workers are answered
+    And the stalled tasks are reported
+    Then a line "task has not started" says
+      | field   | value                  |
+      | task    | 00000000000000aa.0.0.0 |
+      | pool    | count                  |
+      | waited  | 3.5                    |
+      | lasting | False                  |
+      | why     | <why>                  |
+      | details | <details>              |
+    And the metrics have
+      | series                                    | value |
+      | pool_stalled_tasks{pool="count"}          | 1     |
+      | pool_oldest_stalled_seconds{pool="count"} | 3.5   |
+    When the pool is planned
+    Then 0 starts are ordered
+
+    Examples:
+      | condition                                 | why                                        | details                             |
+      | the workers are unresponsive, cordoned    | no usable worker                           | usable=0 cordoned=1 unresponsive=1  |
+      | the workers are quarantined, full         | no usable worker                           | usable=0 full=1 quarantined=1       |
+      | the workers are not fenced, terminated    | no usable worker                           | usable=0 not_fenced=1 terminated=1  |
+      | the workers are not persisted, taken out  | no usable worker                           | usable=0 not_persisted=1 taken_out=1 |
+      | the workers are unregistered, unregistered | no usable worker                          | usable=0 unregistered=2             |
+      | the workers are occupied, occupied        | no worker with room                        | cores=1 memory=100 usable=2         |
+      | the workers are occupied, cordoned        | no worker with room                        | cores=1 memory=100 usable=1 cordoned=1 |
+      | the task is kept from both workers and may not return to the one with room | kept from the workers on which it failed | w1 |
+      | its step may run no more tasks on a worker | worker limit of the step                  | usable=2                            |
+      | its team has no grant                     | no grant of the team's limit               | tally                               |
+      | its queue has a policy without a ticket   | no ticket of the policy                    | not asked                           |
+      | its queue has a policy that allows w9     | no ticket of the policy                    | for none of 2 usable workers        |
+      | its last start was invalid                | its last start was rejected as invalid     |                                     |
+      | its start is under way                    | start is under way                         | 7000001@w1                          |
+      | its start was not answered                | start not answered, outcome unknown        | 7000001@w1                          |
+
+  Scenario: A recovered task waits for a worker of the earlier holder
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core from before the take-over
+    And worker "w2" has not answered yet
+    When 3.5 seconds pass
+    And the stalled tasks are reported
+    Then a line "task has not started" says
+      | field     | value                 |
+      | why       | recovery not complete |
+      | details   | w2                    |
+      | recovered | True                  |
+
+  Scenario: A task whose worker does not answer
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And the worker of the run is unresponsive for 3.5 seconds
+    And the stalled tasks are reported
+    Then a line "task has not started" says
+      | field   | value                      |
+      | why     | its worker does not answer |
+      | details | 7000001@w1 heard=3.500     |
+      | waited  | 3.5                        |
+
+  Scenario: A pool whose lease is not held
+    Given a pool with 1 workers
+    And a job of 1 tasks of 1 core
+    When 3.5 seconds pass
+    And the stalled tasks are reported without the lease
+    Then a line "task has not started" says
+      | field | value               |
+      | why   | pool lease not held |
+
+  Scenario: A task that nothing keeps from starting
+    Given a pool with 1 workers
+    And a job of 1 tasks of 1 core
+    When 3.5 seconds pass
+    And the polls of all responsive workers are answered
+    And the stalled tasks are reported
+    Then a line "task has not started" says
+      | field | value                                        |
+      | why   | not reached: other steps come first in a round |
+    When the pool is planned
+    Then 1 starts are ordered
+
+  Scenario: A job of which a task runs is not stalled
+    Given a pool with 1 workers
+    And a job of 17 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And 3.5 seconds pass
+    And the polls of all responsive workers are answered
+    And the stalled tasks are reported
+    Then no line "task has not started" is written
+    And the metrics have
+      | series                                    | value |
+      | pool_stalled_tasks{pool="count"}          | 0     |
+      | pool_oldest_stalled_seconds{pool="count"} | 0     |
+
+  Scenario: Each long-running task is watched by itself
+    Given a pool with 2 workers
+    And a job of 5 long-running tasks, of which 1 may be unavailable
+    When the pool is planned
+    And all runs are listed as running
+    And 3.5 seconds pass
+    And the polls of all responsive workers are answered
+    And the stalled tasks are reported
+    Then 1 lines "task has not started" are written
+    And a line "task has not started" says
+      | field   | value                    |
+      | task    | 00000000000000aa.0.0.4   |
+      | lasting | True                     |
+      | why     | worker limit of the step |
+
+  Scenario: The wait is counted from the last run of the job
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And 9.0 seconds pass
+    And its run is listed as failed
+    And 2.5 seconds pass
+    And the stalled tasks are reported
+    Then no line "task has not started" is written
+    When 1.0 seconds pass
+    And the stalled tasks are reported
+    Then a line "task has not started" says
+      | field    | value   |
+      | waited   | 3.5     |
+      | last_run | 7000001 |
+
+  # Guards against a wait that starts anew with each rejected start.
+  Scenario: A start that is rejected does not end the wait
+    Given a pool with 1 workers
+    And a job of 1 tasks of 1 core
+    When 2.0 seconds pass
+    And the polls of all responsive workers are answered
+    And the pool is planned
+    And the start is rejected as full
+    And 2.0 seconds pass
+    And the stalled tasks are reported
+    Then a line "task has not started" says
+      | field  | value |
+      | waited | 4.0   |
+
+  Scenario: The lines of stalled tasks are few
+    Given a pool with 1 workers
+    And 30 jobs of 1 tasks of 1 cores
+    And the workers are cordoned
+    When 3.5 seconds pass
+    And the stalled tasks are reported
+    Then 20 lines "task has not started" are written
+    And a line "more tasks have not started" says
+      | field   | value |
+      | tasks   | 10    |
+      | stalled | 30    |
+    When 1.0 seconds pass
+    And the stalled tasks are reported
+    Then 30 lines "task has not started" are written
+    And 1 lines "more tasks have not started" are written
+    When 5.0 seconds pass
+    And the stalled tasks are reported
+    Then 50 lines "task has not started" are written
+
+  Scenario: A job that has nothing left to start and has not ended
+    Given a pool with 1 workers
+    And a job of 1 tasks of 1 core
+    When the pool forgets the steps of the job
+    And the stalled tasks are reported
+    Then a line "jobs have not ended and nothing of them is left to start" says
+      | field | value            |
+      | pool  | count            |
+      | jobs  | 00000000000000aa |
+
+  Scenario: Stalled tasks are reported with the status of the pool
+    Given a pool with 1 workers whose polls are answered
+    And a job of 1 tasks of 1 core
+    And the workers are cordoned
+    When 3.5 seconds pass
+    And the status of the pool is reported after a pause that was 0.0 s too long
+    Then 1 lines "task has not started" are written
--- a/tests/features/steps/job_trace_steps.py
+++ b/tests/features/steps/job_trace_steps.py
@@ -7,10 +7,15 @@
 
 from agaterudder.jobs import clock
 from agaterudder.jobs import context as contexts
+from agaterudder.jobs import fleet
 from agaterudder.jobs import inbox
 from agaterudder.jobs import leases
 from agaterudder.jobs import model
+from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+from agaterudder.jobs import stallreports
+from agaterudder import resources
 from tests import job_builders
 from tests import memory_store
 
@@ -113,3 +118,155 @@
 @behave.when("the inbox is told that its row was removed")
 def step_told_removed(context: Context) -> None:
     _tell(context, context.job.job, 0, b"")
+
+
+# Stalled tasks
+
+
+def _hamper(context: Context, worker: fleet.WorkerState, how: str) -> None:
+    later = context.now + 60.0
+    match how:
+        case "unresponsive":
+            worker.unanswered_since = context.now
+        case "cordoned":
+            worker.cordon("test", context.now)
+        case "quarantined":
+            worker.quarantined_until = later
+        case "not fenced":
+            worker.fenced = False
+        case "not persisted":
+            worker.persisted = False
+        case "full":
+            worker.full_until = later
+        case "taken out":
+            worker.registration = job_builders.registration(
+                worker.name, data_centre="south"
+            )
+            context.state.taken_out = frozenset({"south"})
+        case "unregistered":
+            worker.registered = False
+        case "terminated":
+            worker.terminated = True
+        case "occupied":
+            worker.used = worker.registration.size
+        case _:
+            raise AssertionError(how)
+
+
+@behave.given("the workers are {conditions}")
+def step_hampered(context: Context, conditions: str) -> None:
+    for worker, how in zip(context.workers, conditions.split(", ")):
+        _hamper(context, worker, how)
+
+
+def _only_task(context: Context) -> runs.Task:
+    (job,) = context.state.jobs.values()
+    (step,) = job.steps.values()
+    return t.cast(runs.Task, step.tasks[0])
+
+
+@behave.given(
+    "the task is kept from both workers"
+    " and may not return to the one with room"
+)
+def step_kept(context: Context) -> None:
+    _only_task(context).excluded_workers.add("w1")
+    context.workers[1].used = context.workers[1].registration.size
+
+
+def _change_step(context: Context, **fields: t.Any) -> runs.Task:
+    task = _only_task(context)
+    task.step.step = job_builders.step(count=1, **fields)
+    return task
+
+
+@behave.given("its step may run no more tasks on a worker")
+def step_worker_limit(context: Context) -> None:
+    task = _change_step(context, max_per_worker=1)
+    for worker in context.workers:
+        other = runs.Task(f"{task.name}-{worker.name}", task.step, 1)
+        other.done = True
+        task.step.tasks.append(other)
+        context.state.add_run(other, worker, 1, context.now)
+
+
+@behave.given("its team has no grant")
+def step_no_grant(context: Context) -> None:
+    team = operatorconfig.Team("tally", limit=resources.Vector(1.0, 100.0))
+    context.state.limits.configure(job_builders.configuration(teams=(team,)))
+
+
+def _set_policy(context: Context) -> None:
+    queue = job_builders.queue(policy=operatorconfig.PolicyTimes(0, 0, 9))
+    context.state.queues = {queue.name: queue}
+
+
+@behave.given("its queue has a policy without a ticket")
+def step_policy(context: Context) -> None:
+    _set_policy(context)
+
+
+@behave.given("its queue has a policy that allows {worker}")
+def step_policy_elsewhere(context: Context, worker: str) -> None:
+    _set_policy(context)
+    step = _only_task(context).step
+    step.tickets = runs.Tickets({worker}, {worker: "yes"}, context.now + 60.0)
+
+
+@behave.given("its last start was invalid")
+def step_invalid(context: Context) -> None:
+    _only_task(context).not_before = context.now + 60.0
+
+
+def _add_start(context: Context) -> runs.Run:
+    number = context.state.next_run()
+    run = context.state.add_run(
+        _only_task(context), context.workers[0], number, context.now
+    )
+    return t.cast(runs.Run, run)
+
+
+@behave.given("its start is under way")
+def step_start_sent(context: Context) -> None:
+    _add_start(context)
+
+
+@behave.given("its start was not answered")
+def step_start_unanswered(context: Context) -> None:
+    context.state.start_unanswered(
+        _add_start(context), "time-out", context.now
+    )
+
+
+@behave.when("the polls of all responsive workers are answered")
+def step_polls_answered(context: Context) -> None:
+    for worker in context.workers:
+        if not worker.unanswered_since:
+            worker.polled_at = context.now
+
+
+@behave.when("the start is rejected as full")
+def step_start_rejected(context: Context) -> None:
+    (run,) = _only_task(context).runs
+    context.state.start_rejected(run, ports.REJECTED_NO_CAPACITY, context.now)
+
+
+@behave.when("the pool forgets the steps of the job")
+def step_forget(context: Context) -> None:
+    context.state.ready.clear()
+
+
+def _report_stalls(context: Context, lease_held: bool) -> None:
+    if "stalls" not in context:
+        context.stalls = stallreports.StallReports()
+    context.stalls.report(context.state, lease_held, context.now)
+
+
+@behave.when("the stalled tasks are reported")
+def step_report_stalls(context: Context) -> None:
+    _report_stalls(context, True)
+
+
+@behave.when("the stalled tasks are reported without the lease")
+def step_report_stalls_without(context: Context) -> None:
+    _report_stalls(context, False)
