--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -42,6 +42,7 @@
     :ivar stop_reason: why it has to stop, empty when it need not.
     :ivar stop_sent_at: when a stop was last sent, 0 before.
     :ivar stop_answered_at: when the worker answered a stop, 0 before.
+    :ivar loss_reported: whether it was reported as lost with its worker.
     :ivar progress: per cent of its work that is done; 100 for a
         long-running task that is available.
     :ivar listed_at: when its progress was last listed.
@@ -68,6 +69,7 @@
         "stop_reason",
         "stop_sent_at",
         "stop_answered_at",
+        "loss_reported",
         "size",
         "size_known",
         "task_name",
@@ -99,6 +101,7 @@
         self.stop_reason = ""
         self.stop_sent_at = 0.0
         self.stop_answered_at = 0.0
+        self.loss_reported = False
         self.size = size
         self.size_known = True
 
@@ -145,6 +148,7 @@
     :ivar straggler_restarts: how often it was restarted as a straggler.
     :ivar last_run: highest run number known of it, 0 without one.
     :ivar done_run: number of the run whose end made it done, 0 if unknown.
+    :ivar stopped_at: when a run of it last ended, 0 before.
     """
 
     __slots__ = (
@@ -160,6 +164,7 @@
         "straggler_restarts",
         "last_run",
         "done_run",
+        "stopped_at",
     )
 
     def __init__(self, name: str, step: "StepRun", index: int) -> None:
@@ -175,6 +180,12 @@
         self.straggler_restarts = 0
         self.last_run = 0
         self.done_run = 0
+        self.stopped_at = 0.0
+
+    def record_end(self, run: Run, now: float) -> None:
+        """Record the end of a run, unless it never ran."""
+        if run.running_since:
+            self.stopped_at = self.step.job.stopped_at = now
 
     @property
     def start_kind(self) -> str:
@@ -328,6 +339,7 @@
     :ivar ending: the end that is to be stored, None until it ends.
     :ivar ending_stored: whether its end is stored; nothing more is written
         for it.
+    :ivar stopped_at: when a run of it last ended, 0 before.
     """
 
     __slots__ = (
@@ -344,6 +356,7 @@
         "ending_stored",
         "cancelled",
         "over_submission_rate",
+        "stopped_at",
     )
 
     def __init__(
@@ -362,6 +375,7 @@
         self.ending_stored = False
         self.over_submission_rate = False
         self.cancelled = False
+        self.stopped_at = 0.0
 
     def due_at(self, occurrence: int) -> float:
         """Return when an occurrence is due, Unix seconds; 0 for at once."""
--- a/src/agaterudder/jobs/workerends.py
+++ b/src/agaterudder/jobs/workerends.py
@@ -11,7 +11,11 @@
 
 
 def restarted(
-    state: pools.Pool, worker: fleet.WorkerState, incarnation: int, now: float
+    state: pools.Pool,
+    worker: fleet.WorkerState,
+    incarnation: int,
+    now: float,
+    learnt: str = "its listing",
 ) -> None:
     """Handle the restart of a worker, which ended its runs.
 
@@ -20,7 +24,17 @@
     one; such a run is stopped before its task starts elsewhere.
 
     :param incarnation: start of the new incarnation, Unix milliseconds.
+    :param learnt: how the restart was learnt.
     """
+    poolreports.runs_lost(
+        state.metrics,
+        state.name,
+        worker,
+        worker.runs.values(),
+        "worker restarted",
+        learnt,
+        now,
+    )
     LOG.info(
         "worker restarted as a new incarnation",
         extra={
@@ -42,13 +56,28 @@
 
 
 def lost(
-    state: pools.Pool, worker: fleet.WorkerState, reason: str, now: float
+    state: pools.Pool,
+    worker: fleet.WorkerState,
+    reason: str,
+    now: float,
+    learnt: str = "",
 ) -> None:
     """Handle the loss of a worker, which ended its runs.
 
     An unanswered start may still reach a later incarnation under the
     same name, for as long as an order can be delayed.
+
+    :param learnt: what the reason rests on.
     """
+    poolreports.runs_lost(
+        state.metrics,
+        state.name,
+        worker,
+        worker.runs.values(),
+        reason,
+        learnt,
+        now,
+    )
     LOG.info(
         "worker lost, dropping its runs",
         extra={
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -8,9 +8,11 @@
 
 from agaterudder.jobs import clock
 from agaterudder.jobs import fleet
+from agaterudder.jobs import greenlets
 from agaterudder.jobs import leases
 from agaterudder.jobs import listings
 from agaterudder.jobs import pool as pools
+from agaterudder.jobs import poolreports
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 from agaterudder.jobs import workerends
@@ -30,6 +32,8 @@
 STORE_TIMEOUT_SECONDS = 0.5
 IDLE_INTERVAL_SECONDS = 5.0
 UNREGISTERED_GRACE_SECONDS = 2.0
+# Why a run counts as ended whose worker has not answered for long enough.
+SILENT = "silent beyond order and lease"
 
 
 class PoolHolder(t.Protocol):
@@ -89,7 +93,12 @@
 
     def start(self) -> None:
         """Start the loop."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = greenlets.spawn(
+            self._run,
+            what="worker loop",
+            pool=self._holder.state.name,
+            worker=self._worker.name,
+        )
 
     def stop(self) -> None:
         """Stop the loop and close the link to the worker."""
@@ -293,7 +302,9 @@
         """End the worker, as another one answers at its address."""
         worker = self._worker
         reason = "another worker answers at its address"
-        workerends.lost(self._holder.state, worker, reason, now)
+        workerends.lost(
+            self._holder.state, worker, reason, now, "its answer, just now"
+        )
         for run in list(worker.runs.values()):
             self._holder.state.remove_run(run, now, reason)
         self._holder.state.recovery.discard_worker(
@@ -323,6 +334,7 @@
         reason = self._holder.termination_reason(
             worker, worker.unanswered_since
         )
+        evidence = f"{worker.unanswered_polls} polls without an answer"
         if not reason and worker.fenced and worker.lease_expired(now):
             reason = "its lease has lapsed"
             worker.fenced = False
@@ -331,9 +343,16 @@
             evidence = self._holder.machine_evidence(clock.now())
             state.recovery.discard_worker(worker.name, reason, evidence, now)
         if reason and worker.runs:
-            workerends.lost(state, worker, reason, now)
-        for run in list(worker.runs.values()):
-            if worker.run_expired(run, now, self._lease_seconds):
-                state.remove_run(run, now, "silent beyond order and lease")
+            workerends.lost(state, worker, reason, now, evidence)
+        expired = [
+            run
+            for run in worker.runs.values()
+            if worker.run_expired(run, now, self._lease_seconds)
+        ]
+        poolreports.runs_lost(
+            state.metrics, state.name, worker, expired, SILENT, evidence, now
+        )
+        for run in expired:
+            state.remove_run(run, now, SILENT)
         self._holder.request_planning()
         gevent.sleep(RETRY_SECONDS)
--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -187,6 +187,7 @@
                 worker,
                 registration.incarnation,
                 clock.now(),
+                "its registration",
             )
         worker.registration = registration
         _apply_drain_state(worker, registration)
@@ -224,7 +225,7 @@
     ) -> None:
         """Record that a worker and all its runs have ended."""
         now = clock.now()
-        workerends.lost(self._context.state, worker, reason, now)
+        workerends.lost(self._context.state, worker, reason, now, "its order")
         for run in list(worker.runs.values()):
             # A late start can't arrive: the machine's next worker has
             # another name.
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -13,6 +13,7 @@
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
+from agaterudder import metrics
 from tests import job_builders
 from tests import memory_store
 
@@ -72,8 +73,11 @@
     context.version = 1
     context.key = "key-1"
     context.answers = []
+    context.metrics = metrics.Metrics()
     context.job_api = job_builders.job_api(
-        context.store, job_builders.configuration(context.version)
+        context.store,
+        job_builders.configuration(context.version),
+        context.metrics,
     )
     context.cluster = context.job_api._cluster
 
@@ -201,6 +205,28 @@
     assert context.calls <= most, context.calls
 
 
+@behave.when("the store answers each reading after {seconds:g} seconds")
+def step_readings_late(context: Context, seconds: float) -> None:
+    read = context.store.read
+
+    def read_late(*arguments: t.Any, **named: t.Any) -> ports.Row | None:
+        context.now += seconds
+        return t.cast("ports.Row | None", read(*arguments, **named))
+
+    context.store.read = read_late
+
+
+@behave.then("the job API counted")
+def step_counted(context: Context) -> None:
+    lines = context.metrics.render().splitlines()
+    found = {
+        name.removeprefix("agaterudder_"): float(value)
+        for name, _, value in (line.rpartition(" ") for line in lines)
+    }
+    for row in context.table:
+        assert found.get(row["series"]) == float(row["value"]), found
+
+
 @behave.then("the store got between {least:d} and {most:d} calls")
 def step_calls(context: Context, least: int, most: int) -> None:
     assert least <= context.calls <= most, context.calls
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -159,7 +159,9 @@
 
 
 def job_api(
-    store: memory_store.MemoryStore, configured: operatorconfig.Configuration
+    store: memory_store.MemoryStore,
+    configured: operatorconfig.Configuration,
+    metrics_registry: metrics.Metrics | None = None,
 ) -> jobapi.JobApi:
     """Return the job API of a VM whose configuration was just confirmed."""
     cluster = clustercache.ClusterCache(
@@ -170,5 +172,8 @@
     cluster._apply_operator_changes((ports.ConfigurationSet(configured),))
     cluster.operators.confirmed_at = clock.now()
     return jobapi.JobApi(
-        store, cluster, lambda: store.clock, metrics.Metrics()
+        store,
+        cluster,
+        lambda: store.clock,
+        metrics_registry or metrics.Metrics(),
     )
