--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -158,3 +158,15 @@
     Then the VM has 1.5 cores
     When its processor is 0 of a core that is 3 times as fast
     Then they are refused with an error that names "cpu_share"
+
+  # Guards against a task that waited 12.5 s for a start that was never sent.
+  Scenario: A request to a worker that ended meanwhile was certainly not sent
+    Given a client with an idle connection to a server that has ended
+    When the client sends a request
+    Then the request failed and can't take effect
+
+  # Guards against a worker loop that ended by an address that is no address.
+  Scenario: A request to an address without a port number was not sent
+    Given a client of the address "10.128.0.9:http"
+    When the client sends a request
+    Then the request failed and can't take effect
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -8,6 +8,9 @@
 from unittest import mock
 
 import behave
+import gevent
+import gevent.server
+import gevent.socket
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 sys.path.append(str(ROOT / "platform"))
@@ -21,6 +24,8 @@
 from agaterudder_platform import wire  # noqa: E402
 
 Context = t.Any
+RECEIVE_BYTES = 65_536
+SERVER_LINGER_SECONDS = 0.05
 SETTINGS = """\
 node_name = "front-a-1"
 ip = "10.1.0.23"
@@ -340,3 +345,38 @@
 @behave.then("the VM has {cores:g} cores")
 def step_cores(context: Context, cores: float) -> None:
     assert _read(context).cores == cores
+
+
+def _answer_once(connection: gevent.socket.socket, _: t.Any) -> None:
+    connection.recv(RECEIVE_BYTES)
+    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+    gevent.sleep(SERVER_LINGER_SECONDS)
+    connection.close()
+
+
+@behave.given("a client with an idle connection to a server that has ended")
+def step_ended_server(context: Context) -> None:
+    server = gevent.server.StreamServer(("127.0.0.1", 0), _answer_once)
+    server.start()
+    context.client = httpclient.HttpClient(f"127.0.0.1:{server.server_port}")
+    assert context.client.request("POST", "/", b"{}").status == 200
+    server.stop()
+    gevent.sleep(2 * SERVER_LINGER_SECONDS)
+
+
+@behave.given('a client of the address "{address}"')
+def step_client(context: Context, address: str) -> None:
+    context.client = httpclient.HttpClient(address)
+
+
+@behave.when("the client sends a request")
+def step_request(context: Context) -> None:
+    try:
+        context.client.request("POST", "/", b"{}")
+    except exceptions.CallFailed as error:
+        context.error = error
+
+
+@behave.then("the request failed and can't take effect")
+def step_not_sent(context: Context) -> None:
+    assert not context.error.may_take_effect, context.error
