--- a/src/agaterudder/jobs/teamlimits.py
+++ b/src/agaterudder/jobs/teamlimits.py
@@ -19,6 +19,9 @@
 PARTITION = "limits"
 # A grant that is not needed for this long is returned.
 IDLE_SECONDS = 1.5
+# A grant that is too small for the next task, with none to be added, is
+# returned after this long: what it holds may be what another pool lacks.
+BLOCKED_SECONDS = 0.3
 
 
 class _Account:
@@ -29,6 +32,8 @@
         was written without an answer.
     :ivar exhausted: whether the last request failed because the limit was
         fully granted.
+    :ivar blocked_since: since when requests have failed so and no run was
+        charged, 0 otherwise.
     :ivar taken_over: whether the grant of the earlier holders was taken over.
     """
 
@@ -38,6 +43,7 @@
         "needed_at",
         "return_pending",
         "exhausted",
+        "blocked_since",
         "taken_over",
     )
 
@@ -47,6 +53,7 @@
         self.needed_at = 0.0
         self.return_pending = False
         self.exhausted = False
+        self.blocked_since = 0.0
         self.taken_over = False
 
 
@@ -111,7 +118,9 @@
         """Charge a run to the grant; return whether it fits."""
         if not self.limited(team):
             return True
-        local_grant = self._account(team).local_grant
+        account = self._account(team)
+        account.blocked_since = 0.0
+        local_grant = account.local_grant
         local_grant.apply_limit(self._teams[team].limit)
         return isinstance(local_grant.spend(run, size), escrow.Spent)
 
@@ -188,7 +197,10 @@
         return complete
 
     def rebalance(self, store: ports.Store, now: float) -> bool:
-        """Request needed grants and return idle ones.
+        """Request needed grants; return idle ones and those too small to use.
+
+        Pools that each hold a part of a limit and need more of it would wait
+        for each other.
 
         :returns: whether some grant grew.
         """
@@ -197,11 +209,21 @@
             if not self.limited(team):
                 continue
             if account.needed is not None:
-                grew |= self._ask(store, team, account)
+                grew |= self._ask(store, team, account, now)
+                if self._blocked(account, now):
+                    self._return_grant(store, team, account)
             elif account.return_pending or self._idle(account, now):
                 self._return_grant(store, team, account)
         return grew
 
+    @staticmethod
+    def _blocked(account: _Account, now: float) -> bool:
+        return (
+            account.blocked_since > 0
+            and now - account.blocked_since >= BLOCKED_SECONDS
+            and account.local_grant.unspent.is_positive()
+        )
+
     @staticmethod
     def _idle(account: _Account, now: float) -> bool:
         recently_needed = now - account.needed_at < IDLE_SECONDS
@@ -209,7 +231,9 @@
             not recently_needed and account.local_grant.unspent.is_positive()
         )
 
-    def _ask(self, store: ports.Store, team: str, account: _Account) -> bool:
+    def _ask(
+        self, store: ports.Store, team: str, account: _Account, now: float
+    ) -> bool:
         request = account.needed
         account.needed = None
         assert request is not None
@@ -225,11 +249,13 @@
         larger = escrow.enlarged(limit_row, self._pool, request)
         account.exhausted = not isinstance(larger, escrow.LimitRow)
         if not isinstance(larger, escrow.LimitRow):
+            account.blocked_since = account.blocked_since or now
             LOG.debug(
                 "team limit reached",
                 extra={"team": team, "pool": self._pool},
             )
             return False
+        account.blocked_since = 0.0
         return self._write(store, team, row, larger, account)
 
     def _return_grant(
@@ -243,6 +269,9 @@
         local_grant.grant = local_grant.grant - local_grant.unspent
         account.return_pending = True
         row, limit_row = self._read(store, team)
+        limit_row = escrow.with_limit(
+            limit_row, self._teams[team].limit, self._version
+        )
         held = limit_row.grants.get(self._pool) or resources.ZERO
         smaller = escrow.with_return(
             limit_row,
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -66,3 +66,18 @@
     Then the job has not ended
     When the task fails 1 times
     Then the job has failed
+
+  # Guards against the tasks of a team that never started, as each pool held a
+  # part of the team's limit and waited for more of it.
+  Scenario Outline: Two pools hold <parts> of a limit, which is now <limit>
+    Given pools "a" and "b" with grants of <parts> cores of a limit of <before>
+    And operators set the limit to <limit> cores
+    When each pool has one task of 6 cores, for 3.0 seconds
+    Then a task has started
+    And the team never used more than <limit> cores
+
+    Examples: as it was, and lowered by operators
+      | parts     | before | limit |
+      | 5 and 5   | 10     | 10    |
+      | 12 and 12 | 30     | 10    |
+      | 6 and 6   | 12     | 7     |
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -8,11 +8,13 @@
 from agaterudder.jobs import jobapi
 from agaterudder.jobs import listings
 from agaterudder.jobs import model
+from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 from agaterudder.jobs import runstarts
 from agaterudder.jobs import scaling
+from agaterudder.jobs import teamlimits
 from agaterudder import resources
 from tests import job_builders
 from tests import memory_store
@@ -25,6 +27,7 @@
 FIRST = "00000000000000aa"
 WORKER_CORES = 16
 DEADLINE_SECONDS = 3.0
+TEAM = "tally"
 
 
 @behave.given("a started job of {count:d} tasks of 1 core")
@@ -236,3 +239,68 @@
 @behave.when("operators remove the queue")
 def step_queue_removed(context: Context) -> None:
     context.state.queues = {}
+
+
+# Upper limits of teams
+
+
+def _limited(version: int, cores: float) -> operatorconfig.Configuration:
+    unbounded = resources.UNBOUNDED
+    limit = resources.Vector(cores, unbounded, unbounded, unbounded)
+    team = operatorconfig.Team(TEAM, ("key-1",), 1.0, limit)
+    return job_builders.configuration(version, (team,))
+
+
+@behave.given(
+    'pools "a" and "b" with grants of {first:d} and {second:d} cores of a '
+    "limit of {limit:d}"
+)
+def step_granted(
+    context: Context, first: int, second: int, limit: int
+) -> None:
+    context.now = job_builders.START
+    context.store = memory_store.MemoryStore()
+    context.limits = {name: teamlimits.TeamLimits(name) for name in "ab"}
+    for limits, cores in zip(context.limits.values(), (first, second)):
+        limits.configure(_limited(1, float(limit)))
+        size = resources.Vector(float(cores), 100.0)
+        limits.request_grant(TEAM, size, size, context.now)
+        assert limits.rebalance(context.store, context.now)
+
+
+@behave.given("operators set the limit to {limit:d} cores")
+def step_limit(context: Context, limit: int) -> None:
+    for limits in context.limits.values():
+        limits.configure(_limited(2, float(limit)))
+
+
+@behave.when(
+    "each pool has one task of {cores:d} cores, for {seconds:g} seconds"
+)
+def step_one_task_each(context: Context, cores: int, seconds: float) -> None:
+    size = resources.Vector(float(cores), 100.0)
+    context.started = set()
+    context.most = 0.0
+    until = context.now + seconds
+    while context.now < until:
+        for name, limits in context.limits.items():
+            if name in context.started:
+                continue
+            if limits.fits(TEAM, size):
+                assert limits.charge(TEAM, name, size)
+                context.started.add(name)
+            else:
+                limits.request_grant(TEAM, size, size, context.now)
+            limits.rebalance(context.store, context.now)
+        context.most = max(context.most, float(cores) * len(context.started))
+        context.now += ROUND_SECONDS
+
+
+@behave.then("a task has started")
+def step_some_started(context: Context) -> None:
+    assert context.started
+
+
+@behave.then("the team never used more than {limit:d} cores")
+def step_within_limit(context: Context, limit: int) -> None:
+    assert context.most <= limit, context.most
