Keep each chosen port bound until its deployment stops

The launcher probed one port at a time, released it at once and started its server later. The usual deployment chooses 31 ports so, of 22,528; a port could be chosen twice within one deployment, and by two deployments at a time.

That explains the log of "whole_path: A request, a task and a change": HTTP port 28170 of entry-south-1 was in use when it started. The feature runs after the parallel ones and alone, so none of their servers can have had the port; it lies below the ephemeral range, so no outgoing connection can. What is left is a repeat within the deployment, or a process outside the test run. The log doesn't name the other owner.

standins.ports keeps the socket that probed a port bound until the deployment stops. In-process servers of the tests and the baseline of the benchmark reserve their ports likewise.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -17,6 +17,7 @@
 
 from bench import baseline
 from standins import launcher
+from standins import ports
 
 PLAN = launcher.Plan(
     data_centres=("north",),
@@ -272,18 +273,17 @@
         bench.overload(
             bench.address, "/v1/services/tally/", "overload_agaterudder"
         )
-        baseline_port = launcher.free_ports(1)[0]
+        reservation = ports.reserve()
         gateway = baseline.start(
-            f"127.0.0.1:{baseline_port}", list(deployment.backends.values())
+            reservation.address, list(deployment.backends.values())
         )
         try:
             time.sleep(1.0)
-            bench.overload(
-                f"127.0.0.1:{baseline_port}", "/", "overload_baseline"
-            )
+            bench.overload(reservation.address, "/", "overload_baseline")
         finally:
             gateway.kill()
             gateway.wait()
+            reservation.release()
     finally:
         deployment.stop()
     return 0
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -10,9 +10,7 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -23,11 +21,10 @@
 from geventhttpclient.response import HTTPParseError
 
 from agaterudder import keys
+from standins import ports
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_TIMEOUT_SECONDS = 20.0
-# Below the default ephemeral port range of Linux.
-SERVER_PORT_RANGE = (10_240, 32_768)
 LOG_TAIL_CHARACTERS = 600
 OPERATOR = "ane"
 OPERATOR_SECRET = "operator-secret-of-the-stand-in"
@@ -79,28 +76,6 @@
     body: t.Any
 
 
-def free_ports(count: int) -> list[int]:
-    """Return loopback ports that were free when they were probed.
-
-    They lie below the ephemeral range, so that no outgoing connection can
-    take one before its server listens.
-    """
-    generator = random.SystemRandom()
-    sockets: list[socket.socket] = []
-    while len(sockets) < count:
-        sock = socket.socket()
-        try:
-            sock.bind(("127.0.0.1", generator.randrange(*SERVER_PORT_RANGE)))
-        except OSError:
-            sock.close()
-            continue
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def call(
     address: str,
     method: str,
@@ -143,6 +118,7 @@
         self.workers: dict[str, str] = {}
         self.platform = ""
         self._vms: list[dict[str, t.Any]] = []
+        self._reservations: list[ports.Reservation] = []
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._directory = tempfile.TemporaryDirectory()
         self._path = pathlib.Path(self._directory.name)
@@ -150,7 +126,7 @@
     def start(self) -> None:
         """Start every process and wait until the entry VMs are ready."""
         self._describe_vms()
-        self.platform = self._free_address()
+        self.platform = self._reserve_address()
         (self._path / "vms.json").write_text(json.dumps(self._vms))
         self._start_process(
             "platform",
@@ -176,14 +152,14 @@
         for data_centre in self.plan.data_centres:
             for number in range(self.plan.entries):
                 name = f"entry-{data_centre}-{number}"
-                self.entries[name] = self._free_address()
+                self.entries[name] = self._reserve_address()
                 self._add_vm(
                     name, "entry", data_centre, number, self.entries[name]
                 )
             for service, count in self.plan.services:
                 for number in range(count):
                     name = f"{service}-{data_centre}-{number}"
-                    self.backends[name] = self._free_address()
+                    self.backends[name] = self._reserve_address()
                     self._add_vm(
                         name,
                         "backend",
@@ -195,7 +171,7 @@
             for pool, count in self.plan.pools:
                 for number in range(count):
                     name = f"worker-{pool}-{data_centre}-{number}"
-                    self.workers[name] = self._free_address()
+                    self.workers[name] = self._reserve_address()
                     self._add_vm(
                         name,
                         "worker",
@@ -227,8 +203,10 @@
             }
         )
 
-    def _free_address(self) -> str:
-        return f"127.0.0.1:{free_ports(1)[0]}"
+    def _reserve_address(self) -> str:
+        reservation = ports.reserve()
+        self._reservations.append(reservation)
+        return reservation.address
 
     def start_backend(self, name: str, address: str) -> None:
         """Start a stand-in backend server."""
@@ -272,7 +250,8 @@
         hashed = keys.digest(OPERATOR_SECRET, OPERATOR_SALT)
         return (
             f'[entry]\nvm = "{vm}"\ndata_centre = "{data_centre}"\n'
-            f'http = "{self.entries[vm]}"\nstream = "{self._free_address()}"\n'
+            f'http = "{self.entries[vm]}"\n'
+            f'stream = "{self._reserve_address()}"\n'
             f'[platform]\naddress = "{self.platform}"\n'
             f"poll_seconds = {self.plan.poll_seconds}\n"
             f'[[operators]]\nname = "{OPERATOR}"\n'
@@ -353,6 +332,9 @@
         for process in self._processes.values():
             process.wait()
         self._processes.clear()
+        for reservation in self._reservations:
+            reservation.release()
+        self._reservations.clear()
         self._directory.cleanup()
 
     def call_operator_api(
--- a/tests/features/steps/request_steps.py
+++ b/tests/features/steps/request_steps.py
@@ -16,6 +16,7 @@
 from agaterudder import settings
 from standins import backend
 from standins import launcher
+from standins import ports
 from tests import builders
 
 Context = t.Any
@@ -74,7 +75,9 @@
     context.servers = [backend.Backend(8, 0.01) for _ in range(2)]
     listed = []
     for number, server in enumerate(context.servers):
-        address = f"127.0.0.1:{launcher.free_ports(1)[0]}"
+        reservation = ports.reserve()
+        context.cleanups.append(reservation.release)
+        address = reservation.address
         if number or fault != "away":
             listener = backend.create_server(address, server)
             listener.start()
