Split the platform's messages and clients by partner

wire.py (656 lines) and clients.py (522) held the messages and the clients of every partner. Each partner now has a module of messages and one of calls: storemessages, workermessages, machinemessages, policymessages, jobmessages, operatormessages; storeclient, operatorclient, workerlistclient, workerclient, machinesclient, policyclient. orderreplies has the reply that workers and the machines API share (WorkerReply, now OrderReply), wire what all messages share. Quoting moves to httpclient; read and scan name their partition in one place.

Compared with by syntax tree, module prefixes left out: 68 definitions the same; the others differ in these names only. The store client's query strings for names with blanks, slashes and other reserved characters are the same as before.

--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -15,10 +15,16 @@
 from agaterudder import codes  # noqa: E402
 from agaterudder import exceptions  # noqa: E402
 from agaterudder.jobs import ports  # noqa: E402
-from agaterudder_platform import clients  # noqa: E402
 from agaterudder_platform import httpclient  # noqa: E402
+from agaterudder_platform import jobmessages  # noqa: E402
+from agaterudder_platform import machinesclient  # noqa: E402
 from agaterudder_platform import node  # noqa: E402
+from agaterudder_platform import operatormessages  # noqa: E402
+from agaterudder_platform import policyclient  # noqa: E402
+from agaterudder_platform import storeclient  # noqa: E402
 from agaterudder_platform import wire  # noqa: E402
+from agaterudder_platform import workerclient  # noqa: E402
+from agaterudder_platform import workermessages  # noqa: E402
 
 Context = t.Any
 SETTINGS = """\
@@ -53,14 +59,14 @@
 
 @behave.when("a client sends")
 def step_sends(context: Context) -> None:
-    context.request = wire.job_request(context.text.encode())
+    context.request = jobmessages.job_request(context.text.encode())
 
 
 @behave.when('a client sends the body "{body}"')
 @behave.when('a client sends the body ""')
 def step_sends_body(context: Context, body: str = "") -> None:
     try:
-        context.request = wire.job_request(body.encode())
+        context.request = jobmessages.job_request(body.encode())
     except wire.DECODE_ERRORS as error:
         context.request = error
 
@@ -100,7 +106,7 @@
     if content.startswith(b"\\x"):
         content = b"\xff\xfe"
     row = ports.Row("servers", "i-1", content, 1)
-    context.registration = wire.worker_registration(row)
+    context.registration = workermessages.worker_registration(row)
 
 
 @behave.then("it is decoded as no worker")
@@ -116,7 +122,7 @@
 
 
 def _renew(body: bytes) -> ports.Listing | ports.Rejected | ports.NoAnswer:
-    client = clients.WorkerClient("i-1", "127.0.0.1:9")
+    client = workerclient.WorkerClient("i-1", "127.0.0.1:9")
     reply = httpclient.Reply(200, body)
     client._http = t.cast(httpclient.HttpClient, StubHttpClient(reply))
     return client.renew(7, 0, None, 0.0, 1.0)
@@ -196,7 +202,7 @@
 @behave.then("a worker's responses are interpreted as")
 def step_responses(context: Context) -> None:
     for row in context.table:
-        client = clients.WorkerClient("i-1", "127.0.0.1:9")
+        client = workerclient.WorkerClient("i-1", "127.0.0.1:9")
         reply = httpclient.Reply(int(row["status"]), row["body"].encode())
         client._http = t.cast(httpclient.HttpClient, StubHttpClient(reply))
         answer = client.stop("a.0.0.0", 1, 7, 1.0)
@@ -209,11 +215,11 @@
 @behave.then("a transaction's responses are interpreted as")
 def step_transaction_responses(context: Context) -> None:
     for row in context.table:
-        client = clients.StoreClient("127.0.0.1:9")
+        client = storeclient.StoreClient("127.0.0.1:9")
         reply = httpclient.Reply(int(row["status"]), row["body"].encode())
         client._http = t.cast(httpclient.HttpClient, StubHttpClient(reply))
         with mock.patch.object(
-            clients.LOG, "warning", autospec=True
+            storeclient.LOG, "warning", autospec=True
         ) as warning:
             outcome = client.transact("a", [], [])
         name = (
@@ -230,14 +236,14 @@
     http = t.cast(httpclient.HttpClient, StubHttpClient(reply))
     match client:
         case "worker":
-            worker = clients.WorkerClient("i-1", "127.0.0.1:9")
+            worker = workerclient.WorkerClient("i-1", "127.0.0.1:9")
             worker._http = http
             return worker.stop("a.0.0.0", 1, 7, 1.0)
         case "machines":
-            machines = clients.MachinesClient("127.0.0.1:9")
+            machines = machinesclient.MachinesClient("127.0.0.1:9")
             machines._http = http
             return machines.move("m-1", "p", "front-a-1", 3)
-    policy = clients.PolicyClient("127.0.0.1:9")
+    policy = policyclient.PolicyClient("127.0.0.1:9")
     policy._http = http
     return policy.ask("a.0.0", ["i-1"], 1.0)
 
@@ -272,11 +278,11 @@
         for _ in range(generator.randrange(1, 6)):
             body[generator.randrange(len(body))] = generator.randrange(256)
         for decode in (
-            wire.job_request,
-            wire.configuration,
-            wire.decode_wave,
-            wire.decode_listing,
-            lambda content: wire.worker_registration(
+            jobmessages.job_request,
+            operatormessages.configuration,
+            operatormessages.decode_wave,
+            workermessages.decode_listing,
+            lambda content: workermessages.worker_registration(
                 ports.Row("servers", "i", content, 1)
             ),
         ):
