Split the planning of a pool by decision

Change: planning.Plan keeps the round. steporder sorts the steps, workerchoice chooses the worker of a task, groupchoice those of tasks that start together, stops marks the runs of cordoned and slow workers and gives the stops that are due, preemption.Preemption makes room, and throttling gives the throttle orders. The queue of a step is asked of the pool, its limit per worker of the step.

--- /dev/null
+++ b/src/agaterudder/jobs/groupchoice.py
@@ -0,0 +1,86 @@
+"""Chooses the workers of tasks that start together."""
+
+import typing as t
+
+from agaterudder.jobs import fleet
+from agaterudder.jobs import pool as pools
+from agaterudder.jobs import runs
+
+
+def choose(
+    state: pools.Pool,
+    step: runs.StepRun,
+    tasks: t.Sequence[runs.Task],
+    candidates: list[fleet.WorkerState],
+    now: float,
+) -> list[fleet.WorkerState] | None:
+    """Return a worker for each of the tasks, None unless all have one.
+
+    They are on one rack if the step asks for it.
+    """
+    if step.step.rack_local:
+        groups = _rack_groups(state, step, candidates, now)
+    else:
+        groups = [candidates]
+    for group in groups:
+        chosen = _assign_workers(state, step, tasks, group)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _rack_groups(
+    state: pools.Pool,
+    step: runs.StepRun,
+    candidates: list[fleet.WorkerState],
+    now: float,
+) -> list[list[fleet.WorkerState]]:
+    by_rack = fleet.racks(candidates)
+    present = {
+        run.worker.registration.rack
+        for task in step.tasks
+        for run in task.runs
+    }
+    preferred = [
+        *sorted(present),
+        *([step.step.data_rack] if step.step.data_rack else []),
+    ]
+    ordered = sorted(
+        by_rack,
+        key=lambda rack: -sum(w.free.cores for w in by_rack[rack]),
+    )
+    names = dict.fromkeys([*preferred, *ordered])
+    groups = [by_rack[name] for name in names if name in by_rack]
+    wait_seconds = state.estimates.seconds(step)
+    if now - step.ready_at > wait_seconds:
+        groups.append(candidates)
+    return groups
+
+
+def _assign_workers(
+    state: pools.Pool,
+    step: runs.StepRun,
+    tasks: t.Sequence[runs.Task],
+    group: list[fleet.WorkerState],
+) -> list[fleet.WorkerState] | None:
+    need = state.reserved_size(step)
+    limit = step.step.max_per_worker
+    free = {worker.name: worker.free for worker in group}
+    count = {
+        worker.name: step.count_on_worker(worker.name) for worker in group
+    }
+    chosen: list[fleet.WorkerState] = []
+    for _ in tasks:
+        fitting = [
+            worker
+            for worker in group
+            if need.fits_in(free[worker.name])
+            and (not limit or count[worker.name] < limit)
+        ]
+        if not fitting:
+            return None
+        best = max(fitting, key=lambda worker: free[worker.name].cores)
+        free[best.name] = free[best.name] - need
+        count[best.name] += 1
+        chosen.append(best)
+    return chosen
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -1,44 +1,22 @@
-"""Scheduler of one pool: decides which tasks start where and which stop.
+"""Scheduler of one pool: one round of starts, stops and throttling."""
 
-Steps are ordered by the priority of their queue. Within a priority, jobs
-submitted above the rate limit of their team come last, before them the jobs
-that can no longer complete within their objective. Of the rest, started
-jobs precede those without a started task, so that an overloaded pool
-completes jobs rather than starting more; teams above their fair share come
-after the others, and among equals the step with the least laxity (time to
-spare) comes first.
-"""
-
-import collections
-import functools
 import typing as t
 
-from agaterudder.jobs import draining
 from agaterudder.jobs import fleet
 from agaterudder.jobs import freecapacity
-from agaterudder.jobs import operatorconfig
+from agaterudder.jobs import groupchoice
 from agaterudder.jobs import orders
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import preemption
 from agaterudder.jobs import runs
 from agaterudder.jobs import runstarts
-from agaterudder.jobs import stragglers
+from agaterudder.jobs import steporder
+from agaterudder.jobs import stops
 from agaterudder.jobs import throttling
-from agaterudder import resources
+from agaterudder.jobs import workerchoice
 
-# An order is sent again after this time while it has not taken effect.
-STOP_RETRY_SECONDS = 0.5
-THROTTLE_RETRY_SECONDS = 0.3
-# A job without a started task that has less laxity will miss its objective
-# and counts as overdue.
-MIN_START_LAXITY_SECONDS = 0.25
 # Limit of the starts in one round, which bounds its duration.
 MAX_STARTS_PER_ROUND = 120
-# Shortest time between two preemptions for the same task.
-PREEMPT_RETRY_SECONDS = 1.0
-# Fraction of a task's expected duration that it waits for a worker in the
-# rack of its data.
-DATA_RACK_WAIT_FRACTION = 0.5
 # Limit of the workers in one request to the placement policy.
 MAX_POLICY_WORKERS = 30
 
@@ -52,6 +30,17 @@
     :param now: seconds of this machine's monotonic clock.
     """
 
+    __slots__ = (
+        "_state",
+        "_now",
+        "_orders",
+        "_starts",
+        "_usable",
+        "_free",
+        "_choice",
+        "_preemption",
+    )
+
     def __init__(self, state: pools.Pool, now: float) -> None:
         self._state = state
         self._now = now
@@ -63,16 +52,20 @@
             if self._accepts_tasks(worker)
         ]
         self._free = freecapacity.FreeCapacity(self._usable)
+        self._choice = workerchoice.WorkerChoice(
+            state, self._usable, self._free, now
+        )
+        self._preemption = preemption.Preemption(state, self._usable, now)
 
     def orders(self) -> list[orders.Order]:
         """Return the orders of this round."""
         state = self._state
-        self._drain_cordoned()
-        self._restart_stragglers()
-        self._send_stops()
-        self._throttle()
+        stops.drain_cordoned(state, self._usable, self._now)
+        stops.restart_stragglers(state, self._usable)
+        self._orders.extend(stops.due_stops(state, self._now))
+        self._orders.extend(throttling.due_orders(state, self._now))
         recovering = state.recovery.pending(self._now)
-        for step in self._sorted_steps():
+        for step in steporder.sorted_steps(state, self._usable, self._now):
             if self._starts >= MAX_STARTS_PER_ROUND:
                 break
             if recovering and step.job.recovered:
@@ -87,173 +80,6 @@
             and worker.registration.data_centre not in self._state.taken_out
         )
 
-    # Stops
-
-    def _drain_cordoned(self) -> None:
-        """Mark the runs to be stopped on cordoned workers."""
-        for worker in self._state.workers.values():
-            if not worker.cordon_reason or not worker.runs:
-                continue
-            for run in draining.runs_to_stop(
-                worker,
-                self._state.bounds,
-                self._fits_elsewhere(worker),
-                self._now,
-            ):
-                run.stop_reason = f"worker cordoned: {worker.cordon_reason}"
-
-    def _restart_stragglers(self) -> None:
-        """Mark stragglers to be stopped, so that they restart elsewhere."""
-        state = self._state
-        for step in state.ready.values():
-            if step.finished or step.step.long_running:
-                continue
-            for run in [run for task in step.tasks for run in task.runs]:
-                if not stragglers.is_straggler(run, state.bounds.stop):
-                    continue
-                need = state.reserved_size(step)
-                if any(
-                    need.fits_in(other.free)
-                    for other in self._usable
-                    if other is not run.worker
-                ):
-                    assert run.task is not None
-                    run.task.straggler_restarts += 1
-                    run.task.excluded_workers.add(run.worker.name)
-                    run.stop_reason = "straggler on a slow worker"
-
-    def _fits_elsewhere(self, worker: fleet.WorkerState) -> bool:
-        """Return whether its long-running tasks fit on other workers.
-
-        Each is checked by itself, not all together.
-        """
-        steps = [
-            run.task.step
-            for run in worker.runs.values()
-            if run.task is not None and run.task.step.step.long_running
-        ]
-        return all(
-            any(
-                self._state.reserved_size(step).fits_in(other.free)
-                and self._within_worker_limit(step, other)
-                for other in self._usable
-            )
-            for step in steps
-        )
-
-    def _send_stops(self) -> None:
-        for worker in self._state.workers.values():
-            for run in worker.runs.values():
-                if run.stop_reason and self._stop_due(run):
-                    run.stop_sent_at = self._now
-                    self._orders.append(orders.Stop(run))
-
-    def _stop_due(self, run: runs.Run) -> bool:
-        if run.state is runs.RunState.SENT:
-            return False
-        return self._now - run.stop_sent_at > STOP_RETRY_SECONDS
-
-    # Throttling
-
-    def _throttle(self) -> None:
-        """Throttle best-effort tasks that slow latency-sensitive ones."""
-        for worker in self._state.workers.values():
-            if not worker.has_mixed_load:
-                continue
-            percent = throttling.adjust_speed(worker, self._now)
-            for run in worker.runs.values():
-                if self._throttle_due(run, percent):
-                    run.throttle_sent_at = self._now
-                    self._orders.append(orders.Throttle(run, percent))
-
-    def _throttle_due(self, run: runs.Run, percent: int) -> bool:
-        return (
-            run.task is not None
-            and run.task.step.step.best_effort
-            and run.state is runs.RunState.RUNNING
-            and run.speed_percent != percent
-            and self._now - run.throttle_sent_at > THROTTLE_RETRY_SECONDS
-        )
-
-    # Order of the steps
-
-    def _sorted_steps(self) -> list[runs.StepRun]:
-        waiting = [
-            step
-            for step in self._state.ready.values()
-            if step.ready_at and step.job.ending is None
-        ]
-        shares = self._shares()
-        return sorted(waiting, key=lambda step: self._rank(step, shares))
-
-    def _rank(
-        self, step: runs.StepRun, shares: t.Mapping[str, float]
-    ) -> tuple[int, bool, bool, bool, bool, float]:
-        queue = self._queue(step)
-        if step.step.long_running:
-            return (queue.priority, False, False, False, False, step.ready_at)
-        job = step.job
-        laxity = self._laxity(step, queue)
-        overdue = laxity < (0.0 if job.started else MIN_START_LAXITY_SECONDS)
-        over_share = shares.get(job.job.team, 0.0) > 1.0
-        return (
-            queue.priority,
-            job.over_submission_rate,
-            overdue,
-            not job.started,
-            over_share,
-            laxity,
-        )
-
-    def _laxity(
-        self, step: runs.StepRun, queue: operatorconfig.Queue
-    ) -> float:
-        """Return the seconds to spare before the objective is missed.
-
-        The objective is the time within which the occurrence is to be
-        completed.
-        """
-        estimates = self._state.estimates
-        first = step.job.steps[f"{step.occurrence}.0"]
-        total = estimates.critical_path_seconds(first)
-        remaining = estimates.critical_path_seconds(step)
-        objective = queue.stretch * total + queue.target_seconds
-        started_at = max(step.job.accepted_at, first.ready_at)
-        return started_at + objective - self._now - remaining
-
-    def _shares(self) -> dict[str, float]:
-        """Return the dominant share of each team over its fair share.
-
-        The fair shares divide the pool by weight among the teams that use
-        capacity or have unfinished steps.
-        """
-        used: dict[str, resources.Vector] = collections.defaultdict(
-            lambda: resources.ZERO
-        )
-        capacity = resources.ZERO
-        for worker in self._usable:
-            capacity = capacity + worker.registration.size
-            for run in worker.runs.values():
-                if run.task is not None:
-                    team = run.task.step.job.job.team
-                    used[team] = used[team] + run.size
-        present = {
-            step.job.job.team for step in self._state.ready.values()
-        } | set(used)
-        weights = {team: self._state.limits.weight(team) for team in present}
-        total = sum(weights.values()) or 1.0
-        return {
-            team: amount.dominant_share(capacity) / (weights[team] / total)
-            for team, amount in used.items()
-        }
-
-    def _queue(self, step: runs.StepRun) -> operatorconfig.Queue:
-        name = step.job.job.queue
-        known = self._state.queues.get(name)
-        return known or operatorconfig.Queue(name, "", "", self._state.name)
-
-    # Placement
-
     def _place_step(self, step: runs.StepRun) -> None:
         tasks = step.waiting_tasks(self._now)
         if not tasks:
@@ -267,9 +93,9 @@
         for task in tasks:
             if self._starts >= MAX_STARTS_PER_ROUND:
                 return
-            worker = self._choose_worker(step, task, candidates)
+            worker = self._choice.choose(step, task, candidates)
             if worker is None:
-                self._preempt(step, task, candidates)
+                self._make_room(step, task, candidates)
                 return
             if not self._grant_covers(step, [task], tasks):
                 return
@@ -290,7 +116,7 @@
             for worker in self._usable
             if not label or label in worker.registration.labels
         ]
-        if self._queue(step).policy is None:
+        if self._state.queue_of(step).policy is None:
             return found
         tickets = step.tickets
         if tickets is None or tickets.until <= self._now:
@@ -301,123 +127,6 @@
             return None
         return [worker for worker in found if worker.name in tickets.by_worker]
 
-    def _choose_worker(
-        self,
-        step: runs.StepRun,
-        task: runs.Task,
-        candidates: list[fleet.WorkerState],
-    ) -> fleet.WorkerState | None:
-        need = self._state.reserved_size(step)
-        if self._free.fits_nowhere(need):
-            return None
-        others = [
-            worker
-            for worker in candidates
-            if worker.name not in task.excluded_workers
-        ]
-        fitting = self._fitting(step, need, others)
-        if not fitting and self._may_use_excluded(step, others):
-            fitting = self._fitting(step, need, candidates)
-        preferred = self._prefer_data_rack(step, fitting, candidates)
-        if not preferred:
-            return None
-        if step.step.best_effort:
-            return min(preferred, key=self._interference_rank)
-        if step.step.long_running:
-            # Packed on few workers, so that the others become idle and their
-            # machines can be released to a standby pool.
-            return max(
-                preferred,
-                key=lambda worker: (
-                    worker.long_running_count > 0,
-                    self._free.of(worker).cores,
-                ),
-            )
-        return min(preferred, key=lambda worker: self._free.of(worker).cores)
-
-    def _fitting(
-        self,
-        step: runs.StepRun,
-        need: resources.Vector,
-        workers: list[fleet.WorkerState],
-    ) -> list[fleet.WorkerState]:
-        """Return the workers that can take one more task of a step."""
-        with_room = self._free.fitting(need, workers)
-        if not with_room and len(workers) == len(self._usable):
-            self._free.mark_unplaceable(need)
-        return [
-            worker
-            for worker in with_room
-            if self._within_worker_limit(step, worker)
-        ]
-
-    def _may_use_excluded(
-        self, step: runs.StepRun, others: list[fleet.WorkerState]
-    ) -> bool:
-        """Return whether a task may return to a worker that it is kept from.
-
-        A long-running task is to run wherever it can; any other waits for
-        room on the others, if they can take it at all.
-        """
-        return step.step.long_running or not any(
-            self._within_worker_limit(step, worker) for worker in others
-        )
-
-    def _prefer_data_rack(
-        self,
-        step: runs.StepRun,
-        fitting: list[fleet.WorkerState],
-        candidates: list[fleet.WorkerState],
-    ) -> list[fleet.WorkerState]:
-        """Return the fitting workers in the rack of the data, if any.
-
-        Otherwise returns all that fit; while the rack has candidates, only
-        after the step has waited for one of them.
-        """
-        rack = step.step.data_rack
-        if not rack:
-            return fitting
-        near = [
-            worker for worker in fitting if worker.registration.rack == rack
-        ]
-        if near:
-            return near
-        exists = any(worker.registration.rack == rack for worker in candidates)
-        wait_seconds = DATA_RACK_WAIT_FRACTION * self._state.estimates.seconds(
-            step
-        )
-        if exists and self._now - step.ready_at < wait_seconds:
-            return []
-        return fitting
-
-    @staticmethod
-    def _interference_rank(
-        worker: fleet.WorkerState,
-    ) -> tuple[int, bool, int, float]:
-        """Rank a worker for best-effort tasks.
-
-        Workers whose latency-sensitive tasks are the least affected come
-        first.
-        """
-        latency_sensitive = sum(
-            1
-            for run in worker.runs.values()
-            if run.task is not None and run.task.step.step.target_seconds > 0
-        )
-        return (
-            latency_sensitive,
-            not worker.long_running_count,
-            -worker.best_effort_percent,
-            -worker.free.cores,
-        )
-
-    @staticmethod
-    def _within_worker_limit(
-        step: runs.StepRun, worker: fleet.WorkerState
-    ) -> bool:
-        limit = step.step.max_per_worker
-        return not limit or step.count_on_worker(worker.name) < limit
-
     def _grant_covers(
         self,
         step: runs.StepRun,
@@ -453,15 +162,10 @@
         gang = step.step.gang
         if gang and len(tasks) < len(step.tasks):
             return
-        if step.step.rack_local:
-            groups = self._rack_groups(step, candidates)
-        else:
-            groups = [candidates]
-        for group in groups:
-            chosen = self._assign_workers(step, tasks, group)
-            if chosen is not None:
-                break
-        else:
+        chosen = groupchoice.choose(
+            self._state, step, tasks, candidates, self._now
+        )
+        if chosen is None:
             return
         if not self._grant_covers(step, tasks, tasks):
             return
@@ -470,58 +174,6 @@
             run_number = number if gang else self._state.next_run()
             self._start(task, worker, run_number)
 
-    def _rack_groups(
-        self, step: runs.StepRun, candidates: list[fleet.WorkerState]
-    ) -> list[list[fleet.WorkerState]]:
-        by_rack = fleet.racks(candidates)
-        present = {
-            run.worker.registration.rack
-            for task in step.tasks
-            for run in task.runs
-        }
-        preferred = [
-            *sorted(present),
-            *([step.step.data_rack] if step.step.data_rack else []),
-        ]
-        ordered = sorted(
-            by_rack,
-            key=lambda rack: -sum(w.free.cores for w in by_rack[rack]),
-        )
-        names = dict.fromkeys([*preferred, *ordered])
-        groups = [by_rack[name] for name in names if name in by_rack]
-        wait_seconds = self._state.estimates.seconds(step)
-        if self._now - step.ready_at > wait_seconds:
-            groups.append(candidates)
-        return groups
-
-    def _assign_workers(
-        self,
-        step: runs.StepRun,
-        tasks: list[runs.Task],
-        group: list[fleet.WorkerState],
-    ) -> list[fleet.WorkerState] | None:
-        need = self._state.reserved_size(step)
-        limit = step.step.max_per_worker
-        free = {worker.name: worker.free for worker in group}
-        count = {
-            worker.name: step.count_on_worker(worker.name) for worker in group
-        }
-        chosen: list[fleet.WorkerState] = []
-        for _ in tasks:
-            fitting = [
-                worker
-                for worker in group
-                if need.fits_in(free[worker.name])
-                and (not limit or count[worker.name] < limit)
-            ]
-            if not fitting:
-                return None
-            best = max(fitting, key=lambda worker: free[worker.name].cores)
-            free[best.name] = free[best.name] - need
-            count[best.name] += 1
-            chosen.append(best)
-        return chosen
-
     def _start(
         self, task: runs.Task, worker: fleet.WorkerState, number: int
     ) -> None:
@@ -543,42 +195,12 @@
         self._starts += 1
         state.placements.add(run, kind, before, self._now)
 
-    # Preemption
-
-    def _preempt(
+    def _make_room(
         self,
         step: runs.StepRun,
         task: runs.Task,
         candidates: list[fleet.WorkerState],
     ) -> None:
-        """Stop runs of lower priority to free capacity for a task."""
-        if self._now - task.last_preemption_at < PREEMPT_RETRY_SECONDS:
-            return
-        priority = self._queue(step).priority
-        if self._least_urgent is None or self._least_urgent <= priority:
-            return
-        victims = preemption.choose_victims(
-            (
-                worker
-                for worker in candidates
-                if self._within_worker_limit(step, worker)
-            ),
-            self._state.reserved_size(step),
-            priority,
-            self._priority,
-            self._now,
-        )
-        if not victims:
-            return
-        task.last_preemption_at = self._now
-        for run in victims:
-            run.stop_reason = f"room for {task.name}"
-        self._send_stops()
-
-    @functools.cached_property
-    def _least_urgent(self) -> int | None:
-        """Least urgent priority that can be preempted in this round."""
-        return preemption.least_urgent(self._usable, self._priority)
-
-    def _priority(self, step: runs.StepRun) -> int:
-        return self._queue(step).priority
+        """Preempt runs for a task and order their stops."""
+        if self._preemption.preempt(step, task, candidates):
+            self._orders.extend(stops.due_stops(self._state, self._now))
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -227,6 +227,12 @@
         if job.ending is None and job.finished:
             self.finish_job(job, model.STATE_COMPLETED, "all done", 0.0)
 
+    def queue_of(self, step: runs.StepRun) -> operatorconfig.Queue:
+        """Return the queue of a step, one of default values if unknown."""
+        name = step.job.job.queue
+        known = self.queues.get(name)
+        return known or operatorconfig.Queue(name, "", "", self.name)
+
     # Workers
 
     def adopt_worker(self, worker: fleet.WorkerState) -> None:
--- a/src/agaterudder/jobs/preemption.py
+++ b/src/agaterudder/jobs/preemption.py
@@ -3,16 +3,80 @@
 A priority is a number, lower is more urgent.
 """
 
+import functools
 import itertools
 import typing as t
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import pool as pools
 from agaterudder.jobs import runs
 from agaterudder import resources
 
+# Shortest time between two preemptions for the same task.
+PREEMPT_RETRY_SECONDS = 1.0
 PriorityOf = t.Callable[[runs.StepRun], int]
 
 
+class Preemption:
+    """Preemption in one scheduling round.
+
+    :param usable: workers that accept tasks.
+    :param now: seconds of this machine's monotonic clock.
+    """
+
+    def __init__(
+        self,
+        state: pools.Pool,
+        usable: t.Sequence[fleet.WorkerState],
+        now: float,
+    ) -> None:
+        self._state = state
+        self._usable = usable
+        self._now = now
+
+    def preempt(
+        self,
+        step: runs.StepRun,
+        task: runs.Task,
+        candidates: list[fleet.WorkerState],
+    ) -> bool:
+        """Mark runs of lower priority to be stopped, to free capacity.
+
+        :param candidates: workers on which the task may run.
+        :returns: whether runs are to be stopped.
+        """
+        if self._now - task.last_preemption_at < PREEMPT_RETRY_SECONDS:
+            return False
+        priority = self._priority(step)
+        if self._least_urgent is None or self._least_urgent <= priority:
+            return False
+        victims = choose_victims(
+            (
+                worker
+                for worker in candidates
+                if step.within_worker_limit(worker.name)
+            ),
+            self._state.reserved_size(step),
+            priority,
+            self._priority,
+            self._now,
+        )
+        if not victims:
+            return False
+        task.last_preemption_at = self._now
+        for run in victims:
+            run.stop_reason = f"room for {task.name}"
+        return True
+
+    @functools.cached_property
+    def _least_urgent(self) -> int | None:
+        """Least urgent priority that can be preempted in this round."""
+        return least_urgent(self._usable, self._priority)
+
+    def _priority(self, step: runs.StepRun) -> int:
+        return self._state.queue_of(step).priority
+
+
 def least_urgent(
     workers: t.Iterable[fleet.WorkerState], priority_of: PriorityOf
 ) -> int | None:
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -295,6 +295,11 @@
             if run.worker.name == worker
         )
 
+    def within_worker_limit(self, worker: str) -> bool:
+        """Return whether one more task may have a run on a worker."""
+        limit = self.step.max_per_worker
+        return not limit or self.count_on_worker(worker) < limit
+
 
 class Tickets:
     """Permits of the placement policy for a step.
--- /dev/null
+++ b/src/agaterudder/jobs/steporder.py
@@ -0,0 +1,112 @@
+"""Order in which the waiting steps of a pool are served.
+
+Steps are ordered by the priority of their queue. Within a priority, jobs
+submitted above the rate limit of their team come last, before them the jobs
+that can no longer complete within their objective. Of the rest, started
+jobs precede those without a started task, so that an overloaded pool
+completes jobs rather than starting more; teams above their fair share come
+after the others, and among equals the step with the least laxity (time to
+spare) comes first.
+"""
+
+import collections
+import typing as t
+
+from agaterudder.jobs import fleet
+from agaterudder.jobs import operatorconfig
+from agaterudder.jobs import pool as pools
+from agaterudder.jobs import runs
+from agaterudder import resources
+
+# A job without a started task that has less laxity will miss its objective
+# and counts as overdue.
+MIN_START_LAXITY_SECONDS = 0.25
+
+
+def sorted_steps(
+    state: pools.Pool,
+    usable: t.Sequence[fleet.WorkerState],
+    now: float,
+) -> list[runs.StepRun]:
+    """Return the steps whose tasks may start, the first to be served first.
+
+    :param usable: workers that accept tasks.
+    """
+    waiting = [
+        step
+        for step in state.ready.values()
+        if step.ready_at and step.job.ending is None
+    ]
+    shares = _shares(state, usable)
+    return sorted(waiting, key=lambda step: _rank(state, step, shares, now))
+
+
+def _rank(
+    state: pools.Pool,
+    step: runs.StepRun,
+    shares: t.Mapping[str, float],
+    now: float,
+) -> tuple[int, bool, bool, bool, bool, float]:
+    queue = state.queue_of(step)
+    if step.step.long_running:
+        return (queue.priority, False, False, False, False, step.ready_at)
+    job = step.job
+    laxity = _laxity(state, step, queue, now)
+    overdue = laxity < (0.0 if job.started else MIN_START_LAXITY_SECONDS)
+    over_share = shares.get(job.job.team, 0.0) > 1.0
+    return (
+        queue.priority,
+        job.over_submission_rate,
+        overdue,
+        not job.started,
+        over_share,
+        laxity,
+    )
+
+
+def _laxity(
+    state: pools.Pool,
+    step: runs.StepRun,
+    queue: operatorconfig.Queue,
+    now: float,
+) -> float:
+    """Return the seconds to spare before the objective is missed.
+
+    The objective is the time within which the occurrence is to be
+    completed.
+    """
+    estimates = state.estimates
+    first = step.job.steps[f"{step.occurrence}.0"]
+    total = estimates.critical_path_seconds(first)
+    remaining = estimates.critical_path_seconds(step)
+    objective = queue.stretch * total + queue.target_seconds
+    started_at = max(step.job.accepted_at, first.ready_at)
+    return started_at + objective - now - remaining
+
+
+def _shares(
+    state: pools.Pool,
+    usable: t.Sequence[fleet.WorkerState],
+) -> dict[str, float]:
+    """Return the dominant share of each team over its fair share.
+
+    The fair shares divide the pool by weight among the teams that use
+    capacity or have unfinished steps.
+    """
+    used: dict[str, resources.Vector] = collections.defaultdict(
+        lambda: resources.ZERO
+    )
+    capacity = resources.ZERO
+    for worker in usable:
+        capacity = capacity + worker.registration.size
+        for run in worker.runs.values():
+            if run.task is not None:
+                team = run.task.step.job.job.team
+                used[team] = used[team] + run.size
+    present = {step.job.job.team for step in state.ready.values()} | set(used)
+    weights = {team: state.limits.weight(team) for team in present}
+    total = sum(weights.values()) or 1.0
+    return {
+        team: amount.dominant_share(capacity) / (weights[team] / total)
+        for team, amount in used.items()
+    }
--- a/src/agaterudder/jobs/throttling.py
+++ b/src/agaterudder/jobs/throttling.py
@@ -6,6 +6,9 @@
 """
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import orders
+from agaterudder.jobs import pool as pools
+from agaterudder.jobs import runs
 
 FULL_PERCENT = 100
 # Below this speed, best-effort tasks are paused.
@@ -19,6 +22,35 @@
 RAISE_BELOW_FRACTION = 0.7
 # The limit is lowered above this fraction, before the target is reached.
 LOWER_ABOVE_FRACTION = 0.9
+# An order is sent again after this time while it has not taken effect.
+THROTTLE_RETRY_SECONDS = 0.3
+
+
+def due_orders(state: pools.Pool, now: float) -> list[orders.Throttle]:
+    """Return the orders to send now, and record them as sent.
+
+    They throttle best-effort tasks that slow latency-sensitive ones.
+    """
+    found = []
+    for worker in state.workers.values():
+        if not worker.has_mixed_load:
+            continue
+        percent = adjust_speed(worker, now)
+        for run in worker.runs.values():
+            if _order_due(run, percent, now):
+                run.throttle_sent_at = now
+                found.append(orders.Throttle(run, percent))
+    return found
+
+
+def _order_due(run: runs.Run, percent: int, now: float) -> bool:
+    return (
+        run.task is not None
+        and run.task.step.step.best_effort
+        and run.state is runs.RunState.RUNNING
+        and run.speed_percent != percent
+        and now - run.throttle_sent_at > THROTTLE_RETRY_SECONDS
+    )
 
 
 def adjust_speed(worker: fleet.WorkerState, now: float) -> int:
--- /dev/null
+++ b/src/agaterudder/jobs/workerchoice.py
@@ -0,0 +1,147 @@
+"""Chooses the worker of a task that starts by itself."""
+
+import typing as t
+
+from agaterudder.jobs import fleet
+from agaterudder.jobs import freecapacity
+from agaterudder.jobs import pool as pools
+from agaterudder.jobs import runs
+from agaterudder import resources
+
+# Fraction of a task's expected duration that it waits for a worker in the
+# rack of its data.
+DATA_RACK_WAIT_FRACTION = 0.5
+
+
+class WorkerChoice:
+    """Chooses workers in one scheduling round.
+
+    :param usable: workers that accept tasks.
+    :param free: what they have left.
+    :param now: seconds of this machine's monotonic clock.
+    """
+
+    __slots__ = ("_state", "_usable", "_free", "_now")
+
+    def __init__(
+        self,
+        state: pools.Pool,
+        usable: t.Sequence[fleet.WorkerState],
+        free: freecapacity.FreeCapacity,
+        now: float,
+    ) -> None:
+        self._state = state
+        self._usable = usable
+        self._free = free
+        self._now = now
+
+    def choose(
+        self,
+        step: runs.StepRun,
+        task: runs.Task,
+        candidates: list[fleet.WorkerState],
+    ) -> fleet.WorkerState | None:
+        """Return the worker for a task of a step, None if it has to wait."""
+        need = self._state.reserved_size(step)
+        if self._free.fits_nowhere(need):
+            return None
+        others = [
+            worker
+            for worker in candidates
+            if worker.name not in task.excluded_workers
+        ]
+        fitting = self._fitting(step, need, others)
+        if not fitting and self._may_use_excluded(step, others):
+            fitting = self._fitting(step, need, candidates)
+        preferred = self._prefer_data_rack(step, fitting, candidates)
+        if not preferred:
+            return None
+        if step.step.best_effort:
+            return min(preferred, key=_interference_rank)
+        if step.step.long_running:
+            # Packed on few workers, so that the others become idle and their
+            # machines can be released to a standby pool.
+            return max(
+                preferred,
+                key=lambda worker: (
+                    worker.long_running_count > 0,
+                    self._free.of(worker).cores,
+                ),
+            )
+        return min(preferred, key=lambda worker: self._free.of(worker).cores)
+
+    def _fitting(
+        self,
+        step: runs.StepRun,
+        need: resources.Vector,
+        workers: list[fleet.WorkerState],
+    ) -> list[fleet.WorkerState]:
+        """Return the workers that can take one more task of a step."""
+        with_room = self._free.fitting(need, workers)
+        if not with_room and len(workers) == len(self._usable):
+            self._free.mark_unplaceable(need)
+        return [
+            worker
+            for worker in with_room
+            if step.within_worker_limit(worker.name)
+        ]
+
+    def _may_use_excluded(
+        self, step: runs.StepRun, others: list[fleet.WorkerState]
+    ) -> bool:
+        """Return whether a task may return to a worker that it is kept from.
+
+        A long-running task is to run wherever it can; any other waits for
+        room on the others, if they can take it at all.
+        """
+        return step.step.long_running or not any(
+            step.within_worker_limit(worker.name) for worker in others
+        )
+
+    def _prefer_data_rack(
+        self,
+        step: runs.StepRun,
+        fitting: list[fleet.WorkerState],
+        candidates: list[fleet.WorkerState],
+    ) -> list[fleet.WorkerState]:
+        """Return the fitting workers in the rack of the data, if any.
+
+        Otherwise returns all that fit; while the rack has candidates, only
+        after the step has waited for one of them.
+        """
+        rack = step.step.data_rack
+        if not rack:
+            return fitting
+        near = [
+            worker for worker in fitting if worker.registration.rack == rack
+        ]
+        if near:
+            return near
+        exists = any(worker.registration.rack == rack for worker in candidates)
+        wait_seconds = DATA_RACK_WAIT_FRACTION * self._state.estimates.seconds(
+            step
+        )
+        if exists and self._now - step.ready_at < wait_seconds:
+            return []
+        return fitting
+
+
+def _interference_rank(
+    worker: fleet.WorkerState,
+) -> tuple[int, bool, int, float]:
+    """Rank a worker for best-effort tasks.
+
+    Workers whose latency-sensitive tasks are the least affected come
+    first.
+    """
+    latency_sensitive = sum(
+        1
+        for run in worker.runs.values()
+        if run.task is not None and run.task.step.step.target_seconds > 0
+    )
+    return (
+        latency_sensitive,
+        not worker.long_running_count,
+        -worker.best_effort_percent,
+        -worker.free.cores,
+    )
