--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -237,6 +237,12 @@
         known = queue.max_attempts if queue is not None else job.max_attempts
         return max(known, 1)
 
+    def queue_of(self, step: runs.StepRun) -> operatorconfig.Queue:
+        """Return the queue of a step, one of default values if unknown."""
+        name = step.job.job.queue
+        known = self.queues.get(name)
+        return known or operatorconfig.Queue(name, "", "", self.name)
+
     # Workers
 
     def adopt_worker(self, worker: fleet.WorkerState) -> None:
