Log greenlets of the job service that end with an exception

A worker loop, an order, the renewal of a lease or a watch that met a fault ended without a key=value line, and its worker or pool stood still. Each now leaves an error line with its name, its pool or worker and the place of the fault. What happens then is unchanged.

Two fakes of the tests keep loops from running: they replace the new function in place of gevent.spawn, and check the same as before.

--- a/src/agaterudder/jobs/autoscaler.py
+++ b/src/agaterudder/jobs/autoscaler.py
@@ -11,6 +11,7 @@
 
 from agaterudder.jobs import clock
 from agaterudder.jobs import fleet
+from agaterudder.jobs import greenlets
 from agaterudder.jobs import machines
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
@@ -106,8 +107,7 @@
                 self._scale_up(count, reason)
             case scaling.ScaleDown(workers=workers):
                 moves = [
-                    gevent.spawn(self._scale_down, worker)
-                    for worker in workers
+                    self._spawn(self._scale_down, worker) for worker in workers
                 ]
                 gevent.joinall(moves)
             case scaling.Drain(worker=worker):
@@ -124,6 +124,13 @@
                 worker.busy_at = now
                 self._holder.uncordon_worker(worker)
 
+    def _spawn(
+        self, move: t.Callable[..., None], *arguments: t.Any
+    ) -> gevent.Greenlet:
+        return greenlets.spawn(
+            move, *arguments, what="machine move", pool=self._holder.pool
+        )
+
     def _repeat_unanswered_moves(self) -> None:
         workers = [
             worker
@@ -133,7 +140,7 @@
             and not worker.terminated
         ]
         gevent.joinall(
-            [gevent.spawn(self._scale_down, worker) for worker in workers]
+            [self._spawn(self._scale_down, worker) for worker in workers]
         )
 
     def _drop_joined_moves(self, now: float) -> None:
@@ -169,7 +176,7 @@
             self._log_shortage(count, len(free), reason, now)
         free.sort(key=self._rank)
         moves = [
-            gevent.spawn(self._move_from_standby, machine, reason)
+            self._spawn(self._move_from_standby, machine, reason)
             for machine in free[:count]
         ]
         gevent.joinall(moves)
--- a/src/agaterudder/jobs/leases.py
+++ b/src/agaterudder/jobs/leases.py
@@ -14,6 +14,7 @@
 
 from agaterudder import exceptions
 from agaterudder.jobs import clock
+from agaterudder.jobs import greenlets
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
 
@@ -304,7 +305,9 @@
             },
         )
         self._leases[pool] = lease
-        gevent.spawn(self._renew_loop, lease)
+        greenlets.spawn(
+            self._renew_loop, lease, what="lease renewal", pool=pool
+        )
         self._on_acquired(lease)
 
     @property
--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -7,6 +7,7 @@
 
 from agaterudder.jobs import clock
 from agaterudder.jobs import context as contexts
+from agaterudder.jobs import greenlets
 from agaterudder.jobs import orders
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
@@ -40,7 +41,12 @@
 
     def spawn(self, order: orders.Order) -> None:
         """Carry an order out concurrently with the others."""
-        self._tasks.spawn(self._carry_out, order)
+        greenlets.watch(
+            self._tasks.spawn(self._carry_out, order),
+            f"order {type(order).__name__}",
+            pool=self._context.pool,
+            **_subject(order),
+        )
 
     def stop(self) -> None:
         """Abort the orders under way."""
@@ -193,3 +199,10 @@
         step.tickets = runs.Tickets(
             set(order.workers), answer.by_worker, asked_at + valid
         )
+
+
+def _subject(order: orders.Order) -> dict[str, str]:
+    """Return what an order is about, for log lines."""
+    if isinstance(order, orders.RequestTickets):
+        return {"step": order.step.name}
+    return {"task": order.run.task_name, "worker": order.run.worker.name}
--- a/src/agaterudder/jobs/service.py
+++ b/src/agaterudder/jobs/service.py
@@ -8,6 +8,7 @@
 from agaterudder.jobs import clock
 from agaterudder.jobs import clustercache
 from agaterudder.jobs import deployment
+from agaterudder.jobs import greenlets
 from agaterudder.jobs import holder
 from agaterudder.jobs import instrumentedstore
 from agaterudder.jobs import jobapi
@@ -96,9 +97,14 @@
     def start(self) -> None:
         """Start the background loops."""
         self._loops = [
-            gevent.spawn(self.cluster.operators.run),
-            gevent.spawn(self.cluster.registrations.run),
-            gevent.spawn(self.lease_manager.run),
+            greenlets.spawn(
+                self.cluster.operators.run, what="watch of the configuration"
+            ),
+            greenlets.spawn(
+                self.cluster.registrations.run,
+                what="watch of the registrations",
+            ),
+            greenlets.spawn(self.lease_manager.run, what="claims of leases"),
         ]
 
     def ready(self) -> bool:
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -8,6 +8,7 @@
 
 from agaterudder.jobs import clock
 from agaterudder.jobs import fleet
+from agaterudder.jobs import greenlets
 from agaterudder.jobs import leases
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
@@ -87,7 +88,12 @@
 
     def start(self) -> None:
         """Start the loop."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = greenlets.spawn(
+            self._run,
+            what="worker loop",
+            pool=self._holder.state.name,
+            worker=self._worker.name,
+        )
 
     def stop(self) -> None:
         """Stop the loop and close the link to the worker."""
--- a/tests/features/job_traces.feature
+++ b/tests/features/job_traces.feature
@@ -260,3 +260,30 @@
     When 3.5 seconds pass
     And the status of the pool is reported after a pause that was 0.0 s too long
     Then 1 lines "task has not started" are written
+
+  # Guards against a loop that ends and leaves no trace.
+  Scenario Outline: The <loop> ends with an exception
+    When the <loop> meets a fault of the program
+    Then a line "background task failed" says
+      | field  | value                   |
+      | what   | <what>                  |
+      | pool   | <pool>                  |
+      | worker | <worker>                |
+      | task   | <task>                  |
+      | why    | ValueError('a mistake') |
+    And it names the line of the fault
+
+    Examples:
+      | loop                       | what                       | pool  | worker | task                   |
+      | loop of a worker           | worker loop                | count | w1     | None                   |
+      | start of a task            | order Start                | count | w1     | 00000000000000aa.0.0.0 |
+      | request for tickets        | order RequestTickets       | count | None   | None                   |
+      | renewal of a lease         | lease renewal              | count | None   | None                   |
+      | move of a machine          | machine move               | count | None   | None                   |
+      | watch of the configuration | watch of the configuration | None  | None   | None                   |
+      | watch of the registrations | watch of the registrations | None  | None   | None                   |
+      | claims of leases           | claims of leases           | None  | None   | None                   |
+
+  Scenario: A loop that is stopped is not reported
+    When the loop of a worker is stopped
+    Then no line "background task failed" is written
--- a/tests/features/steps/job_trace_steps.py
+++ b/tests/features/steps/job_trace_steps.py
@@ -1,20 +1,30 @@
 """Steps on the lines that trace a job from its acknowledgement to its end."""
 
+import functools
+import types
 import typing as t
 from unittest import mock
 
 import behave
+import gevent
 
+from agaterudder.jobs import autoscaler
 from agaterudder.jobs import clock
 from agaterudder.jobs import context as contexts
+from agaterudder.jobs import deployment
 from agaterudder.jobs import fleet
 from agaterudder.jobs import inbox
 from agaterudder.jobs import leases
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
+from agaterudder.jobs import orderexecutor
+from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import scaling
+from agaterudder.jobs import service as services
 from agaterudder.jobs import stallreports
+from agaterudder.jobs import workerloop
 from agaterudder import resources
 from tests import job_builders
 from tests import memory_store
@@ -270,3 +280,119 @@
 @behave.when("the stalled tasks are reported without the lease")
 def step_report_stalls_without(context: Context) -> None:
     _report_stalls(context, False)
+
+
+# Failed greenlets
+
+
+def _fail(*_: t.Any, **__: t.Any) -> t.NoReturn:
+    raise ValueError("a mistake")
+
+
+def _start_worker_loop(holds_lease: t.Callable[[], bool]) -> t.Any:
+    holder = types.SimpleNamespace(
+        state=job_builders.state(), holds_lease=holds_lease
+    )
+    worker = job_builders.worker()
+    worker.link = mock.Mock(renew=_fail)
+    loop = workerloop.WorkerLoop(worker, t.cast(t.Any, holder), 6.0)
+    loop.start()
+    return loop
+
+
+def _fail_order(policy: operatorconfig.PolicyTimes | None) -> None:
+    worker = job_builders.worker()
+    worker.link = mock.Mock(start=_fail)
+    state = job_builders.state([worker])
+    queue = job_builders.queue(policy=policy)
+    state.queues = {queue.name: queue}
+    now = job_builders.START
+    job = job_builders.job(job_builders.step(count=1))
+    state.accept(job, model.Progress(), 0, now, False)
+    state.create_due(0.0, now)
+    (order,) = planning.Plan(state, now).orders()
+    shared = mock.Mock(pool=job_builders.POOL, state=state)
+    executor = orderexecutor.OrderExecutor(
+        shared, mock.Mock(), mock.Mock(ask=_fail)
+    )
+    executor.spawn(order)
+
+
+def _fail_renewal(context: Context) -> None:
+    patch = mock.patch.object(leases, "RENEW_INTERVAL_SECONDS", 0.0)
+    patch.start()
+    context.cleanups.append(patch.stop)
+    store = memory_store.MemoryStore()
+    manager = leases.LeaseManager(
+        "a",
+        "a-1",
+        store,
+        3.0,
+        1.0,
+        lambda: [job_builders.POOL],
+        lambda lease: setattr(store, "transact", _fail),
+        lambda lease, reason: None,
+    )
+    manager._claim(job_builders.POOL, None)
+
+
+def _fail_move() -> None:
+    worker = job_builders.worker()
+    worker.cordon_reason = scaling.MOVE_UNANSWERED
+    holder = mock.Mock(
+        pool=job_builders.POOL,
+        state=job_builders.state([worker]),
+        standby_pools=_fail,
+    )
+    autoscaler.Autoscaler(
+        holder, mock.Mock(), mock.Mock()
+    )._repeat_unanswered_moves()
+
+
+def _fail_service(*path: str) -> None:
+    service = services.Service(
+        mock.Mock(bounds=deployment.Bounds(), cores=1.0), mock.Mock()
+    )
+    service.cluster = mock.Mock()
+    service.lease_manager = mock.Mock()
+    found = functools.reduce(getattr, path, service)
+    t.cast(t.Any, found).run = _fail
+    service.start()
+
+
+@behave.when("the {loop} meets a fault of the program")
+def step_fault(context: Context, loop: str) -> None:
+    match loop:
+        case "loop of a worker":
+            _start_worker_loop(_fail)
+        case "start of a task":
+            _fail_order(None)
+        case "request for tickets":
+            _fail_order(operatorconfig.PolicyTimes(0.0, 0.0, 9.0))
+        case "renewal of a lease":
+            _fail_renewal(context)
+        case "move of a machine":
+            _fail_move()
+        case "watch of the configuration":
+            _fail_service("cluster", "operators")
+        case "watch of the registrations":
+            _fail_service("cluster", "registrations")
+        case "claims of leases":
+            _fail_service("lease_manager")
+        case _:
+            raise AssertionError(loop)
+    gevent.sleep(0.05)
+
+
+@behave.when("the loop of a worker is stopped")
+def step_loop_stopped(context: Context) -> None:
+    loop = _start_worker_loop(lambda: False)
+    gevent.sleep(0)
+    loop.stop()
+    gevent.sleep(0.05)
+
+
+@behave.then("it names the line of the fault")
+def step_names_line(context: Context) -> None:
+    file, _, line = context.line["at"].rpartition(":")
+    assert file.endswith("job_trace_steps.py") and line.isdigit(), context.line
--- a/tests/features/steps/lease_steps.py
+++ b/tests/features/steps/lease_steps.py
@@ -57,7 +57,7 @@
     context.lost = []
     patches = [
         mock.patch.object(clock, "now", lambda: context.now),
-        mock.patch.object(leases.gevent, "spawn", lambda *_: None),
+        mock.patch.object(leases.greenlets, "spawn", lambda *_, **__: None),
     ]
     for patch in patches:
         patch.start()
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -399,7 +399,9 @@
         workers={context.registration.worker: context.registration}
     )
     context.registry = _registry(context)
-    spawn = mock.patch.object(workerloop.gevent, "spawn", lambda *_: None)
+    spawn = mock.patch.object(
+        workerloop.greenlets, "spawn", lambda *_, **__: None
+    )
     spawn.start()
     context.cleanups.append(spawn.stop)
     context.registry.sync_registrations()
