Log and count the runs that are lost with their worker

The line of a lost worker named five tasks without ages, and that of a restarted one none: a task that takes down one worker after another could not be told from its neighbours. One line names up to 40 runs, the one that was started last first, with state, age and how the loss was learnt; the counter runs_lost has them by pool, reason and state.

--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -347,7 +347,11 @@
         )
 
     def worker_restarted(
-        self, worker: fleet.WorkerState, incarnation: int, now: float
+        self,
+        worker: fleet.WorkerState,
+        incarnation: int,
+        now: float,
+        learnt: str = "its listing",
     ) -> None:
         """Handle the restart of a worker, which ended its runs.
 
@@ -356,7 +360,17 @@
         one; such a run is stopped before its task starts elsewhere.
 
         :param incarnation: start of the new incarnation, Unix milliseconds.
+        :param learnt: how the restart was learnt.
         """
+        poolreports.runs_lost(
+            self.metrics,
+            self.name,
+            worker,
+            worker.runs.values(),
+            "worker restarted",
+            learnt,
+            now,
+        )
         LOG.info(
             "worker restarted as a new incarnation",
             extra={
@@ -377,13 +391,28 @@
                 run.stop_sent_at = run.stop_answered_at = 0.0
 
     def worker_lost(
-        self, worker: fleet.WorkerState, reason: str, now: float
+        self,
+        worker: fleet.WorkerState,
+        reason: str,
+        now: float,
+        learnt: str = "",
     ) -> None:
         """Handle the loss of a worker, which ended its runs.
 
         An unanswered start may still reach a later incarnation under the
         same name, for as long as an order can be delayed.
+
+        :param learnt: what the reason rests on.
         """
+        poolreports.runs_lost(
+            self.metrics,
+            self.name,
+            worker,
+            worker.runs.values(),
+            reason,
+            learnt,
+            now,
+        )
         LOG.info(
             "worker lost, dropping its runs",
             extra={
--- a/src/agaterudder/jobs/poolreports.py
+++ b/src/agaterudder/jobs/poolreports.py
@@ -6,11 +6,14 @@
 from agaterudder.jobs import fleet
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder import metrics
 
 LOG = logging.getLogger(__name__)
 
 # Limit of the names in one log line.
 MAX_LOGGED_NAMES = 5
+# Limit of the runs in a line on a lost worker.
+MAX_LOST_RUNS = 40
 
 
 def skipped_ends(worker: fleet.WorkerState, number: int) -> None:
@@ -88,6 +91,58 @@
     return len(others)
 
 
+def runs_lost(
+    registry: metrics.Metrics,
+    pool: str,
+    worker: fleet.WorkerState,
+    found: t.Iterable[runs.Run],
+    reason: str,
+    learnt: str,
+    now: float,
+) -> None:
+    """Report runs that were lost with their worker, each once.
+
+    The one that was started last comes first.
+
+    :param found: the runs, of which some may be reported already.
+    :param reason: how they were lost.
+    :param learnt: how that was learnt.
+    """
+    lost = sorted(
+        (run for run in found if not run.loss_reported),
+        key=lambda run: run.sent_at,
+        reverse=True,
+    )
+    if not lost:
+        return
+    for run in lost:
+        run.loss_reported = True
+        registry.count(
+            "runs_lost", pool=pool, reason=reason, state=run.state.value
+        )
+    shown = [_lost_run(run, now) for run in lost[:MAX_LOST_RUNS]]
+    others = len(lost) - len(shown)
+    LOG.info(
+        "runs lost with their worker",
+        extra={
+            "pool": pool,
+            "worker": worker.name,
+            "life_start": worker.incarnation,
+            "why": reason,
+            "learnt": learnt,
+            "heard": worker.heard(now),
+            "count": len(lost),
+            "runs": " ".join(shown) + (f" +{others}" if others else ""),
+        },
+    )
+
+
+def _lost_run(run: runs.Run, now: float) -> str:
+    """Return task, run, state and seconds since its start."""
+    age = now - (run.running_since or run.sent_at)
+    return f"{run.task_name}/{run.number}:{run.state.value}:{age:.3f}"
+
+
 def names(found: t.Sequence[str]) -> str:
     """Return the first names, and the number of the others."""
     shown = " ".join(found[:MAX_LOGGED_NAMES])
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -42,6 +42,7 @@
     :ivar stop_reason: why it has to stop, empty when it need not.
     :ivar stop_sent_at: when a stop was last sent, 0 before.
     :ivar stop_answered_at: when the worker answered a stop, 0 before.
+    :ivar loss_reported: whether it was reported as lost with its worker.
     :ivar progress: per cent of its work that is done; 100 for a
         long-running task that is available.
     :ivar listed_at: when its progress was last listed.
@@ -68,6 +69,7 @@
         "stop_reason",
         "stop_sent_at",
         "stop_answered_at",
+        "loss_reported",
         "size",
         "size_known",
         "task_name",
@@ -99,6 +101,7 @@
         self.stop_reason = ""
         self.stop_sent_at = 0.0
         self.stop_answered_at = 0.0
+        self.loss_reported = False
         self.size = size
         self.size_known = True
 
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -11,6 +11,7 @@
 from agaterudder.jobs import greenlets
 from agaterudder.jobs import leases
 from agaterudder.jobs import pool as pools
+from agaterudder.jobs import poolreports
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 
@@ -29,6 +30,8 @@
 STORE_TIMEOUT_SECONDS = 0.5
 IDLE_INTERVAL_SECONDS = 5.0
 UNREGISTERED_GRACE_SECONDS = 2.0
+# Why a run counts as ended whose worker has not answered for long enough.
+SILENT = "silent beyond order and lease"
 
 
 class PoolHolder(t.Protocol):
@@ -299,7 +302,9 @@
         """End the worker, as another one answers at its address."""
         worker = self._worker
         reason = "another worker answers at its address"
-        self._holder.state.worker_lost(worker, reason, now)
+        self._holder.state.worker_lost(
+            worker, reason, now, "its answer, just now"
+        )
         for run in list(worker.runs.values()):
             self._holder.state.remove_run(run, now, reason)
         self._holder.state.discard_unconfirmed(
@@ -329,6 +334,7 @@
         reason = self._holder.termination_reason(
             worker, worker.unanswered_since
         )
+        evidence = f"{worker.unanswered_polls} polls without an answer"
         if not reason and worker.fenced and worker.lease_expired(now):
             reason = "its lease has lapsed"
             worker.fenced = False
@@ -337,9 +343,16 @@
             evidence = self._holder.machine_evidence(clock.now())
             state.discard_unconfirmed(worker.name, reason, evidence, now)
         if reason and worker.runs:
-            state.worker_lost(worker, reason, now)
-        for run in list(worker.runs.values()):
-            if worker.run_expired(run, now, self._lease_seconds):
-                state.remove_run(run, now, "silent beyond order and lease")
+            state.worker_lost(worker, reason, now, evidence)
+        expired = [
+            run
+            for run in worker.runs.values()
+            if worker.run_expired(run, now, self._lease_seconds)
+        ]
+        poolreports.runs_lost(
+            state.metrics, state.name, worker, expired, SILENT, evidence, now
+        )
+        for run in expired:
+            state.remove_run(run, now, SILENT)
         self._holder.request_planning()
         gevent.sleep(RETRY_SECONDS)
--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -182,7 +182,10 @@
             and registration.incarnation > worker.incarnation
         ):
             self._context.state.worker_restarted(
-                worker, registration.incarnation, clock.now()
+                worker,
+                registration.incarnation,
+                clock.now(),
+                "its registration",
             )
         worker.registration = registration
         _apply_drain_state(worker, registration)
@@ -220,7 +223,7 @@
     ) -> None:
         """Record that a worker and all its runs have ended."""
         now = clock.now()
-        self._context.state.worker_lost(worker, reason, now)
+        self._context.state.worker_lost(worker, reason, now, "its order")
         for run in list(worker.runs.values()):
             # A late start can't arrive: the machine's next worker has
             # another name.
--- a/tests/features/job_traces.feature
+++ b/tests/features/job_traces.feature
@@ -287,3 +287,91 @@
   Scenario: A loop that is stopped is not reported
     When the loop of a worker is stopped
     Then no line "background task failed" is written
+
+  # Guards against a task that takes down one worker after another unseen.
+  Scenario: A worker that is lost under its runs names each of them once
+    Given a pool with 1 workers
+    And a job of 2 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And 2.0 seconds pass
+    And a job of 1 tasks of priority 0 arrives
+    And the pool is planned
+    And 0.5 seconds pass
+    And worker "w1" is lost, as "its machine is down"
+    Then a line "runs lost with their worker" says
+      | field      | value               |
+      | pool       | count               |
+      | worker     | w1                  |
+      | life_start | 1                   |
+      | why        | its machine is down |
+      | heard      | 2.500               |
+      | count      | 3                   |
+      | runs       | 00000000000000bb.0.0.0/7000003:sent:0.500 00000000000000aa.0.0.0/7000001:running:2.500 00000000000000aa.0.0.1/7000002:running:2.500 |
+    And the metrics have
+      | series                                                                | value |
+      | runs_lost{pool="count",reason="its machine is down",state="running"}  | 2     |
+      | runs_lost{pool="count",reason="its machine is down",state="sent"}     | 1     |
+    When worker "w1" is lost, as "its machine is down"
+    Then 1 lines "runs lost with their worker" are written
+
+  Scenario: A worker that answers as another incarnation has lost its runs
+    Given a pool with 1 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And 1.0 seconds pass
+    And worker "w1" lists no runs as incarnation 2
+    Then a line "runs lost with their worker" says
+      | field  | value                                        |
+      | why    | worker restarted                             |
+      | learnt | its listing                                  |
+      | runs   | 00000000000000aa.0.0.0/7000001:running:1.000 |
+    And the metrics have
+      | series                                                            | value |
+      | runs_lost{pool="count",reason="worker restarted",state="running"} | 1     |
+
+  Scenario: A worker whose loss is learnt from the list of machines
+    Given a pool with 1 workers whose polls are answered
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And 1.0 seconds pass
+    And the poll of worker "w1" is not answered and "no machine runs it"
+    Then a line "runs lost with their worker" says
+      | field  | value                   |
+      | why    | no machine runs it      |
+      | learnt | list of 5 machines, now |
+
+  Scenario Outline: A worker that is silent for <seconds> seconds
+    Given a pool with 1 workers whose polls are answered
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And all runs are listed as running
+    And the worker <state>
+    And a poll of worker "w1" is not answered
+    And <seconds> seconds pass
+    And a poll of worker "w1" is not answered
+    Then a line "runs lost with their worker" says
+      | field  | value                     |
+      | why    | <why>                     |
+      | learnt | 2 polls without an answer |
+    And 1 lines "runs lost with their worker" are written
+
+    Examples:
+      | state                      | seconds | why                           |
+      | has accepted the epoch     | 13.0    | its lease has lapsed          |
+      | has not accepted the epoch | 20.0    | silent beyond order and lease |
+
+  Scenario: A worker that ends without runs
+    Given a pool with 1 workers
+    When worker "w1" is lost, as "its machine is down"
+    Then no line "runs lost with their worker" is written
+
+  Scenario: The line of a lost worker is bounded
+    Given a pool with 1 workers that holds 50 runs
+    When worker "w1" is lost, as "its machine is down"
+    Then a line "runs lost with their worker" says
+      | field | value |
+      | count | 50    |
+    And its field "runs" names 40 tasks and 10 others
--- a/tests/features/steps/job_trace_steps.py
+++ b/tests/features/steps/job_trace_steps.py
@@ -396,3 +396,34 @@
 def step_names_line(context: Context) -> None:
     file, _, line = context.line["at"].rpartition(":")
     assert file.endswith("job_trace_steps.py") and line.isdigit(), context.line
+
+
+# Lost workers
+
+
+@behave.given("a pool with 1 workers that holds {count:d} runs")
+def step_many_runs(context: Context, count: int) -> None:
+    size = resources.Vector(float(count), 1e6)
+    context.now = job_builders.START
+    context.state = job_builders.state([job_builders.worker(size=size)])
+    job = job_builders.job(job_builders.step(count=count))
+    context.state.accept(job, model.Progress(), 0, context.now, False)
+    context.state.create_due(0.0, context.now)
+    planning.Plan(context.state, context.now).orders()
+
+
+@behave.when("the worker has accepted the epoch")
+def step_accepted_epoch(context: Context) -> None:
+    assert context.workers[0].fenced
+
+
+@behave.when("the worker has not accepted the epoch")
+def step_not_accepted_epoch(context: Context) -> None:
+    context.workers[0].fenced = False
+
+
+@behave.when('a poll of worker "{name}" is not answered')
+def step_poll_unanswered(context: Context, name: str) -> None:
+    link = context.state.workers[name].link
+    link.answer = ports.NoAnswer("time-out")
+    context.loops[name]._poll()
