--- a/src/agaterudder/http.py
+++ b/src/agaterudder/http.py
@@ -3,6 +3,7 @@
 import dataclasses
 import logging
 import socket
+import time
 import typing as t
 
 import gevent.pool
@@ -41,6 +42,46 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
+@dataclasses.dataclass(slots=True)
+class OpenRequest:
+    """A request whose answer has not been written.
+
+    :ivar began_at: when its head had been read, seconds of the monotonic
+        clock.
+    :ivar answered: whether its answer is known and is being written.
+    """
+
+    method: str
+    path: str
+    began_at: float
+    answered: bool = False
+
+
+class _Content:
+    """Content of a response.
+
+    :param on_written: called when it was written, or the connection broke.
+    """
+
+    __slots__ = ("_content", "_on_written")
+
+    def __init__(
+        self, content: bytes, on_written: t.Callable[[], object]
+    ) -> None:
+        self._content = content
+        self._on_written = on_written
+
+    def __iter__(self) -> t.Iterator[bytes]:
+        yield self._content
+
+    def __len__(self) -> int:
+        return 1
+
+    def close(self) -> None:
+        """Note that the response was written."""
+        self._on_written()
+
+
 def reply(content: t.Any, code: codes.Result = codes.Result.OK) -> Reply:
     """Return a reply with a JSON body."""
     return Reply(
@@ -119,6 +160,8 @@
         "_answer",
         "_body_bytes",
         "_active_requests",
+        "_open_requests",
+        "_request_count",
         "closing",
     )
 
@@ -132,6 +175,8 @@
         self._answer = answer
         self._body_bytes = body_bytes
         self._active_requests = 0
+        self._open_requests: dict[int, OpenRequest] = {}
+        self._request_count = 0
         self.closing = False
         self._server = pywsgi.WSGIServer(
             utils.split_address(listen),
@@ -147,6 +192,16 @@
         """Number of requests in progress."""
         return self._active_requests
 
+    @property
+    def open_requests(self) -> list[OpenRequest]:
+        """Requests whose answers have not been written, the oldest first."""
+        return list(self._open_requests.values())
+
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections of clients."""
+        return len(self._server.pool or ())
+
     def start(self) -> None:
         """Start accepting connections."""
         self._server.start()
@@ -158,11 +213,22 @@
     def _application(
         self, environ: Environ, start: StartResponse
     ) -> t.Iterable[bytes]:
+        self._request_count += 1
+        number = self._request_count
+        opened = OpenRequest(
+            environ["REQUEST_METHOD"],
+            environ.get("PATH_INFO", ""),
+            time.monotonic(),
+        )
+        self._open_requests[number] = opened
         self._active_requests += 1
         try:
             result = self._reply(environ)
+            opened.answered = True
         finally:
             self._active_requests -= 1
+            if not opened.answered:
+                del self._open_requests[number]
         headers = [
             ("Content-Type", result.content_type),
             ("Content-Length", str(len(result.content))),
@@ -171,7 +237,9 @@
         if self.closing:
             headers.append(("Connection", "close"))
         start(f"{result.status} -", headers)
-        return [result.content]
+        return _Content(
+            result.content, lambda: self._open_requests.pop(number, None)
+        )
 
     def _reply(self, environ: Environ) -> Reply:
         body = self._read_body(environ)
--- a/tests/features/job_traces.feature
+++ b/tests/features/job_traces.feature
@@ -375,3 +375,39 @@
       | field | value |
       | count | 50    |
     And its field "runs" names 40 tasks and 10 others
+
+  # Guards against a request that a stopping process cuts without a trace.
+  Scenario: A process stops while requests are in progress
+    Given an HTTP server that answers "/slow/1" only when it is told to
+    And a client that has sent a request for "/slow/1"
+    And a client that reads no answer of a request for "/large"
+    And a client that has sent no request
+    When the drain ends 0.5 seconds later
+    Then a line "drain ended, stopping" says
+      | field       | value |
+      | cut         | 1     |
+      | unwritten   | 1     |
+      | connections | 3     |
+    And 2 lines "request cut at shutdown" are written
+    And a line "request cut at shutdown" says
+      | field    | value   |
+      | method   | GET     |
+      | path     | /slow/1 |
+      | answered | False   |
+    And a line "request cut at shutdown" says
+      | field    | value  |
+      | path     | /large |
+      | answered | True   |
+    And its age is between 0.4 and 2.0 seconds
+
+  Scenario: A process stops when all requests are answered
+    Given an HTTP server that answers "/slow/1" only when it is told to
+    And a client that has sent a request for "/slow/1"
+    When the request is answered
+    And the drain ends 0.5 seconds later
+    Then a line "drain ended, stopping" says
+      | field       | value |
+      | cut         | 0     |
+      | unwritten   | 0     |
+      | connections | 1     |
+    And no line "request cut at shutdown" is written
