--- a/src/agaterudder/jobs/inbox.py
+++ b/src/agaterudder/jobs/inbox.py
@@ -98,7 +98,7 @@
         for key in keys:
             job = self._context.state.jobs.get(key)
             if job is not None and job.ending is None:
-                self._reports.row_removed(job)
+                self._reports.row_removed(job, self._context.holds_lease())
 
     def _load_rows(
         self,
--- a/src/agaterudder/jobs/loadreports.py
+++ b/src/agaterudder/jobs/loadreports.py
@@ -106,14 +106,19 @@
             },
         )
 
-    def row_removed(self, job: runs.JobRun) -> None:
-        """Report a row that was removed while its job has not ended here."""
+    def row_removed(self, job: runs.JobRun, lease_held: bool) -> None:
+        """Report a row that was removed while its job has not ended here.
+
+        :param lease_held: whether this process holds the pool's lease;
+            without it, the next holder has ended the job.
+        """
         LOG.info(
             "row of a loaded job removed",
             extra={
                 "job": job.job.job,
                 **self._holder,
                 "progress": job.row_version,
+                "lease_held": lease_held,
             },
         )
 
--- a/tests/features/job_traces.feature
+++ b/tests/features/job_traces.feature
@@ -73,9 +73,10 @@
     When the job is loaded
     And the inbox is told that its row was removed
     Then a line "row of a loaded job removed" says
-      | field | value            |
-      | job   | 00000000000000aa |
-      | pool  | count            |
+      | field      | value            |
+      | job        | 00000000000000aa |
+      | pool       | count            |
+      | lease_held | True             |
 
   # Guards against a job that stands still without a line that says why.
   Scenario Outline: A task that has not started, as <condition>
