--- a/src/agaterudder/jobs/stalls.py
+++ b/src/agaterudder/jobs/stalls.py
@@ -53,6 +53,7 @@
     found = [
         stall
         for steps in by_job.values()
+        if any(now - step.ready_at > STALL_SECONDS for step in steps)
         for stall in _of_job(steps, now)
         if now - stall.since > STALL_SECONDS
     ]
@@ -101,7 +102,9 @@
 
 def _runs(task: runs.Task, now: float) -> bool:
     """Return whether a run of a task is known to run at present."""
-    return any(_running(run) and not run.unreachable(now) for run in task.runs)
+    return bool(task.runs) and any(
+        _running(run) and not run.unreachable(now) for run in task.runs
+    )
 
 
 def _running(run: runs.Run) -> bool:
@@ -110,6 +113,8 @@
 
 def _stopped_at(task: runs.Task, ready_at: float) -> float:
     """Return since when a task does not run, as far as is known."""
+    if not task.runs:
+        return max(ready_at, task.stopped_at)
     heard = [run.worker.polled_at for run in task.runs if _running(run)]
     return max([ready_at, task.stopped_at, *heard])
 
@@ -231,6 +236,12 @@
     :param taken_out: data centres that are out of service.
     :param label: label that the task requires, empty without one.
     """
+    if (
+        worker.accepts_tasks(now)
+        and worker.registration.data_centre not in taken_out
+        and (not label or label in worker.registration.labels)
+    ):
+        return ""
     obstacles = {
         "terminated": worker.terminated,
         "unregistered": not worker.registered,
