--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -161,6 +161,16 @@
         """Capacity that no run reserves."""
         return self.registration.size - self.used
 
+    @property
+    def free_without_short_tasks(self) -> resources.Vector:
+        """Capacity that is free once all but long-running tasks have ended."""
+        long_running = (
+            run.size
+            for run in self.runs.values()
+            if run.task is not None and run.task.step.step.long_running
+        )
+        return self.registration.size - sum(long_running, resources.ZERO)
+
     def unresponsive(self, now: float) -> bool:
         """Return whether polls have gone unanswered for too long."""
         return bool(
--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -28,6 +28,10 @@
 # The store may fail a call at once: it resets connections, or answers without
 # saying whether it stored a write.
 MIN_REPEAT_INTERVAL_SECONDS = 0.05
+# A store that rejects readings, as it does above its rate, may accept them
+# soon; after this time it counts as away.
+REJECTED_READ_SECONDS = 0.5
+REJECTED_READ_PAUSE_SECONDS = 0.2
 MAX_PENDING_AGE_SECONDS = 1.9
 RETRY_AFTER_SECONDS = 1
 
@@ -156,7 +160,12 @@
         pool = call.queue.pool
         table = model.jobs_table(pool)
         job = model.Job(
-            call.job, call.queue.name, team, self._store_clock(), request
+            call.job,
+            call.queue.name,
+            team,
+            self._store_clock(),
+            request,
+            call.queue.max_attempts,
         )
         preconditions = [
             ports.Precondition(table, call.job, 0),
@@ -255,8 +264,9 @@
         return JobState(model.decode(ended.value, model.Ended).state)
 
     def _read(self, table: str, pool: str, call: Call) -> ports.Row | None:
-        """Read a row of the job; retry without an answer if time is left."""
+        """Read a row of the job; retry after a failure if time is left."""
         until = call.deadline - RESPONSE_MARGIN_SECONDS
+        began_at = clock.now()
         while True:
             asked_at = clock.now()
             left = until - asked_at
@@ -269,12 +279,12 @@
                     min(READ_TIMEOUT_SECONDS, max(left, MIN_CALL_SECONDS)),
                 )
             except exceptions.CallFailed as error:
-                if (
-                    not error.may_take_effect
-                    or until - clock.now() < READ_TIMEOUT_SECONDS
-                ):
+                repeat_at = _repeat_at(
+                    error, asked_at, began_at, until, clock.now()
+                )
+                if repeat_at is None:
                     raise
-            _pause_before_repeat(asked_at)
+            gevent.sleep(max(repeat_at - clock.now(), 0.0))
 
     def cancel(self, call: Call) -> Accepted | codes.Refused:
         """Cancel a job."""
@@ -393,3 +403,24 @@
     """Wait as long as a call may not be repeated after it was sent."""
     next_at = sent_at + MIN_REPEAT_INTERVAL_SECONDS
     gevent.sleep(max(next_at - clock.now(), 0.0))
+
+
+def _repeat_at(
+    error: exceptions.CallFailed,
+    asked_at: float,
+    began_at: float,
+    until: float,
+    now: float,
+) -> float | None:
+    """Return when a reading that failed is repeated, None if it is not.
+
+    :param asked_at: when it was sent.
+    :param began_at: when the row was first asked for.
+    :param until: when the answer is due.
+    """
+    if error.may_take_effect:
+        repeat = now + READ_TIMEOUT_SECONDS <= until
+        return asked_at + MIN_REPEAT_INTERVAL_SECONDS if repeat else None
+    repeat_at = now + REJECTED_READ_PAUSE_SECONDS
+    repeat = repeat_at <= min(began_at + REJECTED_READ_SECONDS, until)
+    return repeat_at if repeat else None
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -1,16 +1,18 @@
 """Scheduler of one pool: decides which tasks start where and which stop.
 
-Steps are ordered by the priority of their queue. Within a priority, jobs
-submitted above the rate limit of their team come last, before them the jobs
-that can no longer complete within their objective. Of the rest, started
-jobs precede those without a started task, so that an overloaded pool
-completes jobs rather than starting more; teams above their fair share come
-after the others, and among equals the step with the least laxity (time to
-spare) comes first.
+Steps are ordered by the priority of their queue. Within a priority,
+long-running tasks come first, in the order in which their turn came; room is
+held free for them in a full pool. Of the others, jobs submitted above the
+rate limit of their team come last, before them the jobs that can no longer
+complete within their objective. Of the rest, started jobs precede those
+without a started task, so that an overloaded pool completes jobs rather than
+starting more; teams above their fair share come after the others, and among
+equals the step with the least laxity (time to spare) comes first.
 """
 
 import collections
 import functools
+import math
 import typing as t
 
 from agaterudder.jobs import draining
@@ -21,6 +23,7 @@
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import preemption
 from agaterudder.jobs import runs
+from agaterudder.jobs import runstarts
 from agaterudder.jobs import stragglers
 from agaterudder.jobs import throttling
 from agaterudder import resources
@@ -70,7 +73,7 @@
         self._restart_stragglers()
         self._send_stops()
         self._throttle()
-        recovering = state.recovering(self._now)
+        recovering = state.recovery.pending(self._now)
         for step in self._sorted_steps():
             if self._starts >= MAX_STARTS_PER_ROUND:
                 break
@@ -187,10 +190,18 @@
 
     def _rank(
         self, step: runs.StepRun, shares: t.Mapping[str, float]
-    ) -> tuple[int, bool, bool, bool, bool, float]:
+    ) -> tuple[int, bool, bool, bool, bool, float, float]:
         queue = self._queue(step)
         if step.step.long_running:
-            return (queue.priority, False, False, False, False, step.ready_at)
+            return (
+                queue.priority,
+                False,
+                False,
+                False,
+                False,
+                -math.inf,
+                step.ready_at,
+            )
         job = step.job
         laxity = self._laxity(step, queue)
         overdue = laxity < (0.0 if job.started else MIN_START_LAXITY_SECONDS)
@@ -202,6 +213,7 @@
             not job.started,
             over_share,
             laxity,
+            step.ready_at,
         )
 
     def _laxity(
@@ -269,11 +281,45 @@
             worker = self._choose_worker(step, task, candidates)
             if worker is None:
                 self._preempt(step, task, candidates)
+                if step.step.long_running:
+                    self._hold_room(step, tasks, candidates)
+                    return
+                if task.excluded_workers:
+                    # The next task may be kept from fewer workers.
+                    continue
                 return
             if not self._grant_covers(step, [task], tasks):
                 return
             self._start(task, worker, self._state.next_run())
 
+    def _hold_room(
+        self,
+        step: runs.StepRun,
+        tasks: list[runs.Task],
+        candidates: list[fleet.WorkerState],
+    ) -> None:
+        """Keep room free for the waiting tasks of a long-running step.
+
+        Each holds room on a worker of its own, the one with the most left:
+        later steps of the round get nothing there, so that the ends of its
+        shorter tasks make room.
+        """
+        waiting = [task for task in tasks if task.waiting]
+        if not self._grant_covers(step, waiting[:1], tasks):
+            return
+        need = self._state.reserved_size(step)
+        rack = step.step.data_rack
+        near = [w for w in candidates if w.registration.rack == rack]
+        able = [
+            worker
+            for worker in near or candidates
+            if need.fits_in(worker.free_without_short_tasks)
+            and self._within_worker_limit(step, worker)
+        ]
+        able.sort(key=lambda worker: -self._free.of(worker).cores)
+        for worker, _ in zip(able, waiting):
+            self._free.hold(worker, need)
+
     def _candidates(
         self, step: runs.StepRun
     ) -> list[fleet.WorkerState] | None:
@@ -315,7 +361,7 @@
             if worker.name not in task.excluded_workers
         ]
         fitting = self._fitting(step, need, others)
-        if not fitting and self._may_use_excluded(step, others):
+        if not fitting and self._may_use_excluded(step, need, others):
             fitting = self._fitting(step, need, candidates)
         preferred = self._prefer_data_rack(step, fitting, candidates)
         if not preferred:
@@ -351,15 +397,20 @@
         ]
 
     def _may_use_excluded(
-        self, step: runs.StepRun, others: list[fleet.WorkerState]
+        self,
+        step: runs.StepRun,
+        need: resources.Vector,
+        others: list[fleet.WorkerState],
     ) -> bool:
         """Return whether a task may return to a worker that it is kept from.
 
         A long-running task is to run wherever it can; any other waits for
-        room on the others, if they can take it at all.
+        room on the others, if the ends of their short tasks can make room.
         """
         return step.step.long_running or not any(
-            self._within_worker_limit(step, worker) for worker in others
+            self._within_worker_limit(step, worker)
+            and need.fits_in(worker.free_without_short_tasks)
+            for worker in others
         )
 
     def _prefer_data_rack(
@@ -501,7 +552,7 @@
     ) -> list[fleet.WorkerState] | None:
         need = self._state.reserved_size(step)
         limit = step.step.max_per_worker
-        free = {worker.name: worker.free for worker in group}
+        free = {worker.name: self._free.of(worker) for worker in group}
         count = {
             worker.name: step.count_on_worker(worker.name) for worker in group
         }
@@ -528,7 +579,7 @@
         step = task.step
         kind = task.start_kind
         before = task.last_run
-        state.record_placement(task, kind, self._now)
+        runstarts.record_placement(state, task, kind, self._now)
         run = state.add_run(task, worker, number, self._now)
         self._free.reread(worker)
         state.limits.charge(step.job.job.team, run.limit_key, step.step.size)
--- a/src/agaterudder/jobs/stalls.py
+++ b/src/agaterudder/jobs/stalls.py
@@ -131,8 +131,8 @@
         return Reason("pool lease not held")
     if task.runs:
         return _reason_of_run(task.runs[-1], now)
-    if step.job.recovered and state.recovering(now):
-        missing = sorted(state.unconfirmed_workers)
+    if step.job.recovered and state.recovery.pending(now):
+        missing = sorted(state.recovery.unconfirmed_workers)
         return Reason("recovery not complete", poolreports.names(missing))
     if task.not_before > now:
         return Reason("its last start was rejected as invalid")
--- /dev/null
+++ b/tests/features/accepted_jobs.feature
@@ -0,0 +1,68 @@
+Feature: An accepted job reaches its end
+  From its acknowledgement on, a job is known, its tasks start when their turn
+  has come and there is room, and it ends only for a reason that it gave.
+
+  # Guards against a long-running task that stood still in a full pool.
+  Scenario: A long-running task gets room in a pool full of started jobs
+    Given a pool with 2 workers
+    And a started job of 200 tasks of 1 core
+    And a job of 1 long-running task of 2 cores
+    When the pool is planned, and each worker ends its oldest run, 3 times
+    Then the long-running task has a run
+    And no worker has more than 16 cores in use
+
+  # Guards against long-running tasks that waited behind each other for one
+  # worker of a full pool, and against a pool held free for them.
+  Scenario: Long-running tasks that may not share a worker get room on several
+    Given a pool with 4 workers
+    And a started job of 400 tasks of 1 core
+    And a job of 3 long-running tasks of 2 cores, one per worker
+    When the pool is planned, and each worker ends its oldest run, 3 times
+    Then every long-running task has a run
+    And at least 3 workers have less than 1 core free
+
+  # Guards against a task that waited for room that only the end of
+  # long-running tasks would have made.
+  Scenario: A task returns to the worker on which it failed
+    Given a pool with 2 workers
+    And long-running tasks fill worker "w2"
+    And a job of 2 tasks of 1 core
+    When the pool is planned
+    And its first run on worker "w1" is listed as failed
+    And the pool is planned
+    Then 3 starts are ordered
+
+  # Guards against a task that waited behind another one of its step, which
+  # alone was kept from a worker.
+  Scenario: The tasks behind one that is kept from a worker start
+    Given a pool with 2 workers
+    And a job of 3 tasks of 1 core
+    And its first task is kept from worker "w1"
+    And short tasks fill worker "w2"
+    When the pool is planned
+    Then 2 starts are ordered
+
+  # Guards against a large task that waited for ever, as every worker had
+  # long-running tasks and the pool enough room in sum.
+  Scenario Outline: Tasks of <cores> cores beside workers with long-running ones
+    Given a pool with 3 workers
+    And a long-running task of 6 cores on each worker
+    And a job of 1 tasks of <cores> cores
+    When 1.0 seconds pass
+    Then the pool orders <machines> machines
+
+    Examples:
+      | cores | machines |
+      | 12    | 1        |
+      | 10    | 0        |
+
+  # Guards against a job shown as failed after one failed run, as its queue
+  # was not configured any more.
+  Scenario: A job of a queue that operators removed keeps its attempts
+    Given a pool with 1 workers
+    And a job that was submitted to a queue that allows 3 attempts
+    When operators remove the queue
+    And the task fails 2 times
+    Then the job has not ended
+    When the task fails 1 times
+    Then the job has failed
--- /dev/null
+++ b/tests/features/steps/accepted_job_steps.py
@@ -0,0 +1,238 @@
+"""Steps for the way of an accepted job to its end."""
+
+import typing as t
+
+import behave
+
+from agaterudder.jobs import clock
+from agaterudder.jobs import jobapi
+from agaterudder.jobs import listings
+from agaterudder.jobs import model
+from agaterudder.jobs import planning
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+from agaterudder.jobs import runstarts
+from agaterudder.jobs import scaling
+from agaterudder import resources
+from tests import job_builders
+from tests import memory_store
+
+Context = t.Any
+ROUND_SECONDS = 0.1
+STARTED_VERSION = 1
+LASTING = "00000000000000bb"
+FILLER = "00000000000000cc"
+FIRST = "00000000000000aa"
+WORKER_CORES = 16
+DEADLINE_SECONDS = 3.0
+
+
+@behave.given("a started job of {count:d} tasks of 1 core")
+def step_started_job(context: Context, count: int) -> None:
+    job = job_builders.job(job_builders.step(count=count))
+    context.state.accept(
+        job, model.Progress(), STARTED_VERSION, context.now, False
+    )
+    context.state.create_due(0.0, context.now)
+    _plan(context)
+
+
+@behave.given("a job of 1 long-running task of {cores:g} cores")
+def step_lasting_job(context: Context, cores: float) -> None:
+    _accept_lasting(context, cores, 1, 0)
+
+
+@behave.given(
+    "a job of {count:d} long-running tasks of {cores:g} cores, one per worker"
+)
+def step_lasting_apart(context: Context, count: int, cores: float) -> None:
+    _accept_lasting(context, cores, count, 1)
+
+
+def _accept_lasting(
+    context: Context, cores: float, count: int, per_worker: int
+) -> None:
+    step = job_builders.step(
+        count=count,
+        size=resources.Vector(cores, 100.0),
+        long_running=True,
+        max_per_worker=per_worker,
+    )
+    job = job_builders.job(step, job=LASTING)
+    context.state.accept(job, model.Progress(), 0, context.now, False)
+    context.state.create_due(0.0, context.now)
+
+
+@behave.when(
+    "the pool is planned, and each worker ends its oldest run, {times:d} times"
+)
+def step_rounds(context: Context, times: int) -> None:
+    for _ in range(times):
+        _plan(context)
+        context.now += ROUND_SECONDS
+        for worker in context.state.workers.values():
+            _end_oldest(context, worker)
+    _plan(context)
+
+
+def _plan(context: Context) -> None:
+    planning.Plan(context.state, context.now).orders()
+    for worker in context.state.workers.values():
+        for run in worker.runs.values():
+            runstarts.accepted(context.state, run, context.now)
+
+
+def _end_oldest(context: Context, worker: t.Any) -> None:
+    """List the oldest run that is not long-running as done."""
+    present = list(worker.runs.values())
+    ending = next(
+        run for run in present if not run.task.step.step.long_running
+    )
+    ended = ports.Ended(
+        worker.last_end_number + 1,
+        ending.task_name,
+        ending.number,
+        ports.END_DONE,
+        "",
+    )
+    running = [
+        ports.Running(run.task_name, run.number, "", 0)
+        for run in present
+        if run is not ending
+    ]
+    listings.apply(
+        context.state,
+        worker,
+        job_builders.listing(running, [ended]),
+        context.now,
+        context.now,
+    )
+
+
+def _lasting_tasks(context: Context) -> list[runs.Task]:
+    return list(context.state.jobs[LASTING].steps["0.0"].tasks)
+
+
+@behave.then("the long-running task has a run")
+@behave.then("every long-running task has a run")
+def step_lasting_runs(context: Context) -> None:
+    waiting = [task.name for task in _lasting_tasks(context) if task.waiting]
+    assert not waiting, waiting
+
+
+@behave.then("at least {count:d} workers have less than 1 core free")
+def step_full_workers(context: Context, count: int) -> None:
+    free = [worker.free.cores for worker in context.state.workers.values()]
+    assert len([cores for cores in free if cores < 1.0]) >= count, free
+
+
+@behave.given('long-running tasks fill worker "{name}"')
+def step_lasting_fill(context: Context, name: str) -> None:
+    _run_on(context, name, LASTING, float(WORKER_CORES), True)
+
+
+@behave.given('short tasks fill worker "{name}"')
+def step_short_fill(context: Context, name: str) -> None:
+    _run_on(context, name, FILLER, float(WORKER_CORES), False)
+
+
+@behave.given("a long-running task of {cores:g} cores on each worker")
+def step_lasting_on_each(context: Context, cores: float) -> None:
+    for number, name in enumerate(context.state.workers):
+        _run_on(context, name, f"{number:016x}", cores, True)
+
+
+def _run_on(
+    context: Context, worker: str, job: str, cores: float, lasting: bool
+) -> None:
+    """Add a job of one task that runs on a worker."""
+    step = job_builders.step(
+        count=1, size=resources.Vector(cores, 100.0), long_running=lasting
+    )
+    context.state.accept(
+        job_builders.job(step, job=job),
+        model.Progress(),
+        0,
+        context.now,
+        False,
+    )
+    context.state.create_due(0.0, context.now)
+    task = context.state.jobs[job].steps["0.0"].tasks[0]
+    run = context.state.add_run(
+        task,
+        context.state.workers[worker],
+        context.state.next_run(),
+        context.now,
+    )
+    runstarts.accepted(context.state, run, context.now)
+
+
+@behave.given("a job of 1 tasks of {cores:d} cores")
+def step_large_task(context: Context, cores: int) -> None:
+    step = job_builders.step(count=1, size=resources.Vector(cores, 100.0))
+    context.state.accept(
+        job_builders.job(step), model.Progress(), 0, context.now, False
+    )
+    context.state.create_due(0.0, context.now)
+
+
+@behave.given('its first task is kept from worker "{name}"')
+def step_kept_from(context: Context, name: str) -> None:
+    task = context.state.jobs[FIRST].steps["0.0"].tasks[0]
+    task.excluded_workers.add(name)
+
+
+@behave.when('its first run on worker "{name}" is listed as failed')
+def step_first_fails(context: Context, name: str) -> None:
+    worker = context.state.workers[name]
+    run = next(iter(worker.runs.values()))
+    ended = ports.Ended(1, run.task_name, run.number, ports.END_FAILED, "")
+    others = [
+        ports.Running(other.task_name, other.number, "", 0)
+        for other in worker.runs.values()
+        if other is not run
+    ]
+    listings.apply(
+        context.state,
+        worker,
+        job_builders.listing(others, [ended]),
+        context.now,
+        context.now,
+    )
+
+
+@behave.then("the pool orders {count:d} machines")
+def step_machines(context: Context, count: int) -> None:
+    decision = scaling.decide(context.state, 0, context.now)
+    ordered = decision.count if isinstance(decision, scaling.ScaleUp) else 0
+    assert ordered == count, decision
+
+
+@behave.given(
+    "a job that was submitted to a queue that allows {count:d} attempts"
+)
+def step_submitted(context: Context, count: int) -> None:
+    queue = job_builders.queue(max_attempts=count)
+    store = memory_store.MemoryStore()
+    api = job_builders.job_api(
+        store, job_builders.configuration(queues=(queue,))
+    )
+    request = job_builders.job(job_builders.step(count=1)).request
+    deadline = clock.now() + DEADLINE_SECONDS
+    api.submit(jobapi.Call(queue, FIRST, "key-1", deadline), request)
+    table = model.jobs_table(job_builders.POOL)
+    row = store.read(table, job_builders.POOL, FIRST)
+    assert row is not None
+    context.state.accept(
+        model.decode(row.value, model.Job),
+        model.Progress(),
+        0,
+        context.now,
+        False,
+    )
+    context.state.create_due(0.0, context.now)
+
+
+@behave.when("operators remove the queue")
+def step_queue_removed(context: Context) -> None:
+    context.state.queues = {}
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -9,7 +9,6 @@
 from agaterudder import codes
 from agaterudder import exceptions
 from agaterudder.jobs import clock
-from agaterudder.jobs import clustercache
 from agaterudder.jobs import jobapi
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
@@ -19,7 +18,6 @@
 from tests import memory_store
 
 Context = t.Any
-KEY_BOUND_SECONDS = 5.0
 DEADLINE_SECONDS = 3.0
 
 
@@ -72,23 +70,16 @@
     patch.start()
     context.cleanups.append(patch.stop)
     context.store = memory_store.MemoryStore()
-    context.cluster = clustercache.ClusterCache(
-        t.cast(ports.Operators, None),
-        t.cast(ports.WorkerList, None),
-        KEY_BOUND_SECONDS,
-    )
-    context.version = 0
+    context.version = 1
     context.key = "key-1"
     context.answers = []
-    _configure(context, keys="key-1")
-    context.cluster.operators.confirmed_at = context.now
     context.metrics = metrics.Metrics()
-    context.job_api = jobapi.JobApi(
+    context.job_api = job_builders.job_api(
         context.store,
-        context.cluster,
-        lambda: context.store.clock,
+        job_builders.configuration(context.version),
         context.metrics,
     )
+    context.cluster = context.job_api._cluster
 
 
 @behave.given("the queue is public")
@@ -195,6 +186,25 @@
     context.store.read = read
 
 
+@behave.when("the store rejects the next {count:d} readings")
+def step_readings_rejected(context: Context, count: int) -> None:
+    _pass_time_in_sleeps(context)
+    read = context.store.read
+
+    def reject(*arguments: t.Any, **named: t.Any) -> ports.Row | None:
+        context.calls += 1
+        if context.calls <= count:
+            raise exceptions.CallFailed("status 429", False)
+        return t.cast(ports.Row | None, read(*arguments, **named))
+
+    context.store.read = reject
+
+
+@behave.then("the store got {most:d} calls at most")
+def step_most_calls(context: Context, most: int) -> None:
+    assert context.calls <= most, context.calls
+
+
 @behave.when("the store answers each reading after {seconds:g} seconds")
 def step_readings_late(context: Context, seconds: float) -> None:
     read = context.store.read
