--- a/tests/features/job_traces.feature
+++ b/tests/features/job_traces.feature
@@ -165,6 +165,19 @@
     When the pool is planned
     Then 1 starts are ordered
 
+  Scenario: A task that failed on every worker is kept from none
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    And the task has failed on both workers
+    When 3.5 seconds pass
+    And the polls of all responsive workers are answered
+    And the stalled tasks are reported
+    Then a line "task has not started" says
+      | field | value                                          |
+      | why   | not reached: other steps come first in a round |
+    When the pool is planned
+    Then 1 starts are ordered
+
   Scenario: A job of which a task runs is not stalled
     Given a pool with 1 workers
     And a job of 17 tasks of 1 core
--- a/tests/features/steps/job_trace_steps.py
+++ b/tests/features/steps/job_trace_steps.py
@@ -185,6 +185,11 @@
     context.workers[1].used = context.workers[1].registration.size
 
 
+@behave.given("the task has failed on both workers")
+def step_failed_on_both(context: Context) -> None:
+    _only_task(context).excluded_workers.update({"w1", "w2"})
+
+
 def _change_step(context: Context, **fields: t.Any) -> runs.Task:
     task = _only_task(context)
     task.step.step = job_builders.step(count=1, **fields)
