--- a/src/agaterudder/jobs/stalls.py
+++ b/src/agaterudder/jobs/stalls.py
@@ -53,6 +53,7 @@
     found = [
         stall
         for steps in by_job.values()
+        if any(now - step.ready_at > STALL_SECONDS for step in steps)
         for stall in _of_job(steps, now)
         if now - stall.since > STALL_SECONDS
     ]
@@ -101,7 +102,9 @@
 
 def _runs(task: runs.Task, now: float) -> bool:
     """Return whether a run of a task is known to run at present."""
-    return any(_running(run) and not run.unreachable(now) for run in task.runs)
+    return bool(task.runs) and any(
+        _running(run) and not run.unreachable(now) for run in task.runs
+    )
 
 
 def _running(run: runs.Run) -> bool:
@@ -110,6 +113,8 @@
 
 def _stopped_at(task: runs.Task, ready_at: float) -> float:
     """Return since when a task does not run, as far as is known."""
+    if not task.runs:
+        return max(ready_at, task.stopped_at)
     heard = [run.worker.polled_at for run in task.runs if _running(run)]
     return max([ready_at, task.stopped_at, *heard])
 
@@ -174,14 +179,17 @@
     within = [worker for worker in with_room if _within_limit(step, worker)]
     if not within:
         return Reason("worker limit of the step", counts)
-    if not step.step.long_running and all(
-        worker.name in task.excluded_workers for worker in within
-    ):
-        names = sorted(task.excluded_workers)
-        return Reason(
-            "kept from the workers on which it failed",
-            poolreports.names(names),
-        )
+    if all(worker.name in task.excluded_workers for worker in within):
+        others = [
+            worker
+            for worker in allowed
+            if worker.name not in task.excluded_workers
+        ]
+        if _waits_for_others(step, need, others):
+            return Reason(
+                "kept from the workers on which it failed",
+                poolreports.names(sorted(task.excluded_workers)),
+            )
     return _reason_of_grant(state, step)
 
 
@@ -231,6 +239,12 @@
     :param taken_out: data centres that are out of service.
     :param label: label that the task requires, empty without one.
     """
+    if (
+        worker.accepts_tasks(now)
+        and worker.registration.data_centre not in taken_out
+        and (not label or label in worker.registration.labels)
+    ):
+        return ""
     obstacles = {
         "terminated": worker.terminated,
         "unregistered": not worker.registered,
@@ -250,6 +264,19 @@
     return next((name for name, holds in obstacles.items() if holds), "")
 
 
+def _waits_for_others(
+    step: runs.StepRun,
+    need: resources.Vector,
+    others: list[fleet.WorkerState],
+) -> bool:
+    """Return whether a task waits for room on workers it is not kept from."""
+    return not step.step.long_running and any(
+        _within_limit(step, worker)
+        and need.fits_in(worker.free_without_short_tasks)
+        for worker in others
+    )
+
+
 def _within_limit(step: runs.StepRun, worker: fleet.WorkerState) -> bool:
     limit = step.step.max_per_worker
     return not limit or step.count_on_worker(worker.name) < limit
--- a/tests/features/steps/job_trace_steps.py
+++ b/tests/features/steps/job_trace_steps.py
@@ -21,6 +21,7 @@
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import runstarts
 from agaterudder.jobs import scaling
 from agaterudder.jobs import service as services
 from agaterudder.jobs import stallreports
@@ -184,6 +185,11 @@
     context.workers[1].used = context.workers[1].registration.size
 
 
+@behave.given("the task has failed on both workers")
+def step_failed_on_both(context: Context) -> None:
+    _only_task(context).excluded_workers.update({"w1", "w2"})
+
+
 def _change_step(context: Context, **fields: t.Any) -> runs.Task:
     task = _only_task(context)
     task.step.step = job_builders.step(count=1, **fields)
@@ -243,8 +249,8 @@
 
 @behave.given("its start was not answered")
 def step_start_unanswered(context: Context) -> None:
-    context.state.start_unanswered(
-        _add_start(context), "time-out", context.now
+    runstarts.unanswered(
+        context.state, _add_start(context), "time-out", context.now
     )
 
 
@@ -258,7 +264,9 @@
 @behave.when("the start is rejected as full")
 def step_start_rejected(context: Context) -> None:
     (run,) = _only_task(context).runs
-    context.state.start_rejected(run, ports.REJECTED_NO_CAPACITY, context.now)
+    runstarts.rejected(
+        context.state, run, ports.REJECTED_NO_CAPACITY, context.now
+    )
 
 
 @behave.when("the pool forgets the steps of the job")
