--- a/src/agaterudder/jobs/load.py
+++ b/src/agaterudder/jobs/load.py
@@ -137,37 +137,51 @@
     return sum(1 for task in step.tasks if task.waiting)
 
 
-def fits_beside_none(
+def steps_without_room(
     state: pools.Pool, workers: list[fleet.WorkerState], now: float
-) -> runs.StepRun | None:
-    """Return a step whose tasks have no room beside long-running tasks.
+) -> list[runs.StepRun]:
+    """Return steps whose tasks have no room beside long-running tasks.
 
     Room that short tasks use becomes free; a task that needs more than the
     long-running ones leave on any worker would wait until they are moved.
 
     :param workers: those that have capacity for tasks now or soon.
     """
-    return next(
-        (
-            step
-            for step in state.ready.values()
-            if step.ready_at
-            and step.job.ending is None
-            and not step.step.long_running
-            and now - step.ready_at > FIT_WAIT_SECONDS
-            and _waiting(step)
-            and step.step.size.fits_in(
-                state.limits.headroom(step.job.job.team)
-            )
-            and not any(
-                state.reserved_size(step).fits_in(
-                    worker.free_without_short_tasks
-                )
-                for worker in workers
-            )
-        ),
-        None,
-    )
+    return [
+        step
+        for step in state.ready.values()
+        if step.ready_at
+        and step.job.ending is None
+        and now - step.ready_at > FIT_WAIT_SECONDS
+        and _waiting(step)
+        and step.step.size.fits_in(state.limits.headroom(step.job.job.team))
+        and not any(
+            state.reserved_size(step).fits_in(worker.free_without_short_tasks)
+            and step.within_worker_limit(worker.name)
+            for worker in workers
+        )
+    ]
+
+
+def workers_for(
+    state: pools.Pool,
+    steps: list[runs.StepRun],
+    workers: list[fleet.WorkerState],
+) -> int:
+    """Return how many more workers have room for steps that have none.
+
+    Their long-running tasks stay, so that there is to be room for all of
+    them; of the others, one after the other can use the same worker.
+
+    :param workers: those that have capacity for tasks now or soon.
+    """
+    size = _size_of(workers)
+    long_running = resources.ZERO
+    for step in steps:
+        if step.step.long_running:
+            need = state.reserved_size(step).scaled(_waiting(step))
+            long_running = long_running + need
+    return max(math.ceil(long_running.dominant_share(size)), 1)
 
 
 def min_workers_for_spread(state: pools.Pool) -> int:
--- a/src/agaterudder/jobs/scaling.py
+++ b/src/agaterudder/jobs/scaling.py
@@ -106,9 +106,12 @@
             f"load {load.offered:.1f} and backlog {load.waiting:.1f}, "
             f"capacity {load.capacity:.1f}",
         )
-    step = None if joining else loads.fits_beside_none(state, usable, now)
-    if step is not None:
-        return ScaleUp(1, f"tasks of {step.name} fit on no worker")
+    steps = [] if joining else loads.steps_without_room(state, usable, now)
+    if steps:
+        return ScaleUp(
+            loads.workers_for(state, steps, usable),
+            f"tasks of {steps[0].name} have room on no worker",
+        )
     idle = _idle([worker for worker in workers if worker not in usable], now)
     if idle:
         return ScaleDown(tuple(idle))
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -81,3 +81,18 @@
       | 5 and 5   | 10     | 10    |
       | 12 and 12 | 30     | 10    |
       | 6 and 6   | 12     | 7     |
+
+  # Guards against long-running tasks that stood still from the loss of their
+  # workers to the end of the day, as no other work came to the pool.
+  Scenario Outline: <count> long-running tasks of 6 cores, <workers> workers left
+    Given a pool with <workers> workers
+    And a job of <count> long-running tasks of 6 cores, <apart> per worker at most
+    When the pool is planned
+    And 1.0 seconds pass
+    Then the pool orders <machines> machines
+
+    Examples:
+      | count | workers | apart | machines |
+      | 4     | 0       | 0     | 2        |
+      | 4     | 1       | 0     | 1        |
+      | 4     | 2       | 0     | 0        |
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -52,6 +52,16 @@
     _accept_lasting(context, cores, count, 1)
 
 
+@behave.given(
+    "a job of {count:d} long-running tasks of {cores:g} cores, "
+    "{apart:d} per worker at most"
+)
+def step_lasting_together(
+    context: Context, count: int, cores: float, apart: int
+) -> None:
+    _accept_lasting(context, cores, count, apart)
+
+
 def _accept_lasting(
     context: Context, cores: float, count: int, per_worker: int
 ) -> None:
