LOST: poll idle workers, and those that reject a start

Cause: the loop of an idle worker waited 5 s, or until it was woken, and then went on waiting: it never polled. A rejected start did not wake it, and one rejected by another incarnation did not pause the starts.

Evidence: the scenario 'An idle worker is polled from time to time, and when it is woken' fails without the change (no poll).

--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -104,6 +104,7 @@
                 self._context.step_down("a worker has seen a higher epoch")
             case ports.Rejected(reason=reason):
                 runstarts.rejected(self._context.state, run, reason, now)
+                self._registry.wake(run.worker)
             case ports.NoAnswer(reason=reason, may_take_effect=False):
                 run.worker.unanswered_since = (
                     run.worker.unanswered_since or now
@@ -111,6 +112,7 @@
                 runstarts.rejected(
                     self._context.state, run, f"not sent: {reason}", now
                 )
+                self._registry.wake(run.worker)
             case ports.NoAnswer(reason=reason):
                 runstarts.unanswered(self._context.state, run, reason, now)
                 self._registry.wake(run.worker)
--- a/src/agaterudder/jobs/runstarts.py
+++ b/src/agaterudder/jobs/runstarts.py
@@ -75,7 +75,7 @@
     )
     if reason == ports.REJECTED_NO_CAPACITY:
         run.worker.full_until = now + REJECTION_PAUSE_SECONDS
-    if reason == ports.REJECTED_BUSY:
+    if reason in (ports.REJECTED_BUSY, ports.REJECTED_OTHER_INCARNATION):
         run.worker.quarantined_until = now + REJECTION_PAUSE_SECONDS
     if reason == ports.REJECTED_TICKET and run.task is not None:
         run.task.step.tickets = None
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -125,8 +125,7 @@
                 return
             if self._idle():
                 self._wake.wait(IDLE_INTERVAL_SECONDS)
-                self._wake.clear()
-                if self._idle():
+                if not self._holder.holds_lease():
                     continue
             self._wake.clear()
             self._poll()
