LOST: ignore an answer from an address that a worker has left

Change: the answer of a poll counts only while its link is the worker's.

Evidence: the scenario 'Another worker answers at the address that a worker has left' fails without the change.

--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -186,7 +186,8 @@
             worker.latest_deadline = max(worker.latest_deadline, deadline)
         acknowledged_end = worker.end_to_acknowledge
         incarnation = worker.incarnation
-        answer = worker.link.renew(
+        link = worker.link
+        answer = link.renew(
             self._holder.lease.epoch,
             acknowledged_end,
             deadline,
@@ -200,6 +201,9 @@
                 self._apply_listing(answer, sent_at, now)
             case ports.Rejected(reason=ports.REJECTED_FENCED):
                 self._holder.step_down("a worker has seen a higher epoch")
+            case _ if worker.link is not link:
+                # The worker has moved to another address meanwhile.
+                return
             case ports.Rejected(reason=ports.REJECTED_OTHER_INCARNATION):
                 self._handle_replacement(now)
             case ports.Rejected() | ports.NoAnswer():
