LOST: take the end of a worker for the end of its starts

Cause: a start without an answer held its task for the longest delay of an order, also when the list of machines showed that its worker had ended: the same name might return. 'worker lost' was written every 0.15 s meanwhile.

Change: an incarnation that has ended carries out nothing, so its starts end with it and their tasks start elsewhere. If a worker returns under the same name within that delay, it is told to stop what the earlier one was told to start, before anything else. A worker that is only silent keeps its starts as before.

--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -13,6 +13,7 @@
 from agaterudder.jobs import estimates
 from agaterudder.jobs import fleet
 from agaterudder.jobs import journal
+from agaterudder.jobs import latestarts
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import placements
@@ -49,6 +50,7 @@
     :ivar placements: starts that are to be logged.
     :ivar acknowledged: stored ends that are not logged yet.
     :ivar recovery: recovery after the take-over by this holder.
+    :ivar late_starts: unanswered starts of workers that have ended.
     :ivar orphaned_runs: runs whose job has ended or is unknown; they are
         stopped, and reserve capacity until they have ended.
     :ivar ended_jobs: jobs whose end was stored lately.
@@ -75,6 +77,7 @@
         "orphaned_runs",
         "demand",
         "ended_jobs",
+        "late_starts",
         "_submission_buckets",
     )
 
@@ -111,6 +114,7 @@
         self.orphaned_runs: list[runs.Run] = []
         self.demand = demand.Demand()
         self.ended_jobs = endedjobs.EndedJobs()
+        self.late_starts = latestarts.LateStarts()
         self._submission_buckets: dict[str, ratelimit.TokenBucket] = {}
 
     # Jobs
--- a/src/agaterudder/jobs/workerends.py
+++ b/src/agaterudder/jobs/workerends.py
@@ -46,6 +46,7 @@
         },
     )
     worker.reset_incarnation(incarnation, now)
+    stop_late_starts(state, worker, now)
     for run in list(worker.runs.values()):
         if run.state is runs.RunState.RUNNING and run.listed_at:
             state.remove_run(run, now, "worker restarted")
@@ -61,13 +62,15 @@
     reason: str,
     now: float,
     learnt: str = "",
+    ended: bool = False,
 ) -> None:
     """Handle the loss of a worker, which ended its runs.
 
-    An unanswered start may still reach a later incarnation under the
-    same name, for as long as an order can be delayed.
+    A worker that has ended carries out no start any more. One whose lease
+    has lapsed may, for as long as an order can be delayed.
 
     :param learnt: what the reason rests on.
+    :param ended: whether the worker is known to have ended.
     """
     poolreports.runs_lost(
         state.metrics,
@@ -89,6 +92,29 @@
         },
     )
     for run in list(worker.runs.values()):
+        running = run.state is runs.RunState.RUNNING
         may_arrive = now - run.sent_at < fleet.MAX_ORDER_DELAY_SECONDS
-        if run.state is runs.RunState.RUNNING or not may_arrive:
-            state.remove_run(run, now, reason)
+        if not running and may_arrive and not ended:
+            continue
+        if not running and may_arrive:
+            state.late_starts.add(run, now)
+        state.remove_run(run, now, reason)
+
+
+def stop_late_starts(
+    state: pools.Pool, worker: fleet.WorkerState, now: float
+) -> None:
+    """Have a new incarnation stop what an earlier one was told to start."""
+    for start in state.late_starts.take(worker.name, now):
+        run = runs.Run(
+            start.task_name,
+            None,
+            start.number,
+            worker,
+            start.sent_at,
+            start.size,
+        )
+        run.state = runs.RunState.UNCERTAIN
+        run.stop_reason = "start of an earlier incarnation"
+        worker.add(run)
+        state.orphaned_runs.append(run)
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -306,10 +306,13 @@
         worker = self._worker
         reason = "another worker answers at its address"
         workerends.lost(
-            self._holder.state, worker, reason, now, "its answer, just now"
+            self._holder.state,
+            worker,
+            reason,
+            now,
+            "its answer, just now",
+            ended=True,
         )
-        for run in list(worker.runs.values()):
-            self._holder.state.remove_run(run, now, reason)
         self._holder.state.recovery.discard_worker(
             worker.name, reason, "its answer, just now", now
         )
@@ -338,15 +341,16 @@
             worker, worker.unanswered_since
         )
         evidence = f"{worker.unanswered_polls} polls without an answer"
-        if not reason and worker.fenced and worker.lease_expired(now):
+        ended = bool(reason)
+        if not ended and worker.fenced and worker.lease_expired(now):
             reason = "its lease has lapsed"
             worker.fenced = False
-        elif reason:
+        elif ended:
             worker.terminated = True
             evidence = self._holder.machine_evidence(clock.now())
             state.recovery.discard_worker(worker.name, reason, evidence, now)
         if reason and worker.runs:
-            workerends.lost(state, worker, reason, now, evidence)
+            workerends.lost(state, worker, reason, now, evidence, ended)
         expired = [
             run
             for run in worker.runs.values()
--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -165,6 +165,7 @@
         _apply_drain_state(worker, registration)
         worker.idle_since = clock.now()
         self._context.state.adopt_worker(worker)
+        workerends.stop_late_starts(self._context.state, worker, clock.now())
         loop = workerloop.WorkerLoop(worker, self._holder, self._longest_lease)
         self._loops[worker.name] = loop
         loop.start()
@@ -225,11 +226,9 @@
     ) -> None:
         """Record that a worker and all its runs have ended."""
         now = clock.now()
-        workerends.lost(self._context.state, worker, reason, now, "its order")
-        for run in list(worker.runs.values()):
-            # A late start can't arrive: the machine's next worker has
-            # another name.
-            self._context.state.remove_run(run, now, reason)
+        workerends.lost(
+            self._context.state, worker, reason, now, "its order", ended=True
+        )
         worker.fenced = False
         worker.terminated = True
         self.wake(worker)
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -1,20 +1,25 @@
 """Steps for the way of an accepted job to its end."""
 
 import typing as t
+from unittest import mock
 
 import behave
+import gevent
 
 from agaterudder.jobs import clock
 from agaterudder.jobs import jobapi
 from agaterudder.jobs import listings
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
+from agaterudder.jobs import orders
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 from agaterudder.jobs import runstarts
 from agaterudder.jobs import scaling
 from agaterudder.jobs import teamlimits
+from agaterudder.jobs import workerends
+from agaterudder.jobs import workerloop
 from agaterudder import resources
 from tests import job_builders
 from tests import memory_store
@@ -314,3 +319,140 @@
 @behave.then("the team never used more than {limit:d} cores")
 def step_within_limit(context: Context, limit: int) -> None:
     assert context.most <= limit, context.most
+
+
+# Workers that have ended
+
+
+def _only_run(context: Context) -> runs.Run:
+    (run,) = (
+        run
+        for worker in context.state.workers.values()
+        for run in worker.runs.values()
+    )
+    return run
+
+
+@behave.when("its worker is not run by any machine")
+def step_no_machine(context: Context) -> None:
+    worker = context.run.worker
+    worker.terminated = True
+    workerends.lost(
+        context.state, worker, "no machine runs it", context.now, ended=True
+    )
+
+
+@behave.when("its worker was moved to standby")
+def step_moved(context: Context) -> None:
+    step_no_machine(context)
+
+
+@behave.when("its worker answers no poll, and its lease has lapsed")
+def step_lapsed(context: Context) -> None:
+    worker = context.run.worker
+    worker.fenced = False
+    workerends.lost(context.state, worker, "its lease has lapsed", context.now)
+
+
+@behave.when("its worker restarts under its name after {seconds:g} seconds")
+def step_returns(context: Context, seconds: float) -> None:
+    context.now += seconds
+    name = context.run.worker.name
+    del context.state.workers[name]
+    context.returned = job_builders.worker(name, incarnation=2)
+    context.state.adopt_worker(context.returned)
+    workerends.stop_late_starts(context.state, context.returned, context.now)
+
+
+@behave.then("the late start is stopped")
+def step_late_start(context: Context) -> None:
+    stopped = [
+        order.run.number
+        for order in context.orders
+        if isinstance(order, orders.Stop)
+        and order.run.worker is context.returned
+    ]
+    assert stopped == [context.run.number], stopped
+
+
+@behave.when(
+    "the pool is planned {rounds:d} times after {answered:d} answered polls"
+)
+def step_planned_after(context: Context, rounds: int, answered: int) -> None:
+    for _ in range(answered):
+        context.execute_steps("When the worker lists no runs")
+    for _ in range(rounds):
+        context.execute_steps("When the pool is planned")
+
+
+@behave.when("the loop runs for {seconds:g} seconds with an idle worker")
+def step_idle_loop(context: Context, seconds: float) -> None:
+    context.polls = 0
+    context.until = seconds
+    context.waited = 0.0
+
+    def wait(timeout: float) -> bool:
+        context.waited += timeout
+        if context.waited > context.until:
+            raise gevent.GreenletExit
+        return False
+
+    poll = context.loop._poll
+
+    def count_poll() -> None:
+        context.polls += 1
+        poll()
+
+    context.event = mock.Mock(wait=wait, set=lambda: None)
+    with mock.patch.object(
+        workerloop.WorkerLoop, "_poll", lambda _: count_poll()
+    ):
+        context.loop._wake = context.event
+        try:
+            context.loop._run()
+        except gevent.GreenletExit:
+            pass
+
+
+@behave.when("the loop is woken")
+def step_woken(context: Context) -> None:
+    woken = iter([True])
+
+    def wait(timeout: float) -> bool:
+        if not next(woken, False):
+            raise gevent.GreenletExit
+        return True
+
+    def count_poll() -> None:
+        context.polls += 1
+
+    context.loop._wake = mock.Mock(wait=wait)
+    with mock.patch.object(
+        workerloop.WorkerLoop, "_poll", lambda _: count_poll()
+    ):
+        try:
+            context.loop._run()
+        except gevent.GreenletExit:
+            pass
+
+
+@behave.then("the worker was polled {count:d} times")
+def step_polled(context: Context, count: int) -> None:
+    assert context.polls == count, context.polls
+
+
+@behave.when("the worker moves to another address while its old one is polled")
+def step_moves_address(context: Context) -> None:
+    other = ports.Rejected(ports.REJECTED_OTHER_INCARNATION)
+
+    def exchange() -> None:
+        context.worker.link = mock.Mock()
+
+    context.link.answers = [other]
+    context.link.on_renew = exchange
+    context.loop._poll()
+
+
+@behave.then("the worker is still registered")
+def step_registered(context: Context) -> None:
+    assert context.worker.registered
