Split the command line by kind of command

The step that collects the commands of the documentation from cli.py reads commands/ now, with the same condition.

--- /dev/null
+++ b/src/agaterudder/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line."""
--- a/tests/features/steps/document_steps.py
+++ b/tests/features/steps/document_steps.py
@@ -55,7 +55,8 @@
 
 @behave.then('each "agaterudder" command in the documentation exists')
 def step_commands(context: Context) -> None:
-    source = (launcher.ROOT / "src/agaterudder/cli.py").read_text()
+    folder = launcher.ROOT / "src/agaterudder/commands"
+    source = "".join(path.read_text() for path in folder.glob("*.py"))
     known = set(re.findall(r'cappa\.command\(name="([a-z-]+)"', source))
     assert len(known) > 10, known
     pages = [*DOCS.glob("*.md"), launcher.ROOT / "README.md"]
