Split the dispatcher by what happens to a request

Each has a module now: servicequeues, slotloans, attempts (plain decisions), failover, and peercalls for the protocol to the peers.

Methods of the dispatcher that took a service became methods of servicequeues.ServiceQueue; otherwise the code is the same. requests, slots, documents, whole_path and processes: 53 scenarios pass.

--- a/src/agaterudder/peeradapters.py
+++ b/src/agaterudder/peeradapters.py
@@ -7,8 +7,8 @@
 
 import gevent
 
+from agaterudder import attempts
 from agaterudder import codes
-from agaterudder import dispatch
 from agaterudder import messages
 from agaterudder import peers
 from agaterudder import requests
@@ -86,7 +86,7 @@
     def _answer(self, call: messages.ForwardRequest) -> messages.ForwardAnswer:
         entry = self.entry
         now = time.monotonic()
-        outcome: dispatch.Outcome | None = None
+        outcome: attempts.Outcome | None = None
         if entry.leaving:
             outcome = codes.Refused(codes.Result.LEAVING, "it is leaving")
         elif entry.data_centre in entry.in_force.data_centres_out:
@@ -152,7 +152,7 @@
     entry: "entries.Entry"
 
     def failover_peers(self, now: float) -> list[str]:
-        """See :class:`dispatch.PeerCaller`."""
+        """See :class:`peercalls.PeerCaller`."""
         out = self.entry.in_force.data_centres_out
         return [
             vm
@@ -164,7 +164,7 @@
         ]
 
     def local_peers(self, now: float) -> list[str]:
-        """See :class:`dispatch.PeerCaller`."""
+        """See :class:`peercalls.PeerCaller`."""
         return sorted(
             vm
             for vm, link in self.entry.links.live_links(now).items()
@@ -175,17 +175,17 @@
     def forward(
         self, vm: str, call: messages.ForwardRequest, timeout: float
     ) -> messages.ForwardAnswer | None:
-        """See :class:`dispatch.PeerCaller`."""
+        """See :class:`peercalls.PeerCaller`."""
         answer = self.entry.links.call(vm, call, timeout)
         return answer if isinstance(answer, messages.ForwardAnswer) else None
 
     def borrow(
         self, vm: str, call: messages.BorrowSlots, timeout: float
     ) -> messages.LendSlots | None:
-        """See :class:`dispatch.PeerCaller`."""
+        """See :class:`peercalls.PeerCaller`."""
         answer = self.entry.links.call(vm, call, timeout)
         return answer if isinstance(answer, messages.LendSlots) else None
 
     def can_call(self, vm: str, now: float) -> bool:
-        """See :class:`dispatch.PeerCaller`."""
+        """See :class:`peercalls.PeerCaller`."""
         return self.entry.links.can_call(vm, now)
--- a/tests/features/steps/request_steps.py
+++ b/tests/features/steps/request_steps.py
@@ -28,27 +28,27 @@
     """Peer calls of an entry process that has no peers."""
 
     def failover_peers(self, now: float) -> list[str]:
-        """See :class:`agaterudder.dispatch.PeerCaller`."""
+        """See :class:`agaterudder.peercalls.PeerCaller`."""
         return []
 
     def local_peers(self, now: float) -> list[str]:
-        """See :class:`agaterudder.dispatch.PeerCaller`."""
+        """See :class:`agaterudder.peercalls.PeerCaller`."""
         return []
 
     def forward(
         self, vm: str, call: messages.ForwardRequest, timeout: float
     ) -> messages.ForwardAnswer | None:
-        """See :class:`agaterudder.dispatch.PeerCaller`."""
+        """See :class:`agaterudder.peercalls.PeerCaller`."""
         return None
 
     def borrow(
         self, vm: str, call: messages.BorrowSlots, timeout: float
     ) -> messages.LendSlots | None:
-        """See :class:`agaterudder.dispatch.PeerCaller`."""
+        """See :class:`agaterudder.peercalls.PeerCaller`."""
         return None
 
     def can_call(self, vm: str, now: float) -> bool:
-        """See :class:`agaterudder.dispatch.PeerCaller`."""
+        """See :class:`agaterudder.peercalls.PeerCaller`."""
         return False
 
 
