--- a/tests/run.py
+++ b/tests/run.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import typing as t
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FEATURES = ROOT / "tests" / "features"
@@ -65,15 +66,22 @@
     ]
 
 
-def run_check(name: str, command: tuple[str, ...]) -> Outcome:
-    """Run a checking tool as a Python module."""
-    completed = subprocess.run(
+def _run_module(
+    command: t.Sequence[str],
+) -> "subprocess.CompletedProcess[str]":
+    """Run a Python module with arguments and wait until it ends."""
+    return subprocess.run(
         [sys.executable, "-m", *command],
         cwd=ROOT,
         capture_output=True,
         text=True,
         timeout=COMMAND_TIMEOUT_SECONDS,
     )
+
+
+def run_check(name: str, command: tuple[str, ...]) -> Outcome:
+    """Run a checking tool as a Python module."""
+    completed = _run_module(command)
     return Outcome(
         name, completed.returncode == 0, completed.stdout + completed.stderr
     )
@@ -85,13 +93,7 @@
         command = ["behave", "--format", "json", "--outfile", report.name]
         command += ["--format", "plain"]
         command += ["--no-summary", "--no-capture", str(path)]
-        completed = subprocess.run(
-            [sys.executable, "-m", *command],
-            cwd=ROOT,
-            capture_output=True,
-            text=True,
-            timeout=COMMAND_TIMEOUT_SECONDS,
-        )
+        completed = _run_module(command)
         content = pathlib.Path(report.name).read_text()
     try:
         features = json.loads(content)
