--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -22,6 +22,7 @@
 Context = t.Any
 SEED = 20261204
 ADOPTION_SECONDS = 2.5
+WRITE_DELAY_SECONDS = 0.02
 
 
 def _assurances(tasks: int) -> str:
@@ -181,8 +182,14 @@
     assert least <= running <= most, running
 
 
-class _SlowTransport(fakes.PlatformTransport):
-    """Yields to other greenlets before each write takes effect."""
+class _InterceptingTransport(fakes.PlatformTransport):
+    """Calls a function before each write takes effect."""
+
+    def __init__(
+        self, target: platform.Platform, before_write: t.Callable[[], None]
+    ) -> None:
+        super().__init__(target)
+        self._before_write = before_write
 
     def call(
         self,
@@ -193,39 +200,36 @@
     ) -> tuple[int, bytes]:
         """See :class:`agaterudder.store.Transport`."""
         if method == "POST":
-            gevent.sleep(self.delay)
+            self._before_write()
         return super().call(method, path, body, headers)
 
-    delay = 0.02
+
+def _slow_transport(target: platform.Platform) -> _InterceptingTransport:
+    """Return a transport that yields to other greenlets before each write."""
+    return _InterceptingTransport(
+        target, lambda: gevent.sleep(WRITE_DELAY_SECONDS)
+    )
 
 
 def _tasks(count: float) -> resources.Vector:
     return resources.Vector(0.0, 0.0, 0.0, count)
 
 
-class _ContendedTransport(fakes.PlatformTransport):
-    """Lets another VM change one row before each write."""
+def _contended_transport(
+    target: platform.Platform, teams: list[str]
+) -> _InterceptingTransport:
+    """Return a transport before whose writes another VM changes one row."""
+    other = grants.Grants(
+        "b", store.Store(fakes.PlatformTransport(target), 0.0)
+    )
+    turns = itertools.cycle(teams)
 
-    def __init__(self, target: platform.Platform, teams: list[str]) -> None:
-        super().__init__(target)
-        self._other = grants.Grants(
-            "b", store.Store(fakes.PlatformTransport(target), 0.0)
-        )
-        self._teams = itertools.cycle(teams)
+    def change_row() -> None:
+        limit = grants.TeamLimit(_tasks(600.0), 1)
+        request = escrow.GrantRequest(_tasks(1.0), _tasks(1.0))
+        other.enlarge(next(turns), request, limit)
 
-    def call(
-        self,
-        method: str,
-        path: str,
-        body: bytes = b"",
-        headers: dict[str, str] | None = None,
-    ) -> tuple[int, bytes]:
-        """Carry out one call after another VM's change."""
-        if method == "POST":
-            limit = grants.TeamLimit(_tasks(600.0), 1)
-            request = escrow.GrantRequest(_tasks(1.0), _tasks(1.0))
-            self._other.enlarge(next(self._teams), request, limit)
-        return super().call(method, path, body, headers)
+    return _InterceptingTransport(target, change_row)
 
 
 @behave.given(
@@ -244,7 +248,7 @@
         assert before.enlarge(team, request, limit) is None
     later = [*context.teams[1:], context.teams[0]]
     context.grants = grants.Grants(
-        "a", store.Store(_ContendedTransport(target, later), 0.0)
+        "a", store.Store(_contended_transport(target, later), 0.0)
     )
 
 
@@ -264,7 +268,7 @@
 @behave.given("a VM with a grant of 4 out of 6 in the row")
 def step_holds_four(context: Context) -> None:
     context.platform = platform.Platform([], 0.0)
-    context.slow = store.Store(_SlowTransport(context.platform), 0.0)
+    context.slow = store.Store(_slow_transport(context.platform), 0.0)
     context.grants = grants.Grants("a", context.slow)
     context.limit = grants.TeamLimit(_tasks(6.0), 1)
     request = escrow.GrantRequest(_tasks(4.0), _tasks(4.0))
