Let the parts of an entry process name what they need of it

Cause: entry imported controlloops and peeradapters, which imported entry again for their types.

Change: entrystate.EntryState is the protocol of what both use; they import it and no longer entry.

--- a/src/agaterudder/controlloops.py
+++ b/src/agaterudder/controlloops.py
@@ -12,6 +12,7 @@
 
 from agaterudder import batches
 from agaterudder import decisions
+from agaterudder import entrystate
 from agaterudder import escrow
 from agaterudder import exceptions
 from agaterudder import grants
@@ -23,9 +24,6 @@
 from agaterudder import slots
 from agaterudder import store
 
-if t.TYPE_CHECKING:
-    from agaterudder import entry as entries
-
 LOG = logging.getLogger(__name__)
 
 PAUSE_CHECK_INTERVAL_SECONDS = 0.25
@@ -47,7 +45,7 @@
 
     __slots__ = ("_entry", "_idle_since", "_reservations_end", "_loops")
 
-    def __init__(self, entry: "entries.Entry") -> None:
+    def __init__(self, entry: entrystate.EntryState) -> None:
         self._entry = entry
         self._idle_since: dict[str, float] = {}
         self._reservations_end = 0.0
--- a/src/agaterudder/peeradapters.py
+++ b/src/agaterudder/peeradapters.py
@@ -3,19 +3,16 @@
 import dataclasses
 import logging
 import time
-import typing as t
 
 import gevent
 
 from agaterudder import codes
 from agaterudder import dispatch
+from agaterudder import entrystate
 from agaterudder import messages
 from agaterudder import peers
 from agaterudder import requests
 
-if t.TYPE_CHECKING:
-    from agaterudder import entry as entries
-
 LOG = logging.getLogger(__name__)
 
 
@@ -23,7 +20,7 @@
 class PeerHandler:
     """Handles the events of the links; see :class:`peers.Handler`."""
 
-    entry: "entries.Entry"
+    entry: entrystate.EntryState
 
     def digest(self) -> messages.Digest:
         """See :class:`peers.Handler`."""
@@ -149,7 +146,7 @@
 class PeerCalls:
     """Calls of the dispatcher to the other entry processes."""
 
-    entry: "entries.Entry"
+    entry: entrystate.EntryState
 
     def failover_peers(self, now: float) -> list[str]:
         """See :class:`dispatch.PeerCaller`."""
