Let runs name what they ask of their worker

Cause: jobs.fleet imports jobs.runs for the runs of a worker, and jobs.runs imported jobs.fleet for the type of the worker of a run.

Change: runs.Worker is the protocol of what a run and those who handle it ask of its worker; jobs.runs no longer imports jobs.fleet.

--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -4,12 +4,9 @@
 import typing as t
 
 from agaterudder.jobs import model
+from agaterudder.jobs import ports
 from agaterudder import resources
 
-if t.TYPE_CHECKING:
-    from agaterudder.jobs import fleet
-
-
 MAX_RUNS_PER_TASK = 2
 
 START_FIRST = "first"
@@ -29,6 +26,38 @@
     RUNNING = "running"
 
 
+class Worker(t.Protocol):
+    """What is asked of the worker of a run.
+
+    See :class:`fleet.WorkerState`, which implements it.
+    """
+
+    name: str
+    registration: ports.WorkerRegistration
+    link: ports.Worker
+    runs: "dict[tuple[str, int], Run]"
+    polled_at: float
+    unanswered_since: float
+    full_until: float
+    quarantined_until: float
+
+    @property
+    def free(self) -> resources.Vector:
+        """Capacity that no run reserves."""
+
+    def heard(self, now: float) -> str:
+        """Return the age of the last answered poll, for log lines."""
+
+    def unresponsive(self, now: float) -> bool:
+        """Return whether polls have gone unanswered for too long."""
+
+    def earlier_stops_visible(self, stop_seconds: float) -> bool:
+        """Return whether its listing reflects stops of earlier holders."""
+
+    def remove(self, run: "Run", now: float) -> None:
+        """Remove a run that has ended and release its capacity."""
+
+
 class Run:
     """One run of a task; it reserves capacity on its worker until it ends.
 
@@ -78,7 +107,7 @@
         task_name: str,
         task: "Task | None",
         number: int,
-        worker: "fleet.WorkerState",
+        worker: Worker,
         sent_at: float,
         size: resources.Vector,
     ) -> None:
--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -17,6 +17,7 @@
 from agaterudder.jobs import machines
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
+from agaterudder.jobs import runs
 from agaterudder.jobs import workerends
 from agaterudder.jobs import workerloop
 
@@ -94,7 +95,7 @@
         for loop in self._loops.values():
             loop.stop()
 
-    def wake(self, worker: fleet.WorkerState) -> None:
+    def wake(self, worker: runs.Worker) -> None:
         """Poll a worker soon."""
         loop = self._loops.get(worker.name)
         if loop is not None:
