Share the fakes around a pool between the steps

Cause: recovery_steps.py and pool_log_steps.py each had a link, a holder, a holder for the autoscaler and a context of a pool, which resembled each other.

Change: tests/pool_fakes.py has FakeLink, FakeHolder and FakeScaledHolder; job_builders has lease() and context(). The fake for the autoscaler replaces a mock with its specification in recovery_steps.py and implements the whole protocol. No scenario, step text or assertion differs.

--- a/tests/features/steps/pool_log_steps.py
+++ b/tests/features/steps/pool_log_steps.py
@@ -8,9 +8,7 @@
 
 from agaterudder.jobs import autoscaler
 from agaterudder.jobs import clock
-from agaterudder.jobs import context as contexts
 from agaterudder.jobs import journalwriter
-from agaterudder.jobs import leases
 from agaterudder.jobs import listings
 from agaterudder.jobs import machines
 from agaterudder.jobs import model
@@ -22,10 +20,10 @@
 from agaterudder.jobs import workerloop
 from tests import job_builders
 from tests import memory_store
+from tests import pool_fakes
 
 Context = t.Any
 EVIDENCE_AGE_SECONDS = 0.25
-MACHINES = 5
 LEASE_SECONDS = 6.0
 SCALING_INTERVAL_SECONDS = 0.1
 # The histogram keeps one significant digit.
@@ -80,7 +78,7 @@
 def step_not_waited_for(context: Context, name: str, reason: str) -> None:
     cache = machines.MachineCache(t.cast(t.Any, None))
     cache.machines = dict.fromkeys(
-        map(str, range(MACHINES)), t.cast(t.Any, None)
+        map(str, range(pool_fakes.MACHINES)), t.cast(t.Any, None)
     )
     cache.asked_at = context.now - EVIDENCE_AGE_SECONDS
     evidence = cache.evidence(context.now)
@@ -230,17 +228,10 @@
 def _writer(context: Context) -> journalwriter.JournalWriter:
     store = memory_store.MemoryStore()
     holder = ports.Put(model.HOLDERS_TABLE, model.HOLDER_KEY, b"a")
-    lease = leases.Lease(job_builders.POOL, 1, context.now)
-    lease.epoch = store.transact(job_builders.POOL, [], [holder]).version
-    shared = contexts.Context(
-        lease,
-        context.state,
-        store,
-        context.state.metrics,
-        lambda: 0.0,
-        lambda reason: None,
+    epoch = store.transact(job_builders.POOL, [], [holder]).version
+    return journalwriter.JournalWriter(
+        job_builders.context(context.state, store, epoch)
     )
-    return journalwriter.JournalWriter(shared)
 
 
 @behave.when("the pool's journal is written")
@@ -256,42 +247,10 @@
     _writer(context)._report_status(lag)
 
 
-class FakeHolder:
-    """A holder of a pool whose store and machine list the test controls."""
-
-    def __init__(self, context: Context) -> None:
-        self._context = context
-        self.state = context.state
-        self.lease = leases.Lease(job_builders.POOL, 1, 1e9)
-
-    def wait_stored(self, mark: int, timeout: float) -> bool:
-        """Let time pass; return whether the mark is stored."""
-        self._context.now += self._context.store_seconds
-        self._context.while_storing()
-        if self._context.stored:
-            self.state.journal.stored = self.state.journal.marked
-        return bool(self._context.stored)
-
-    def request_planning(self) -> None:
-        """Do nothing."""
-
-    def termination_reason(self, worker: t.Any, since: float) -> str:
-        """Return the reason that the test says."""
-        return str(self._context.termination_reason)
-
-    def machine_evidence(self, now: float) -> str:
-        """Return a fixed text."""
-        return f"list of {MACHINES} machines, now"
-
-
-class FakeLink:
-    """A link to a worker that answers polls as the test says."""
-
-    answer: ports.Listing | ports.NoAnswer
-
-    def renew(self, *_: t.Any) -> ports.Listing | ports.NoAnswer:
-        """Return the answer."""
-        return self.answer
+def _pass_storing(context: Context) -> None:
+    """Let the time pass that the store takes."""
+    context.now += context.store_seconds
+    context.while_storing()
 
 
 @behave.given("a pool with {count:d} workers whose polls are answered")
@@ -300,28 +259,27 @@
     patch = mock.patch.object(clock, "now", lambda: context.now)
     patch.start()
     context.cleanups.append(patch.stop)
-    context.stored = True
     context.store_seconds = 0.0
     context.while_storing = lambda: None
-    context.termination_reason = ""
-    holder = FakeHolder(context)
+    context.holder = pool_fakes.FakeHolder(context.state)
+    context.holder.on_wait = lambda: _pass_storing(context)
     context.loops = {}
     for worker in context.workers:
-        worker.link = FakeLink()
+        worker.link = pool_fakes.FakeLink()
         context.loops[worker.name] = workerloop.WorkerLoop(
-            worker, t.cast(t.Any, holder), LEASE_SECONDS
+            worker, t.cast(t.Any, context.holder), LEASE_SECONDS
         )
 
 
 @behave.given("the ends are stored after {seconds:g} seconds")
 def step_stored_after(context: Context, seconds: float) -> None:
-    context.stored = True
+    context.holder.stores = True
     context.store_seconds = seconds
 
 
 @behave.given("the ends are not stored within {seconds:g} seconds")
 def step_not_stored(context: Context, seconds: float) -> None:
-    context.stored = False
+    context.holder.stores = False
     context.store_seconds = seconds
 
 
@@ -347,9 +305,9 @@
         ports.Ended(number, f"{number:016x}.0.0.0", 1, outcome, "")
         for number in range(first, last + 1)
     ]
-    context.state.workers[name].link.answer = job_builders.listing(
-        (), ends, incarnation=incarnation
-    )
+    context.state.workers[name].link.answers = [
+        job_builders.listing((), ends, incarnation=incarnation)
+    ]
     context.loops[name]._poll()
 
 
@@ -387,8 +345,8 @@
 def step_not_answered(
     context: Context, name: str, termination_reason: str
 ) -> None:
-    context.termination_reason = termination_reason
-    context.state.workers[name].link.answer = ports.NoAnswer("time-out")
+    context.holder.reason = termination_reason
+    context.state.workers[name].link.answers = [ports.NoAnswer("time-out")]
     context.loops[name]._poll()
 
 
@@ -423,31 +381,10 @@
 def step_lists_run(context: Context, name: str) -> None:
     running = ports.Running("00000000000000ff.0.0.0", 3, "", 0)
     link = context.state.workers[name].link
-    link.answer = job_builders.listing([running])
+    link.answers = [job_builders.listing([running])]
     context.loops[name]._poll()
 
 
-class FakePool:
-    """The holder of a pool that has machines on standby."""
-
-    pool = job_builders.POOL
-
-    def __init__(self, context: Context) -> None:
-        self.state = context.state
-
-    def standby_pools(self) -> list[str]:
-        """Return the standby pool."""
-        return ["spare"]
-
-    def machines_in_waves(self) -> frozenset[str]:
-        """Return no machines."""
-        return frozenset()
-
-    def store_clock(self) -> float:
-        """Return a fixed time."""
-        return 0.0
-
-
 @behave.given("{count:d} machines on standby, of which {down:d} is not up")
 def step_standby(context: Context, count: int, down: int) -> None:
     patch = mock.patch.object(clock, "now", lambda: context.now)
@@ -470,7 +407,7 @@
     source = mock.Mock(list=lambda: context.standby)
     orders = mock.Mock(claim=lambda machine, store_clock: None)
     scaler = autoscaler.Autoscaler(
-        t.cast(t.Any, FakePool(context)),
+        pool_fakes.FakeScaledHolder(context.state),
         machines.MachineCache(source),
         t.cast(t.Any, orders),
     )
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -11,7 +11,6 @@
 from agaterudder import exceptions
 from agaterudder.jobs import autoscaler
 from agaterudder.jobs import clock
-from agaterudder.jobs import context as contexts
 from agaterudder.jobs import deployment
 from agaterudder.jobs import holder as holders
 from agaterudder.jobs import inbox
@@ -31,6 +30,7 @@
 from agaterudder import resources
 from tests import job_builders
 from tests import memory_store
+from tests import pool_fakes
 
 Context = t.Any
 MAX_ATTEMPTS = 20
@@ -141,61 +141,6 @@
 # Worker loops
 
 
-class _Link:
-    """A link that records the acknowledgements that it is given."""
-
-    def __init__(self, answers: t.Sequence[t.Any]) -> None:
-        self.answers = list(answers)
-        self.acknowledged: list[int] = []
-        self.waits: list[float] = []
-        self.on_renew: t.Callable[[], None] = lambda: None
-
-    def renew(
-        self,
-        epoch: int,
-        acknowledged: int,
-        deadline: float | None,
-        wait_seconds: float,
-        timeout: float,
-    ) -> t.Any:
-        """Answer as set, else with a listing without ends."""
-        self.acknowledged.append(acknowledged)
-        self.waits.append(wait_seconds)
-        self.on_renew()
-        if self.answers:
-            return self.answers.pop(0)
-        return job_builders.listing()
-
-
-class _Holder:
-    """Stands for the holder of the pool in a worker loop."""
-
-    def __init__(self, state: t.Any) -> None:
-        self.state = state
-        self.lease = leases.Lease(job_builders.POOL, 1, 1e9)
-        self.lease.epoch = job_builders.EPOCH
-        self.on_wait: t.Callable[[], None] = lambda: None
-        self.stores = True
-
-    def holds_lease(self) -> bool:
-        """Hold the lease."""
-        return True
-
-    def request_planning(self) -> None:
-        """Plan nothing."""
-
-    def termination_reason(self, worker: t.Any, since: float) -> str:
-        """Know of no end of a worker."""
-        return ""
-
-    def wait_stored(self, mark: int, timeout: float) -> bool:
-        """Store at once, after what is set to happen meanwhile."""
-        self.on_wait()
-        if self.stores:
-            self.state.journal.stored = self.state.journal.marked
-        return self.stores
-
-
 @behave.given("a worker loop whose worker has listed {count:d} ends")
 def step_loop(context: Context, count: int) -> None:
     context.state = job_builders.state([job_builders.worker()])
@@ -204,10 +149,10 @@
         ports.Ended(number, "gone.0.0.0", number, ports.END_DONE, "")
         for number in range(1, count + 1)
     ]
-    context.link = _Link([job_builders.listing(ended=ends)])
+    context.link = pool_fakes.FakeLink([job_builders.listing(ended=ends)])
     context.state.journal.marked = count
     context.worker.link = context.link
-    context.holder = _Holder(context.state)
+    context.holder = pool_fakes.FakeHolder(context.state)
     context.loop = workerloop.WorkerLoop(
         context.worker, t.cast(t.Any, context.holder), 6.0
     )
@@ -371,29 +316,18 @@
     ] * count
 
 
-def _context(state: t.Any, store: t.Any) -> contexts.Context:
-    lease = leases.Lease(job_builders.POOL, 1, 1e9)
-    lease.epoch = job_builders.EPOCH
-    return contexts.Context(
-        lease,
-        state,
-        store,
-        metrics.Metrics(),
-        lambda: store.clock,
-        lambda reason: None,
-    )
-
-
 def _registry(
     context: Context, store: memory_store.MemoryStore | None = None
 ) -> workerregistry.WorkerRegistry:
     return workerregistry.WorkerRegistry(
-        _context(context.state, store or memory_store.MemoryStore()),
+        job_builders.context(
+            context.state, store or memory_store.MemoryStore()
+        ),
         context.cluster,
-        lambda registration: t.cast(ports.Worker, _Link([])),
+        lambda registration: t.cast(ports.Worker, pool_fakes.FakeLink()),
         t.cast(t.Any, None),
         6.0,
-        t.cast(t.Any, _Holder(context.state)),
+        t.cast(t.Any, pool_fakes.FakeHolder(context.state)),
     )
 
 
@@ -441,7 +375,7 @@
 def step_inbox(context: Context) -> None:
     context.state = job_builders.state()
     context.inbox = inbox.Inbox(
-        _context(context.state, memory_store.MemoryStore())
+        job_builders.context(context.state, memory_store.MemoryStore())
     )
     job = job_builders.job()
     table = model.jobs_table(job_builders.POOL)
@@ -576,23 +510,11 @@
     cache = mock.Mock()
     cache.refresh.return_value = True
     cache.in_pool.return_value = [machine]
-    holder = mock.create_autospec(autoscaler.PoolHolder, instance=True)
-    holder.pool = job_builders.POOL
-    holder.state = context.state
-    holder.standby_pools.return_value = ["spare"]
-    holder.holds_lease.return_value = True
-    holder.cordon_worker.side_effect = lambda worker, reason: worker.cordon(
-        reason, job_builders.START
-    )
-    holder.uncordon_worker.side_effect = lambda worker: setattr(
-        worker, "cordon_reason", ""
-    )
-    holder.mark_worker_terminated.side_effect = lambda worker, reason: setattr(
-        worker, "terminated", True
-    )
     context.orders = _Orders()
     context.autoscaler = autoscaler.Autoscaler(
-        holder, cache, t.cast(t.Any, context.orders)
+        pool_fakes.FakeScaledHolder(context.state),
+        cache,
+        t.cast(t.Any, context.orders),
     )
 
 
@@ -621,11 +543,9 @@
 
 @behave.given("a holder of a pool")
 def step_holder(context: Context) -> None:
-    lease = leases.Lease(job_builders.POOL, 1, 1e9)
-    lease.epoch = job_builders.EPOCH
     context.manager = mock.create_autospec(leases.LeaseManager, instance=True)
     context.holder = holders.Holder(
-        lease,
+        job_builders.lease(),
         context.manager,
         memory_store.MemoryStore(),
         mock.Mock(subscribers=()),
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -2,14 +2,17 @@
 
 import typing as t
 
+from agaterudder.jobs import context as contexts
 from agaterudder.jobs import deployment
 from agaterudder.jobs import fleet
+from agaterudder.jobs import leases
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import pool
 from agaterudder.jobs import ports
 from agaterudder.jobs import teamlimits
 from agaterudder import resources
+from tests import memory_store
 
 POOL = "count"
 QUEUE = "checks"
@@ -139,6 +142,27 @@
     return found
 
 
+def lease(epoch: int = EPOCH) -> leases.Lease:
+    """Return a lease of the pool that does not expire."""
+    found = leases.Lease(POOL, 1, 1e9)
+    found.epoch = epoch
+    return found
+
+
+def context(
+    state: pool.Pool, store: memory_store.MemoryStore, epoch: int = EPOCH
+) -> contexts.Context:
+    """Return the context of a pool that this process holds the lease of."""
+    return contexts.Context(
+        lease(epoch),
+        state,
+        store,
+        state.metrics,
+        lambda: store.clock,
+        lambda reason: None,
+    )
+
+
 def listing(
     running: t.Sequence[ports.Running] = (),
     ended: t.Sequence[ports.Ended] = (),
