--- a/tests/features/steps/job_trace_steps.py
+++ b/tests/features/steps/job_trace_steps.py
@@ -433,5 +433,5 @@
 @behave.when('a poll of worker "{name}" is not answered')
 def step_poll_unanswered(context: Context, name: str) -> None:
     link = context.state.workers[name].link
-    link.answer = ports.NoAnswer("time-out")
+    link.answers = [ports.NoAnswer("time-out")]
     context.loops[name]._poll()
