LOST: release the charge of a run that outlives its job

Cause: a reservation whose release hangs on an object that is dropped earlier. When a job's end is stored, its live runs (those of a cancelled or failed job, copies, unanswered starts) lose their task, and the charge to the team's limit was released only with a task. It stayed for as long as the process held the pool: a team's jobs got ever less of its limit, and in the end no start.

The scenario outline 'A run that ends after the end of its job was stored' fails without the change (2 cores charged) and passes with it.

Change: a run keeps the team that it is charged to.

--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -325,6 +325,6 @@
                 task.runs.remove(run)
             if run.checkpoint and not task.done:
                 task.record_checkpoint(run.checkpoint)
-            self.limits.release(task.step.job.job.team, run.limit_key)
         elif run in self.orphaned_runs:
             self.orphaned_runs.remove(run)
+        self.limits.release(run.team, run.limit_key)
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -64,6 +64,8 @@
     """One run of a task; it reserves capacity on its worker until it ends.
 
     :ivar task: the task, None when its job is no longer known.
+    :ivar team: the team whose limit it is charged to, empty for a run of a
+        job that is not known.
     :ivar size_known: False for a run that an earlier holder started for a
         job that has ended since, as its size is no longer known.
     :ivar deadline: end of the lease given with the start, after which the
@@ -87,6 +89,7 @@
 
     __slots__ = (
         "task",
+        "team",
         "number",
         "worker",
         "state",
@@ -120,6 +123,7 @@
     ) -> None:
         self.task_name = task_name
         self.task = task
+        self.team = task.step.job.job.team if task is not None else ""
         self.number = number
         self.worker = worker
         self.state = RunState.SENT
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -117,6 +117,22 @@
     When the worker moves to another address while its old one is polled
     Then the worker is still registered
 
+  # Guards against a team whose jobs got ever less of its limit, as the charge
+  # of each run that outlived its job was kept.
+  Scenario Outline: A run that ends after the end of its job was stored: <how>
+    Given a pool with 2 workers
+    And its team has a limit of 10 cores
+    And a job of 2 tasks of 1 core
+    When the pool is planned
+    And the job ends as <how> and its end is stored
+    And the runs end 0.5 seconds later
+    Then the team is charged for 0 cores
+
+    Examples:
+      | how       |
+      | failed    |
+      | cancelled |
+
   # Guards against a job shown as failed after one failed run, as its queue
   # was not configured any more.
   Scenario: A job of a queue that operators removed keeps its attempts
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -6,6 +6,7 @@
 import behave
 import gevent
 
+from agaterudder import escrow
 from agaterudder.jobs import clock
 from agaterudder.jobs import jobapi
 from agaterudder.jobs import listings
@@ -456,3 +457,45 @@
 @behave.then("the worker is still registered")
 def step_registered(context: Context) -> None:
     assert context.worker.registered
+
+
+@behave.given("its team has a limit of {cores:d} cores")
+def step_team_limit(context: Context, cores: int) -> None:
+    unbounded = resources.UNBOUNDED
+    grant = resources.Vector(float(cores), unbounded, unbounded, unbounded)
+    limits = context.state.limits
+    limits.configure(_limited(2, float(cores)))
+    limits._account(TEAM).local_grant.load_row(
+        escrow.LimitRow(grant, 2, {job_builders.POOL: grant}),
+        job_builders.POOL,
+    )
+
+
+@behave.when("the job ends as {how} and its end is stored")
+def step_job_ends(context: Context, how: str) -> None:
+    (job,) = context.state.jobs.values()
+    context.state.finish_job(job, how, "by the test", 0.0)
+    context.state.remove_ended_job(job, context.now)
+
+
+@behave.when("the runs end {seconds:g} seconds later")
+def step_runs_end(context: Context, seconds: float) -> None:
+    context.now += seconds
+    for worker in context.state.workers.values():
+        ends = [
+            ports.Ended(number, run.task_name, run.number, "stopped", "")
+            for number, run in enumerate(worker.runs.values(), 1)
+        ]
+        listings.apply(
+            context.state,
+            worker,
+            job_builders.listing(ended=ends),
+            context.now,
+            context.now,
+        )
+
+
+@behave.then("the team is charged for {cores:d} cores")
+def step_charged(context: Context, cores: int) -> None:
+    spent = context.state.limits._account(TEAM).local_grant.spent
+    assert spent.cores == cores, spent
