LOST: let no loop of a process end unseen

The greenlet of a worker that ended by an exception left the worker's runs 'running' for ever; a watch that ended left its process without new workers, jobs or configurations while it kept its leases; one pool's fault in a change ended the watch for all pools of the process; a scan that met an unreadable row claimed no pool any more.

Evidence: the four scenarios on loops that fail in accepted_jobs.feature fail without the change and pass with it; 162 scenarios of accepted_jobs, leases, recovery, pool_logs and job_traces pass.

--- a/src/agaterudder/jobs/greenlets.py
+++ b/src/agaterudder/jobs/greenlets.py
@@ -14,15 +14,19 @@
     function: t.Callable[..., t.Any],
     *arguments: t.Any,
     what: str,
+    on_failure: t.Callable[[], None] | None = None,
     **fields: str,
 ) -> gevent.Greenlet:
     """Start a greenlet that is reported if it ends with an exception.
 
     :param what: what the greenlet does, for the line.
+    :param on_failure: called after the line.
     :param fields: what it does this for, such as a pool or a worker.
     """
     greenlet = gevent.spawn(function, *arguments)
     watch(greenlet, what, **fields)
+    if on_failure is not None:
+        greenlet.link_exception(lambda _: on_failure())
     return greenlet
 
 
--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -212,6 +212,17 @@
         return True
 
     def _cluster_changed(self) -> None:
+        """Apply a change; a fault in it concerns this pool only."""
+        try:
+            self._apply_cluster()
+        except Exception:
+            LOG.exception(
+                "change of the cluster not applied; giving the pool up",
+                extra={"pool": self.pool},
+            )
+            self.step_down("a change of the cluster was not applied")
+
+    def _apply_cluster(self) -> None:
         configuration = self._cluster.configuration
         if configuration is not None:
             self.state.queues = configuration.queues
--- a/src/agaterudder/jobs/leases.py
+++ b/src/agaterudder/jobs/leases.py
@@ -164,18 +164,24 @@
     def run(self) -> None:
         """Claim pools without a holder until the greenlet is killed."""
         while True:
-            if not self.shutting_down:
-                try:
-                    self._claim_free_pools()
-                except exceptions.CallFailed as error:
-                    LOG.debug(
-                        "pool leases not read; retrying",
-                        extra={"why": error},
-                    )
-                    gevent.sleep(SCAN_INTERVAL_SECONDS)
-                    continue
+            if not self.shutting_down and not self._scan():
+                gevent.sleep(SCAN_INTERVAL_SECONDS)
+                continue
             gevent.sleep(self.next_scan_delay(clock.now()))
 
+    def _scan(self) -> bool:
+        """Claim pools without a holder; return whether the rows were read."""
+        try:
+            self._claim_free_pools()
+        except exceptions.CallFailed as error:
+            LOG.debug("pool leases not read; retrying", extra={"why": error})
+            return False
+        except Exception:
+            # This process would claim no pool any more.
+            LOG.exception("scan for pools without a holder failed; retrying")
+            return False
+        return True
+
     def next_scan_delay(self, now: float) -> float:
         """Return how long to wait before the next scan for free pools.
 
@@ -306,7 +312,11 @@
         )
         self._leases[pool] = lease
         greenlets.spawn(
-            self._renew_loop, lease, what="lease renewal", pool=pool
+            self._renew_loop,
+            lease,
+            what="lease renewal",
+            on_failure=lambda: self.step_down(lease, "its renewal failed"),
+            pool=pool,
         )
         self._on_acquired(lease)
 
--- a/src/agaterudder/jobs/watcher.py
+++ b/src/agaterudder/jobs/watcher.py
@@ -81,10 +81,7 @@
         """Watch until killed."""
         while True:
             asked_at = clock.now()
-            try:
-                self._poll()
-            except exceptions.CallFailed as error:
-                self._mark_unavailable(str(error))
+            if not self._poll_once():
                 gevent.sleep(RETRY_SECONDS)
                 continue
             self.confirmed_at = asked_at
@@ -93,6 +90,24 @@
                 LOG.info("watch resumed", extra={"source": self._name})
             gevent.sleep(self._batch_seconds())
 
+    def _poll_once(self) -> bool:
+        """Read and pass on what has changed; return whether it succeeded."""
+        try:
+            self._poll()
+        except exceptions.CallFailed as error:
+            self._mark_unavailable(str(error))
+            return False
+        except Exception:
+            # Changes may have been applied in part. Whoever watches would
+            # learn of none any more if the watch ended here.
+            LOG.exception(
+                "changes not applied; reading a new snapshot",
+                extra={"source": self._name},
+            )
+            self._version = None
+            return False
+        return True
+
     def _poll(self) -> None:
         if self._version is None:
             rows, version = self._source.snapshot()
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -96,10 +96,18 @@
         self._greenlet = greenlets.spawn(
             self._run,
             what="worker loop",
+            on_failure=self._give_pool_up,
             pool=self._holder.state.name,
             worker=self._worker.name,
         )
 
+    def _give_pool_up(self) -> None:
+        """Give the pool up: the loop may have applied half of a listing.
+
+        The next holder reads the worker's list and the store anew.
+        """
+        self._holder.step_down("the loop of one of its workers failed")
+
     def stop(self) -> None:
         """Stop the loop and close the link to the worker."""
         if self._greenlet is not None:
