--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -170,3 +170,15 @@
     Given a client of the address "10.128.0.9:http"
     When the client sends a request
     Then the request failed and can't take effect
+
+  # Guards against a request that was read and cut, as it came while a stopping
+  # process wrote its last log lines.
+  Scenario Outline: A process that stops reads a request <when>
+    Given a process whose clients send a request <when>
+    When the process shuts down
+    Then the answer to the request was written before it ended
+
+    Examples:
+      | when                             |
+      | during the drain                 |
+      | while the last lines are written |
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -17,6 +17,8 @@
 
 from agaterudder import codes  # noqa: E402
 from agaterudder import exceptions  # noqa: E402
+from agaterudder import http  # noqa: E402
+from agaterudder.jobs import deployment  # noqa: E402
 from agaterudder.jobs import ports  # noqa: E402
 from agaterudder_platform import httpclient  # noqa: E402
 from agaterudder_platform import jobmessages  # noqa: E402
@@ -24,6 +26,7 @@
 from agaterudder_platform import node  # noqa: E402
 from agaterudder_platform import operatormessages  # noqa: E402
 from agaterudder_platform import policyclient  # noqa: E402
+from agaterudder_platform import program  # noqa: E402
 from agaterudder_platform import storeclient  # noqa: E402
 from agaterudder_platform import wire  # noqa: E402
 from agaterudder_platform import workerclient  # noqa: E402
@@ -32,6 +35,8 @@
 Context = t.Any
 RECEIVE_BYTES = 65_536
 SERVER_LINGER_SECONDS = 0.05
+ANSWER_SECONDS = 0.2
+GRACE_SECONDS = 2.4
 SETTINGS = """\
 node_name = "front-a-1"
 ip = "10.1.0.23"
@@ -386,3 +391,53 @@
 @behave.then("the request failed and can't take effect")
 def step_not_sent(context: Context) -> None:
     assert not context.error.may_take_effect, context.error
+
+
+class _Frontend:
+    """The server of a process that stops, with at most one request."""
+
+    def __init__(self) -> None:
+        self.closing = False
+        self.open_requests: list[http.OpenRequest] = []
+        self.active_requests = 0
+        self.open_connections = 1
+        self.written = False
+
+    def read_request(self) -> None:
+        """Read a request; its answer is written some time later."""
+        self.open_requests.append(http.OpenRequest("GET", "/", 0.0))
+        gevent.spawn_later(ANSWER_SECONDS, self._write_answer)
+
+    def _write_answer(self) -> None:
+        self.open_requests.clear()
+        self.written = True
+
+
+@behave.given("a process whose clients send a request {when}")
+def step_stopping_process(context: Context, when: str) -> None:
+    context.frontend = _Frontend()
+    bounds = deployment.Bounds(grace=GRACE_SECONDS)
+    context.process = mock.Mock(
+        _frontend_server=context.frontend,
+        _settings=mock.Mock(bounds=bounds),
+        _wait_until_answered=lambda deadline: (
+            program.Program._wait_until_answered(context.process, deadline)
+        ),
+    )
+    context.read_at = when
+
+
+@behave.when("the process shuts down")
+def step_shut_down(context: Context) -> None:
+    read = context.frontend.read_request
+    during_flush = "lines" in context.read_at
+    if not during_flush:
+        gevent.spawn(read)
+    flush = read if during_flush else lambda: None
+    with mock.patch.object(program.logs, "flush", flush):
+        program.Program._shut_down(context.process)
+
+
+@behave.then("the answer to the request was written before it ended")
+def step_answer_written(context: Context) -> None:
+    assert context.frontend.written
