LOST: ask the placement policy about workers beyond the first thirty

By reading: a question named the first 30 usable workers, always the same ones. Where the policy allows others only, the step never started.

Change: a step remembers whom the policy refused, which does not change for a step, and asks about the others, also while it has tickets for none of the usable workers.

Evidence: the scenario 'The placement policy allows the last of 40 workers' fails without the change (asked three times, no start).

--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -202,8 +202,11 @@
             gevent.sleep(POLICY_RETRY_SECONDS)
             return
         valid = answer.valid_seconds or queue.policy.ticket_seconds
+        refused = set(order.workers) - set(answer.by_worker)
+        if step.tickets is not None:
+            refused |= step.tickets.refused
         step.tickets = runs.Tickets(
-            set(order.workers), answer.by_worker, asked_at + valid
+            refused, answer.by_worker, asked_at + valid
         )
 
 
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -127,12 +127,28 @@
             return found
         tickets = step.tickets
         if tickets is None or tickets.until <= self._now:
-            if found and not step.policy_request_pending:
-                step.policy_request_pending = True
-                names = [worker.name for worker in found[:MAX_POLICY_WORKERS]]
-                self._orders.append(orders.RequestTickets(step, tuple(names)))
+            self._request_tickets(step, found)
             return None
-        return [worker for worker in found if worker.name in tickets.by_worker]
+        allowed = [
+            worker for worker in found if worker.name in tickets.by_worker
+        ]
+        if not allowed:
+            self._request_tickets(step, found)
+        return allowed
+
+    def _request_tickets(
+        self, step: runs.StepRun, usable: list[fleet.WorkerState]
+    ) -> None:
+        """Ask the policy about workers that it has not refused for a step."""
+        tickets = step.tickets
+        refused = tickets.refused if tickets is not None else set()
+        names = [
+            worker.name for worker in usable if worker.name not in refused
+        ]
+        if names and not step.policy_request_pending:
+            step.policy_request_pending = True
+            chosen = tuple(names[:MAX_POLICY_WORKERS])
+            self._orders.append(orders.RequestTickets(step, chosen))
 
     def _grant_covers(
         self,
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -354,17 +354,17 @@
 class Tickets:
     """Permits of the placement policy for a step.
 
-    :ivar asked: workers that the policy was asked about.
+    :ivar refused: workers that the policy does not allow, which stays so.
     :ivar by_worker: ticket for each worker that the policy allows.
     :ivar until: when the tickets expire.
     """
 
-    __slots__ = ("asked", "by_worker", "until")
+    __slots__ = ("refused", "by_worker", "until")
 
     def __init__(
-        self, asked: set[str], by_worker: dict[str, str], until: float
+        self, refused: set[str], by_worker: dict[str, str], until: float
     ) -> None:
-        self.asked = asked
+        self.refused = refused
         self.by_worker = by_worker
         self.until = until
 
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -160,6 +160,16 @@
     When a change of the cluster can't be applied to it
     Then it has given the pool up
 
+  # Guards against a job that never starts in a large pool, as the placement
+  # policy was only ever asked about the first workers.
+  Scenario: The placement policy allows the last of 40 workers
+    Given a pool with 40 workers
+    And its queue has a placement policy that allows worker "w40" only
+    And a job of 1 tasks of 1 core
+    When the pool is planned and the policy answers, 3 times
+    Then the task runs on worker "w40"
+    And the policy was asked 2 times
+
   # Guards against a job shown as failed after one failed run, as its queue
   # was not configured any more.
   Scenario: A job of a queue that operators removed keeps its attempts
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -12,6 +12,7 @@
 from agaterudder.jobs import listings
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
+from agaterudder.jobs import orderexecutor
 from agaterudder.jobs import orders
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
@@ -606,3 +607,54 @@
         workerregistry.WorkerRegistry, "sync_registrations", fail
     ):
         context.holder._cluster_changed()
+
+
+# Placement policy
+
+
+class _Policy:
+    """A placement policy that allows one worker."""
+
+    def __init__(self, allowed: str) -> None:
+        self._allowed = allowed
+        self.questions = 0
+
+    def ask(
+        self, step: str, workers: t.Sequence[str], timeout: float
+    ) -> ports.Tickets:
+        """Return a ticket for the worker, if it is named."""
+        self.questions += 1
+        granted = [name for name in workers if name == self._allowed]
+        return ports.Tickets(dict.fromkeys(granted, "ticket"), 0.0)
+
+
+@behave.given(
+    'its queue has a placement policy that allows worker "{name}" only'
+)
+def step_policy(context: Context, name: str) -> None:
+    times = operatorconfig.PolicyTimes(0.0, 0.0, 60.0)
+    queue = job_builders.queue(policy=times)
+    context.state.queues = {queue.name: queue}
+    context.policy = _Policy(name)
+
+
+@behave.when("the pool is planned and the policy answers, {times:d} times")
+def step_policy_answers(context: Context, times: int) -> None:
+    executor = orderexecutor.OrderExecutor(
+        mock.Mock(state=context.state), mock.Mock(), context.policy
+    )
+    with mock.patch.object(clock, "now", lambda: context.now):
+        for _ in range(times):
+            for order in planning.Plan(context.state, context.now).orders():
+                if isinstance(order, orders.RequestTickets):
+                    executor._request_tickets(order)
+
+
+@behave.then('the task runs on worker "{name}"')
+def step_runs_on(context: Context, name: str) -> None:
+    assert _only_run(context).worker.name == name
+
+
+@behave.then("the policy was asked {count:d} times")
+def step_asked(context: Context, count: int) -> None:
+    assert context.policy.questions == count, context.policy.questions
