--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -182,3 +182,17 @@
       | when                             |
       | during the drain                 |
       | while the last lines are written |
+
+  # Guards against a holder that never recovers its pool, as a page of its
+  # stored jobs takes longer over a slow link than a reading may.
+  Scenario Outline: A table of 1200 rows over a link that carries <rows> in time
+    Given a store with 1200 rows over a link that carries <rows> rows in time
+    When the table is read
+    Then <outcome>
+
+    Examples:
+      | rows | outcome                                      |
+      | 500  | all rows were read with 0 failed readings    |
+      | 200  | all rows were read with 1 failed readings    |
+      | 31   | all rows were read with 2 failed readings    |
+      | 10   | the reading failed after 4 failed readings   |
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -1,11 +1,13 @@
 """Steps for the adapter to the users' platform."""
 
+import json
 import pathlib
 import random
 import sys
 import tempfile
 import typing as t
 from unittest import mock
+import urllib.parse
 
 import behave
 import gevent
@@ -441,3 +443,58 @@
 @behave.then("the answer to the request was written before it ended")
 def step_answer_written(context: Context) -> None:
     assert context.frontend.written
+
+
+class _SlowLink:
+    """HTTP client of a store whose large pages don't arrive in time."""
+
+    def __init__(self, rows: int, in_time: int) -> None:
+        self._keys = [f"{number:06d}" for number in range(rows)]
+        self._in_time = in_time
+        self.failed = 0
+
+    def request(
+        self, method: str, path: str, **named: t.Any
+    ) -> httpclient.Reply:
+        """Return a page of rows."""
+        query = urllib.parse.parse_qs(path.partition("?")[2])
+        limit = int(query["limit"][0])
+        start = query.get("from", [""])[0]
+        if limit > self._in_time:
+            self.failed += 1
+            raise exceptions.CallFailed("time-out", True)
+        later = [key for key in self._keys if key >= start]
+        rows = [{"table": "t", "key": key, "ver": 1} for key in later[:limit]]
+        content = {"rows": rows, "ver": 7, "has_more": len(later) > limit}
+        return httpclient.Reply(200, json.dumps(content).encode())
+
+
+@behave.given(
+    "a store with {rows:d} rows over a link that carries {count:d} rows in "
+    "time"
+)
+def step_slow_link(context: Context, rows: int, count: int) -> None:
+    context.rows = rows
+    context.link = _SlowLink(rows, count)
+    context.store = storeclient.StoreClient("127.0.0.1:9")
+    context.store._http = t.cast(httpclient.HttpClient, context.link)
+
+
+@behave.when("the table is read")
+def step_table_read(context: Context) -> None:
+    try:
+        context.scan = context.store.scan("t", "")
+    except exceptions.CallFailed as error:
+        context.scan = error
+
+
+@behave.then("all rows were read with {count:d} failed readings")
+def step_all_rows(context: Context, count: int) -> None:
+    assert len({row.key for row in context.scan.rows}) == context.rows
+    assert context.link.failed == count, context.link.failed
+
+
+@behave.then("the reading failed after {count:d} failed readings")
+def step_scan_failed(context: Context, count: int) -> None:
+    assert isinstance(context.scan, exceptions.CallFailed), context.scan
+    assert context.link.failed == count, context.link.failed
