LOST: find jobs of queues that moved and of pools on standby

Change: a process remembers which pools a queue had and looks there before it stores a job; lookups and cancels read standby pools as well, last. A process that started after the move knows nothing of it: open.

Evidence: both new scenarios of job_api.feature fail without the change (two jobs; NOT_FOUND).

--- a/src/agaterudder/jobs/clustercache.py
+++ b/src/agaterudder/jobs/clustercache.py
@@ -48,6 +48,7 @@
         "registrations",
         "_max_key_age",
         "_subscribers",
+        "_past_pools",
     )
 
     def __init__(
@@ -62,6 +63,7 @@
         self.workers: dict[str, ports.WorkerRegistration] = {}
         self._max_key_age = key_bound * KEY_AGE_FRACTION
         self._subscribers: list[t.Callable[[], None]] = []
+        self._past_pools: dict[str, list[str]] = {}
         self.operators: watcher.Watcher[ports.OperatorChange] = (
             watcher.Watcher(
                 "configuration",
@@ -99,6 +101,14 @@
         """Remove a callback."""
         self._subscribers.remove(subscriber)
 
+    def past_pools(self, queue: operatorconfig.Queue) -> list[str]:
+        """Return the other pools that a queue had, as far as is known.
+
+        A process knows of the moves since it started.
+        """
+        past = self._past_pools.get(queue.name, ())
+        return [pool for pool in dict.fromkeys(past) if pool != queue.pool]
+
     def fresh(self, now: float) -> bool:
         """Return whether the configuration is recent enough to check keys."""
         return (
@@ -172,8 +182,29 @@
                 "queues": len(configuration.queues),
             },
         )
+        if known is not None:
+            self._note_moved_queues(known, configuration)
         self.configuration = configuration
 
+    def _note_moved_queues(
+        self,
+        before: operatorconfig.Configuration,
+        after: operatorconfig.Configuration,
+    ) -> None:
+        for name, queue in before.queues.items():
+            moved = after.queues.get(name)
+            if moved is not None and moved.pool != queue.pool:
+                past = self._past_pools.setdefault(name, [])
+                past.append(queue.pool)
+                LOG.info(
+                    "queue moved to another pool",
+                    extra={
+                        "queue": name,
+                        "before": queue.pool,
+                        "pool": moved.pool,
+                    },
+                )
+
     def _reset_workers(self, changes: tuple[ports.WorkerChange, ...]) -> None:
         self.workers = {}
         self._apply_worker_changes(changes)
--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -120,7 +120,7 @@
         if isinstance(caller, codes.Refused):
             self._report_submission(call, "", caller)
             return caller
-        outcome = self._store_job(call, caller.team, request)
+        outcome = self._submit_once(call, caller.team, request)
         if isinstance(outcome, Accepted):
             # The key may have been withdrawn while the store answered.
             again = self._cluster.authenticate(
@@ -154,6 +154,21 @@
         )
         self._report_unanswered("submit", call, outcome)
 
+    def _submit_once(
+        self, call: Call, team: str, request: model.Request
+    ) -> Accepted | codes.Refused:
+        """Store a job unless another pool of its queue has it.
+
+        The queue may have moved between a submission and its repetition.
+        """
+        try:
+            for pool in self._cluster.past_pools(call.queue):
+                if self._state_in_pool(pool, call) is not None:
+                    return Accepted()
+        except exceptions.CallFailed as error:
+            return codes.Refused(codes.Result.STORE_AWAY, str(error))
+        return self._store_job(call, team, request)
+
     def _store_job(
         self, call: Call, team: str, request: model.Request
     ) -> Accepted | codes.Refused:
@@ -393,10 +408,14 @@
         return caller if isinstance(caller, codes.Refused) else None
 
     def _pools(self, queue: operatorconfig.Queue) -> list[str]:
-        """Return the pools that may hold jobs of a queue."""
+        """Return the pools that may hold jobs of a queue, likely ones first.
+
+        A pool keeps the jobs that it had when it became a standby pool.
+        """
         configuration = self._cluster.configuration
-        others = configuration.working_pools() if configuration else []
-        return [queue.pool, *(name for name in others if name != queue.pool)]
+        others = sorted(configuration.pools) if configuration else []
+        past = self._cluster.past_pools(queue)
+        return list(dict.fromkeys([queue.pool, *past, *others]))
 
 
 def _pause_before_repeat(sent_at: float) -> None:
--- a/tests/features/job_api.feature
+++ b/tests/features/job_api.feature
@@ -64,6 +64,22 @@
     Then the answers are "STORE_AWAY"
     And the store got between 10 and 60 calls
 
+  # Guards against a job that ran twice, as its submission was repeated after
+  # operators had moved its queue to another pool.
+  Scenario: A submission is repeated after its queue moved to another pool
+    When job 1 is submitted
+    And operators move the queue to pool "other"
+    And job 1 is submitted
+    Then the answers are "Accepted, Accepted"
+    And the store has 1 job in all pools
+
+  # Guards against a job that seems lost, as its pool is a standby pool now.
+  Scenario: A job is looked up whose pool operators made a standby pool
+    When job 1 is submitted
+    And operators move the queue to pool "other" and put its pool on standby
+    And another process looks job 1 up
+    Then the answers are "Accepted, JobState"
+
   # Guards against jobs that seem lost as the store is above its rate while
   # all of them are asked for.
   Scenario Outline: The store rejects the next <count> readings
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -19,6 +19,7 @@
 
 Context = t.Any
 DEADLINE_SECONDS = 3.0
+OTHER_POOL = "other"
 
 
 def _configure(
@@ -186,6 +187,49 @@
     context.store.read = read
 
 
+def _move_queue(context: Context, standby: bool) -> None:
+    known = context.cluster.configuration
+    context.version += 1
+    pools = {
+        job_builders.POOL: operatorconfig.Pool(
+            job_builders.POOL, False, standby
+        ),
+        OTHER_POOL: operatorconfig.Pool(OTHER_POOL),
+    }
+    queue = job_builders.queue(pool=OTHER_POOL)
+    moved = operatorconfig.Configuration(
+        context.version, {queue.name: queue}, pools, known.teams, 10_000
+    )
+    context.cluster._apply_operator_changes((ports.ConfigurationSet(moved),))
+
+
+@behave.when('operators move the queue to pool "other"')
+def step_queue_moves(context: Context) -> None:
+    _move_queue(context, False)
+
+
+@behave.when(
+    'operators move the queue to pool "other" and put its pool on standby'
+)
+def step_pool_standby(context: Context) -> None:
+    _move_queue(context, True)
+
+
+@behave.when("another process looks job {number:d} up")
+def step_other_process(context: Context, number: int) -> None:
+    other = job_builders.job_api(context.store, context.cluster.configuration)
+    context.answers.append(other.state(_call(context, number)))
+
+
+@behave.then("the store has {count:d} job in all pools")
+def step_jobs_in_pools(context: Context, count: int) -> None:
+    tables = {
+        model.jobs_table(pool) for pool in (job_builders.POOL, OTHER_POOL)
+    }
+    found = [key for key in context.store.rows if key[0] in tables]
+    assert len(found) == count, found
+
+
 @behave.when("the store rejects the next {count:d} readings")
 def step_readings_rejected(context: Context, count: int) -> None:
     _pass_time_in_sleeps(context)
