--- a/src/agaterudder/jobs/watcher.py
+++ b/src/agaterudder/jobs/watcher.py
@@ -49,6 +49,7 @@
         "_wait_seconds",
         "_batch_seconds",
         "_version",
+        "_snapshot_needed",
         "_unavailable",
         "confirmed_at",
     )
@@ -69,6 +70,7 @@
         self._wait_seconds = wait_seconds
         self._batch_seconds = batch_seconds
         self._version: int | None = None
+        self._snapshot_needed = False
         self._unavailable = False
         self.confirmed_at = 0.0
 
@@ -104,15 +106,13 @@
                 "changes not applied; reading a new snapshot",
                 extra={"source": self._name},
             )
-            self._version = None
+            self._snapshot_needed = True
             return False
         return True
 
     def _poll(self) -> None:
-        if self._version is None:
-            rows, version = self._source.snapshot()
-            self._on_snapshot(rows)
-            self._version = version
+        if self._version is None or self._snapshot_needed:
+            self._read_snapshot()
             return
         found = self._source.changes(self._version, self._wait_seconds)
         if isinstance(found, ports.HistoryLost):
@@ -120,15 +120,30 @@
                 "watch history lost; reading a new snapshot",
                 extra={"source": self._name},
             )
-            rows, version = self._source.snapshot()
-            self._on_snapshot(rows)
-            self._version = version
+            self._snapshot_needed = True
+            self._read_snapshot()
             return
         rows, version = found
         if rows:
             self._on_changes(rows)
         self._version = max(version, self._version)
 
+    def _read_snapshot(self) -> None:
+        """Pass on a snapshot, unless it is older than what is known.
+
+        :raises CallFailed: when it is, or the source did not answer.
+        """
+        rows, version = self._source.snapshot()
+        known = self._version or 0
+        if version < known:
+            raise exceptions.CallFailed(
+                f"the snapshot is of version {version}, {known} is known",
+                False,
+            )
+        self._on_snapshot(rows)
+        self._version = version
+        self._snapshot_needed = False
+
     def _mark_unavailable(self, reason: str) -> None:
         if not self._unavailable:
             self._unavailable = True
