LIMIT: place tasks by sizes that are confirmed

Cause: the size of a worker is that of its registration, which nobody checked: a worker that came back under its name was placed on by its earlier size until it had registered again, and while the watch of the registrations failed, sizes of any age were used.

Change: a worker gets nothing while its registration is of another incarnation, and no worker does when the registrations were not confirmed for 5.5 s. A changed capacity has a log line. A worker that runs more than it has now gets nothing until enough has ended: as before, with a scenario now.

The tests' pools take registrations for confirmed all the while.

--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -204,10 +204,16 @@
         """
         return self.polled_at >= self.fenced_at + stop_seconds
 
+    @property
+    def size_confirmed(self) -> bool:
+        """Whether the capacity is that of its present incarnation."""
+        return self.registration.incarnation in (0, self.incarnation)
+
     def accepts_tasks(self, now: float) -> bool:
         """Return whether tasks may be started here now."""
         return (
             self.registered
+            and self.size_confirmed
             and not self.terminated
             and self.fenced
             and self.persisted
--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -348,6 +348,9 @@
             self._limits.release_reservations()
             self.state.recovery.finish(now)
         self.state.create_due(wallclock.now(), now)
+        self.state.sizes_confirmed_at = (
+            self._cluster.registrations.confirmed_at
+        )
         for order in planning.Plan(self.state, now).orders():
             self._executor.spawn(order)
         if self._limits.has_requests:
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -17,6 +17,9 @@
 
 # Limit of the starts in one round, which bounds its duration.
 MAX_STARTS_PER_ROUND = 120
+# A worker may have shrunk since its registration was last confirmed. Longer
+# than a call that waits for changes and gets no answer.
+MAX_SIZE_AGE_SECONDS = 5.5
 # Limit of the workers in one request to the placement policy.
 MAX_POLICY_WORKERS = 30
 
@@ -74,9 +77,15 @@
         state.placements.write()
         return self._orders
 
+    @property
+    def _sizes_outdated(self) -> bool:
+        age = self._now - self._state.sizes_confirmed_at
+        return age > MAX_SIZE_AGE_SECONDS
+
     def _accepts_tasks(self, worker: fleet.WorkerState) -> bool:
         return (
             worker.accepts_tasks(self._now)
+            and not self._sizes_outdated
             and worker.registration.data_centre not in self._state.taken_out
         )
 
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -46,6 +46,8 @@
     :ivar limits: grants of the teams' upper limits to this pool.
     :ivar taken_out: data centres that operators took out of service; no
         task starts in them.
+    :ivar sizes_confirmed_at: when the registrations of the workers, which
+        tell their capacity, were last asked for with success.
     :ivar metrics: metrics of the process.
     :ivar placements: starts that are to be logged.
     :ivar acknowledged: stored ends that are not logged yet.
@@ -69,6 +71,7 @@
         "estimates",
         "queues",
         "taken_out",
+        "sizes_confirmed_at",
         "metrics",
         "placements",
         "acknowledged",
@@ -102,6 +105,7 @@
         self.estimates = estimates.Estimates()
         self.queues: dict[str, operatorconfig.Queue] = {}
         self.taken_out: frozenset[str] = frozenset()
+        self.sizes_confirmed_at = now
         self.metrics = metrics_registry or metrics.Metrics()
         self.placements = placements.Placements(name)
         self.acknowledged = acknowledgements.Acknowledgements(
--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -20,6 +20,7 @@
 from agaterudder.jobs import runs
 from agaterudder.jobs import workerends
 from agaterudder.jobs import workerloop
+from agaterudder import resources
 
 LOG = logging.getLogger(__name__)
 
@@ -191,6 +192,16 @@
                 clock.now(),
                 "its registration",
             )
+        if registration.size != worker.registration.size:
+            LOG.info(
+                "worker capacity changed",
+                extra={
+                    "worker": worker.name,
+                    "before": _size_text(worker.registration.size),
+                    "size": _size_text(registration.size),
+                    "used": _size_text(worker.used),
+                },
+            )
         worker.registration = registration
         _apply_drain_state(worker, registration)
         self.wake(worker)
@@ -288,6 +299,10 @@
                 return False
 
 
+def _size_text(size: resources.Vector) -> str:
+    return f"{size.cores:g} cores, {size.memory:g} MB"
+
+
 def _apply_drain_state(
     worker: fleet.WorkerState, registration: ports.WorkerRegistration
 ) -> None:
--- a/tests/features/steps/shrinking_worker_steps.py
+++ b/tests/features/steps/shrinking_worker_steps.py
@@ -1,17 +1,23 @@
 """Steps for workers whose capacity changes while they run."""
 
 import typing as t
+from unittest import mock
 
 import behave
 
 from agaterudder.jobs import clustercache
+from agaterudder.jobs import model
 from agaterudder.jobs import ports
+from agaterudder.jobs import workerregistry
 from agaterudder import resources
 from tests import job_builders
+from tests import memory_store
 
 Context = t.Any
 KEY_BOUND_SECONDS = 5.0
 MEMORY = 32_000.0
+LEASE_SECONDS = 6.0
+LATER_JOB = "00000000000000bb"
 
 
 class _Registrations:
@@ -93,3 +99,46 @@
 @behave.then("the watch was not confirmed by the older snapshots")
 def step_not_confirmed(context: Context) -> None:
     assert context.confirmed == [False, False, True, True], context.confirmed
+
+
+def _registry(context: Context) -> workerregistry.WorkerRegistry:
+    registry = workerregistry.WorkerRegistry(
+        job_builders.context(context.state, memory_store.MemoryStore()),
+        mock.Mock(),
+        mock.Mock(),
+        mock.Mock(),
+        LEASE_SECONDS,
+        mock.Mock(),
+    )
+    return registry
+
+
+@behave.when('worker "{name}" registers with {cores:d} cores')
+def step_registers(context: Context, name: str, cores: int) -> None:
+    worker = context.state.workers[name]
+    registration = job_builders.registration(
+        name,
+        size=resources.Vector(float(cores), MEMORY),
+        incarnation=worker.incarnation,
+    )
+    _registry(context)._update_worker(worker, registration)
+
+
+@behave.when("a job of {count:d} tasks of 1 core is accepted")
+def step_another_job(context: Context, count: int) -> None:
+    job = job_builders.job(job_builders.step(count=count), job=LATER_JOB)
+    context.state.accept(job, model.Progress(), 0, context.now, False)
+    context.state.create_due(0.0, context.now)
+
+
+@behave.given(
+    'worker "{name}" has restarted, and its registration is of before'
+)
+def step_restarted(context: Context, name: str) -> None:
+    worker = context.state.workers[name]
+    worker.incarnation += 1
+
+
+@behave.given("the registrations were confirmed {age:g} seconds ago")
+def step_confirmed(context: Context, age: float) -> None:
+    context.state.sizes_confirmed_at = context.now - age
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -1,5 +1,6 @@
 """Builders of jobs, workers and pools for the tests of the job scheduler."""
 
+import math
 import typing as t
 
 from agaterudder.jobs import clock
@@ -142,6 +143,8 @@
     limits.configure(known)
     found = pool.Pool(POOL, EPOCH, deployment.Bounds(), limits, START)
     found.queues = known.queues
+    # Registrations are confirmed all the while.
+    found.sizes_confirmed_at = math.inf
     for item in workers:
         found.adopt_worker(item)
     return found
