LOST: stop an unanswered start for any other reason as well

Cause: a reason to stop was set only where none stood; the one of the unanswered start stood, and is dropped when the run is listed.

Change: any other reason takes its place.

Evidence: the scenario outline 'A start gets no answer, <event>, and the run is listed' fails without the change in two of three examples (0 stops).

--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -205,7 +205,7 @@
         for step in job.steps.values():
             self.ready.pop(step.name, None)
         for run in job.live_runs():
-            run.stop_reason = run.stop_reason or state
+            run.require_stop(state)
         self.journal.mark(job)
         LOG.info(
             "job ended",
--- a/src/agaterudder/jobs/runends.py
+++ b/src/agaterudder/jobs/runends.py
@@ -88,7 +88,7 @@
             job.progress.done.setdefault(step.key, []).append(member.index)
             job.progress.checkpoints.pop(f"{step.key}.{member.index}", None)
         for other in member.runs:
-            other.stop_reason = other.stop_reason or "the task is done"
+            other.require_stop("the task is done")
     state.journal.mark(job)
     if step.finished:
         state.ready.pop(step.name, None)
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -144,6 +144,15 @@
         self.size = size
         self.size_known = True
 
+    def require_stop(self, reason: str) -> None:
+        """Have it stopped, unless there is a reason already.
+
+        An unanswered start has it stopped only while nothing else is known
+        of it; any other reason takes its place.
+        """
+        if self.stop_reason in ("", START_UNANSWERED):
+            self.stop_reason = reason
+
     @property
     def limit_key(self) -> str:
         """Key under which it is counted against its team's limit."""
--- a/src/agaterudder/jobs/runstarts.py
+++ b/src/agaterudder/jobs/runstarts.py
@@ -101,4 +101,4 @@
     )
     run.state = runs.RunState.UNCERTAIN
     run.uncertain_since = now
-    run.stop_reason = run.stop_reason or runs.START_UNANSWERED
+    run.require_stop(runs.START_UNANSWERED)
--- a/src/agaterudder/jobs/workerends.py
+++ b/src/agaterudder/jobs/workerends.py
@@ -52,7 +52,7 @@
             state.remove_run(run, now, "worker restarted")
         else:
             run.state = runs.RunState.UNCERTAIN
-            run.stop_reason = run.stop_reason or "worker restarted"
+            run.require_stop("worker restarted")
             run.stop_sent_at = run.stop_answered_at = 0.0
 
 
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -103,6 +103,25 @@
       | not before | 1      | 0        | 0     |
       | before     | 1      | 1        | 2     |
 
+  # Guards against a run of a job that is over, which went on for ever as its
+  # start had got no answer before.
+  Scenario Outline: A start gets no answer, <event>, and the run is listed
+    Given a pool with 2 workers
+    And a job of 2 tasks of 1 core
+    When the pool is planned
+    And none of the starts gets an answer
+    And <event>
+    And all runs are listed as running
+    And 1.0 seconds pass
+    And the pool is planned
+    Then <stops> stops are ordered
+
+    Examples:
+      | event                | stops |
+      | its team cancels the job | 2     |
+      | all workers restart | 2     |
+      | nothing else happens | 0     |
+
   # Guards against starts on a worker that ended while it was idle.
   Scenario: An idle worker is polled from time to time, and when it is woken
     Given a worker loop whose worker has listed 0 ends
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -658,3 +658,29 @@
 @behave.then("the policy was asked {count:d} times")
 def step_asked(context: Context, count: int) -> None:
     assert context.policy.questions == count, context.policy.questions
+
+
+# Unanswered starts that are to be stopped for another reason
+
+
+@behave.when("none of the starts gets an answer")
+def step_no_answers(context: Context) -> None:
+    for worker in context.state.workers.values():
+        for run in worker.runs.values():
+            runstarts.unanswered(context.state, run, "time-out", context.now)
+
+
+@behave.when("its team cancels the job")
+def step_cancelled(context: Context) -> None:
+    context.state.cancel(FIRST, 0.0)
+
+
+@behave.when("all workers restart")
+def step_workers_restart(context: Context) -> None:
+    for worker in context.state.workers.values():
+        workerends.restarted(context.state, worker, 1, context.now)
+
+
+@behave.when("nothing else happens")
+def step_nothing(context: Context) -> None:
+    assert context.state.jobs
