--- a/src/agaterudder/jobs/groupchoice.py
+++ b/src/agaterudder/jobs/groupchoice.py
@@ -7,6 +7,9 @@
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import runs
 
+# Longest time that tasks wait for one rack with room for all of them.
+MAX_RACK_WAIT_SECONDS = 2.0
+
 
 def choose(
     state: pools.Pool,
@@ -55,7 +58,7 @@
     )
     names = dict.fromkeys([*preferred, *ordered])
     groups = [by_rack[name] for name in names if name in by_rack]
-    wait_seconds = state.estimates.seconds(step)
+    wait_seconds = min(state.estimates.seconds(step), MAX_RACK_WAIT_SECONDS)
     if now - step.ready_at > wait_seconds:
         groups.append(candidates)
     return groups
--- a/src/agaterudder/jobs/workerchoice.py
+++ b/src/agaterudder/jobs/workerchoice.py
@@ -11,6 +11,8 @@
 # Fraction of a task's expected duration that it waits for a worker in the
 # rack of its data.
 DATA_RACK_WAIT_FRACTION = 0.5
+# Longest time that a task waits for a better worker while others have room.
+MAX_PREFERENCE_WAIT_SECONDS = 1.5
 
 
 class WorkerChoice:
@@ -51,7 +53,7 @@
             if worker.name not in task.excluded_workers
         ]
         fitting = self._fitting(step, need, others)
-        if not fitting and self._may_use_excluded(step, need, others):
+        if not fitting and self._may_use_excluded(task, need, others):
             fitting = self._fitting(step, need, candidates)
         preferred = self._prefer_data_rack(step, fitting, candidates)
         if not preferred:
@@ -114,16 +116,21 @@
 
     def _may_use_excluded(
         self,
-        step: runs.StepRun,
+        task: runs.Task,
         need: resources.Vector,
         others: list[fleet.WorkerState],
     ) -> bool:
         """Return whether a task may return to a worker that it is kept from.
 
-        A long-running task is to run wherever it can; any other waits for
-        room on the others, if the ends of their short tasks can make room.
+        A long-running task is to run wherever it can; any other waits some
+        time for room on the others, if the ends of their short tasks can make
+        room.
         """
-        return step.step.long_running or not any(
+        step = task.step
+        waited = self._now - max(step.ready_at, task.stopped_at)
+        if step.step.long_running or waited > MAX_PREFERENCE_WAIT_SECONDS:
+            return True
+        return not any(
             step.within_worker_limit(worker.name)
             and need.fits_in(worker.free_without_short_tasks)
             for worker in others
@@ -149,8 +156,9 @@
         if near:
             return near
         exists = any(worker.registration.rack == rack for worker in candidates)
-        wait_seconds = DATA_RACK_WAIT_FRACTION * self._state.estimates.seconds(
-            step
+        wait_seconds = min(
+            DATA_RACK_WAIT_FRACTION * self._state.estimates.seconds(step),
+            MAX_PREFERENCE_WAIT_SECONDS,
         )
         if exists and self._now - step.ready_at < wait_seconds:
             return []
