--- a/src/agaterudder/jobs/load.py
+++ b/src/agaterudder/jobs/load.py
@@ -145,24 +145,35 @@
     Room that short tasks use becomes free; a task that needs more than the
     long-running ones leave on any worker would wait until they are moved.
 
+    A task that is larger than a worker gets none, nor does one that needs a
+    label, which a further machine may lack.
+
     :param workers: those that have capacity for tasks now or soon.
     """
+    size = _size_of(workers)
     return [
         step
         for step in state.ready.values()
         if step.ready_at
+        and not step.step.required_label
+        and state.reserved_size(step).fits_in(size)
         and step.job.ending is None
         and now - step.ready_at > FIT_WAIT_SECONDS
         and _waiting(step)
         and step.step.size.fits_in(state.limits.headroom(step.job.job.team))
         and not any(
             state.reserved_size(step).fits_in(worker.free_without_short_tasks)
-            and step.within_worker_limit(worker.name)
+            and _within_limit(step, worker)
             for worker in workers
         )
     ]
 
 
+def _within_limit(step: runs.StepRun, worker: fleet.WorkerState) -> bool:
+    """Return whether a worker may take a task once its short ones ended."""
+    return not step.step.long_running or step.within_worker_limit(worker.name)
+
+
 def workers_for(
     state: pools.Pool,
     steps: list[runs.StepRun],
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -42,6 +42,51 @@
     When the pool is planned
     Then 2 starts are ordered
 
+  # Guards against a task that waited without limit for a worker that is full,
+  # beside empty workers on which it had failed.
+  Scenario Outline: A task waits <seconds> s for a worker on which it never failed
+    Given a pool with 3 workers
+    And a job of 1 tasks of 1 core
+    And its first task is kept from worker "w1"
+    And its first task is kept from worker "w2"
+    And short tasks fill worker "w3"
+    When <seconds> seconds pass
+    And the pool is planned
+    Then <starts> starts are ordered
+
+    Examples:
+      | seconds | starts |
+      | 1.0     | 0      |
+      | 2.0     | 1      |
+
+  # Guards against a task that waited without limit for the rack of its data.
+  Scenario Outline: A <kind> task waits <seconds> s for the full rack of its data
+    Given a pool with 2 workers
+    And long-running tasks fill worker "w1"
+    And worker "w2" is in another rack
+    And a <kind> task of 30 s with its data in the first rack
+    When <seconds> seconds pass
+    And the pool is planned
+    Then <starts> starts are ordered
+
+    Examples:
+      | kind         | seconds | starts |
+      | short        | 1.0     | 0      |
+      | short        | 2.0     | 1      |
+      | long-running | 2.0     | 1      |
+
+  # Guards against machines that are ordered without end.
+  Scenario Outline: A machine would not help <what>
+    Given a pool with 2 workers
+    And <what>
+    When 1.0 seconds pass
+    Then the pool orders 0 machines
+
+    Examples:
+      | what                                                |
+      | a job of 1 tasks of 20 cores                        |
+      | a job of 3 tasks, one per worker, of which 2 run    |
+
   # Guards against a large task that waited for ever, as every worker had
   # long-running tasks and the pool enough room in sum.
   Scenario Outline: Tasks of <cores> cores beside workers with long-running ones
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -684,3 +684,36 @@
 @behave.when("nothing else happens")
 def step_nothing(context: Context) -> None:
     assert context.state.jobs
+
+
+# Preferences and limits
+
+
+@behave.given('worker "{name}" is in another rack')
+def step_other_rack(context: Context, name: str) -> None:
+    worker = context.state.workers[name]
+    worker.registration = job_builders.registration(name, rack="rack-2")
+
+
+@behave.given("a {kind} task of {seconds:d} s with its data in the first rack")
+def step_near_task(context: Context, kind: str, seconds: int) -> None:
+    step = job_builders.step(
+        count=1,
+        estimate_seconds=float(seconds),
+        data_rack="rack-1",
+        long_running=kind == "long-running",
+    )
+    context.state.accept(
+        job_builders.job(step), model.Progress(), 0, context.now, False
+    )
+    context.state.create_due(0.0, context.now)
+
+
+@behave.given("a job of 3 tasks, one per worker, of which 2 run")
+def step_limited_short(context: Context) -> None:
+    step = job_builders.step(count=3, max_per_worker=1)
+    context.state.accept(
+        job_builders.job(step), model.Progress(), 0, context.now, False
+    )
+    context.state.create_due(0.0, context.now)
+    _plan(context)
