LOST: count what runs without a limit, and ask again for a limit that was granted

Change: every run is charged, and judged only against a limit; a failed request counts for a second.

--- a/src/agaterudder/jobs/load.py
+++ b/src/agaterudder/jobs/load.py
@@ -68,7 +68,9 @@
                 busy = busy + run.size
     for team, waiting in _waiting_by_team(state).items():
         long_running = long_running + waiting.long_running
-        fraction = waiting.size.fitting_fraction(state.limits.headroom(team))
+        fraction = waiting.size.fitting_fraction(
+            state.limits.headroom(team, now)
+        )
         wanted = wanted + waiting.size.scaled(fraction)
         work = work + waiting.work.scaled(fraction)
     rate = state.demand.rate(now)
@@ -160,7 +162,9 @@
         and step.job.ending is None
         and now - step.ready_at > FIT_WAIT_SECONDS
         and _waiting(step)
-        and step.step.size.fits_in(state.limits.headroom(step.job.job.team))
+        and step.step.size.fits_in(
+            state.limits.headroom(step.job.job.team, now)
+        )
         and not any(
             state.reserved_size(step).fits_in(worker.free_without_short_tasks)
             and _within_limit(step, worker)
--- a/src/agaterudder/jobs/teamlimits.py
+++ b/src/agaterudder/jobs/teamlimits.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 
 from agaterudder import codes
 from agaterudder import escrow
@@ -19,6 +20,8 @@
 PARTITION = "limits"
 # A grant that is not needed for this long is returned.
 IDLE_SECONDS = 1.5
+# For this long, a request that failed shows that a limit is fully granted.
+EXHAUSTED_SECONDS = 1.0
 # A grant that is too small for the next task, with none to be added, is
 # returned after this long: what it holds may be what another pool lacks.
 BLOCKED_SECONDS = 0.3
@@ -30,7 +33,7 @@
     :ivar return_pending: whether the row may hold more for this pool than
         the local grant: unused amounts were given up here, or a larger grant
         was written without an answer.
-    :ivar exhausted: whether the last request failed because the limit was
+    :ivar exhausted_at: when the last request failed because the limit was
         fully granted.
     :ivar blocked_since: since when requests have failed so and no run was
         charged, 0 otherwise.
@@ -42,7 +45,7 @@
         "needed",
         "needed_at",
         "return_pending",
-        "exhausted",
+        "exhausted_at",
         "blocked_since",
         "taken_over",
     )
@@ -52,7 +55,7 @@
         self.needed: escrow.GrantRequest | None = None
         self.needed_at = 0.0
         self.return_pending = False
-        self.exhausted = False
+        self.exhausted_at = -math.inf
         self.blocked_since = 0.0
         self.taken_over = False
 
@@ -103,20 +106,25 @@
         account = self._accounts.get(team)
         return account is not None and size.fits_in(account.local_grant.free)
 
-    def headroom(self, team: str) -> resources.Vector:
+    def headroom(self, team: str, now: float) -> resources.Vector:
         """Return the most that a team may use here beyond its usage."""
         if not self.limited(team):
             return resources.UNLIMITED
         account = self._account(team)
         local_grant = account.local_grant
-        if account.exhausted:
+        if now - account.exhausted_at < EXHAUSTED_SECONDS:
             return local_grant.free.elementwise_max(resources.ZERO)
         used = local_grant.spent + local_grant.reserved
         return (self._teams[team].limit - used).elementwise_max(resources.ZERO)
 
     def charge(self, team: str, run: str, size: resources.Vector) -> bool:
-        """Charge a run to the grant; return whether it fits."""
+        """Charge a run to the grant; return whether it fits.
+
+        A run of a team without a limit counts, too: the team may get one
+        while it runs.
+        """
         if not self.limited(team):
+            self._account(team).local_grant.adopt(run, size)
             return True
         account = self._account(team)
         account.blocked_since = 0.0
@@ -247,8 +255,9 @@
             limit_row, self._teams[team].limit, self._version
         )
         larger = escrow.enlarged(limit_row, self._pool, request)
-        account.exhausted = not isinstance(larger, escrow.LimitRow)
+        account.exhausted_at = -math.inf
         if not isinstance(larger, escrow.LimitRow):
+            account.exhausted_at = now
             account.blocked_since = account.blocked_since or now
             LOG.debug(
                 "team limit reached",
