LOST: send no start for a run that was given up, take no stop from a former life

Change: a start is sent only while its run stands; an answer to a stop counts only if the worker is still of the same incarnation.

--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -67,6 +67,9 @@
 
     def _start_run(self, order: orders.Start) -> None:
         run = order.run
+        if (run.task_name, run.number) not in run.worker.runs:
+            # Its worker has ended meanwhile.
+            return
         if not self._context.holds_lease() or run.task is None:
             runstarts.rejected(
                 self._context.state,
@@ -129,12 +132,16 @@
                 "why": run.stop_reason,
             },
         )
+        incarnation = run.worker.incarnation
         answer = run.worker.link.stop(
             run.task_name,
             run.number,
             self._context.lease.epoch,
             ORDER_TIMEOUT_SECONDS,
         )
+        if run.worker.incarnation != incarnation:
+            # The answer may be that of the incarnation before.
+            return
         match answer:
             case ports.Done():
                 run.stop_answered_at = clock.now()
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -35,6 +35,7 @@
     """
 
     name: str
+    incarnation: int
     registration: ports.WorkerRegistration
     link: ports.Worker
     runs: "dict[tuple[str, int], Run]"
