LOST: pause the starts on a worker that can't be connected to

Evidence: the scenario 'A worker that could not be connected to gets a pause' fails without the change.

--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -74,7 +74,7 @@
             runstarts.rejected(
                 self._context.state,
                 run,
-                "not sent: pool lease not held",
+                f"{runstarts.NOT_SENT}pool lease not held",
                 clock.now(),
             )
             return
@@ -113,7 +113,10 @@
                     run.worker.unanswered_since or now
                 )
                 runstarts.rejected(
-                    self._context.state, run, f"not sent: {reason}", now
+                    self._context.state,
+                    run,
+                    f"{runstarts.NOT_SENT}{reason}",
+                    now,
                 )
                 self._registry.wake(run.worker)
             case ports.NoAnswer(reason=reason):
--- a/src/agaterudder/jobs/runstarts.py
+++ b/src/agaterudder/jobs/runstarts.py
@@ -10,6 +10,8 @@
 
 # A worker that rejected a start as full or busy gets no starts for this long.
 REJECTION_PAUSE_SECONDS = 0.2
+# Beginning of the reason of a start that its worker never received.
+NOT_SENT = "not sent: "
 # A task that was rejected as invalid is not started for this long.
 INVALID_TASK_PAUSE_SECONDS = 4.0
 
@@ -75,7 +77,10 @@
     )
     if reason == ports.REJECTED_NO_CAPACITY:
         run.worker.full_until = now + REJECTION_PAUSE_SECONDS
-    if reason in (ports.REJECTED_BUSY, ports.REJECTED_OTHER_INCARNATION):
+    if reason in (
+        ports.REJECTED_BUSY,
+        ports.REJECTED_OTHER_INCARNATION,
+    ) or reason.startswith(NOT_SENT):
         run.worker.quarantined_until = now + REJECTION_PAUSE_SECONDS
     if reason == ports.REJECTED_TICKET and run.task is not None:
         run.task.step.tickets = None
