LOST: hold room outside a full rack as well; a reason of stalls that is over

Change: workers that can make room come first, those of the rack among them.

The reason 'kept from the workers on which it failed' leaves stalls and its scenario: since that wait ends after 1.5 s, and a stall is told from 3 s on, it can't occur; 'A task waits <seconds> s for a worker on which it never failed' checks the wait itself.

Evidence: the scenario 'A long-running task holds room outside the full rack of its data' fails without the change.

--- a/src/agaterudder/jobs/stalls.py
+++ b/src/agaterudder/jobs/stalls.py
@@ -179,17 +179,6 @@
     within = [worker for worker in with_room if _within_limit(step, worker)]
     if not within:
         return Reason("worker limit of the step", counts)
-    if all(worker.name in task.excluded_workers for worker in within):
-        others = [
-            worker
-            for worker in allowed
-            if worker.name not in task.excluded_workers
-        ]
-        if _waits_for_others(step, need, others):
-            return Reason(
-                "kept from the workers on which it failed",
-                poolreports.names(sorted(task.excluded_workers)),
-            )
     return _reason_of_grant(state, step)
 
 
@@ -264,19 +253,6 @@
     return next((name for name, holds in obstacles.items() if holds), "")
 
 
-def _waits_for_others(
-    step: runs.StepRun,
-    need: resources.Vector,
-    others: list[fleet.WorkerState],
-) -> bool:
-    """Return whether a task waits for room on workers it is not kept from."""
-    return not step.step.long_running and any(
-        _within_limit(step, worker)
-        and need.fits_in(worker.free_without_short_tasks)
-        for worker in others
-    )
-
-
 def _within_limit(step: runs.StepRun, worker: fleet.WorkerState) -> bool:
     limit = step.step.max_per_worker
     return not limit or step.count_on_worker(worker.name) < limit
--- a/src/agaterudder/jobs/workerchoice.py
+++ b/src/agaterudder/jobs/workerchoice.py
@@ -101,15 +101,19 @@
         shorter tasks make room.
         """
         need = self._state.reserved_size(step)
-        rack = step.step.data_rack
-        near = [w for w in candidates if w.registration.rack == rack]
         able = [
             worker
-            for worker in near or candidates
+            for worker in candidates
             if need.fits_in(worker.free_without_short_tasks)
             and step.within_worker_limit(worker.name)
         ]
-        able.sort(key=lambda worker: -self._free.of(worker).cores)
+        rack = step.step.data_rack
+        able.sort(
+            key=lambda worker: (
+                worker.registration.rack != rack,
+                -self._free.of(worker).cores,
+            )
+        )
         waiting = [task for task in tasks if task.waiting]
         for worker, _ in zip(able, waiting):
             self._free.hold(worker, need)
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -75,6 +75,70 @@
       | short        | 2.0     | 1      |
       | long-running | 2.0     | 1      |
 
+  # Guards against a long-running task that stood still in a full pool, as the
+  # rack of its data was full of others.
+  Scenario: A long-running task holds room outside the full rack of its data
+    Given a pool with 3 workers
+    And long-running tasks fill worker "w1"
+    And worker "w2" is in another rack
+    And worker "w3" is in another rack
+    And a started job of 200 tasks of 1 core
+    And a long-running task of 8 cores with its data in the first rack
+    When 2.0 seconds pass
+    And the pool is planned, and each worker ends its oldest run, 9 times
+    Then the long-running task has a run
+
+  # Guards against a team that used more than its limit, as runs that began
+  # before it had one did not count.
+  Scenario: A team gets a limit while its tasks run
+    Given a pool with 2 workers
+    And a job of 10 tasks of 1 core
+    When the pool is planned
+    And its team gets a limit of 10 cores, all granted to the pool
+    And a job of 10 tasks of 1 core is accepted
+    And the pool is planned
+    Then 10 starts are ordered
+
+  # Guards against a pool that ordered no machine for a team, as a request for
+  # more of its limit had failed once.
+  Scenario Outline: A request failed <seconds> s ago, as the limit was granted
+    Given pools "a" and "b" with grants of 10 and 0 cores of a limit of 10
+    When pool "b" asks for 6 cores
+    And pool "a" returns its grant <seconds> seconds later
+    Then pool "b" counts on <cores> cores
+
+    Examples:
+      | seconds | cores |
+      | 0.5     | 0     |
+      | 1.5     | 10    |
+
+  # Guards against a second run, by a start that was sent after its worker had
+  # ended and its task had been given up there.
+  Scenario: A start whose worker ended before it was sent
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And its worker ends before the start is sent
+    Then the start is not sent
+
+  # Guards against a second run, by the answer of an earlier incarnation.
+  Scenario: A stop is answered by the incarnation before
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the worker restarts while it is told to stop the run
+    Then the stop does not count as answered
+
+  # Guards against starts that go to a worker which refuses connections, over
+  # and over.
+  Scenario: A worker that could not be connected to gets a pause
+    Given a pool with 1 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the start is not sent, as the connection was refused
+    And the pool is planned
+    Then 1 starts are ordered
+
   # Guards against machines that are ordered without end.
   Scenario Outline: A machine would not help <what>
     Given a pool with 2 workers
--- a/tests/features/job_traces.feature
+++ b/tests/features/job_traces.feature
@@ -110,7 +110,6 @@
       | the workers are unregistered, unregistered | no usable worker                          | usable=0 unregistered=2             |
       | the workers are occupied, occupied        | no worker with room                        | cores=1 memory=100 usable=2         |
       | the workers are occupied, cordoned        | no worker with room                        | cores=1 memory=100 usable=1 cordoned=1 |
-      | the task is kept from both workers and may not return to the one with room | kept from the workers on which it failed | w1 |
       | its step may run no more tasks on a worker | worker limit of the step                  | usable=2                            |
       | its team has no grant                     | no grant of the team's limit               | tally                               |
       | its queue has a policy without a ticket   | no ticket of the policy                    | not asked                           |
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -33,6 +33,7 @@
 STARTED_VERSION = 1
 LASTING = "00000000000000bb"
 FILLER = "00000000000000cc"
+LASTING_FILLER = "00000000000000dd"
 FIRST = "00000000000000aa"
 WORKER_CORES = 16
 DEADLINE_SECONDS = 3.0
@@ -107,9 +108,10 @@
 def _end_oldest(context: Context, worker: t.Any) -> None:
     """List the oldest run that is not long-running as done."""
     present = list(worker.runs.values())
-    ending = next(
-        run for run in present if not run.task.step.step.long_running
-    )
+    short = [run for run in present if not run.task.step.step.long_running]
+    if not short:
+        return
+    ending = short[0]
     ended = ports.Ended(
         worker.last_end_number + 1,
         ending.task_name,
@@ -150,7 +152,7 @@
 
 @behave.given('long-running tasks fill worker "{name}"')
 def step_lasting_fill(context: Context, name: str) -> None:
-    _run_on(context, name, LASTING, float(WORKER_CORES), True)
+    _run_on(context, name, LASTING_FILLER, float(WORKER_CORES), True)
 
 
 @behave.given('short tasks fill worker "{name}"')
@@ -717,3 +719,101 @@
     )
     context.state.create_due(0.0, context.now)
     _plan(context)
+
+
+@behave.given(
+    "a long-running task of {cores:d} cores with its data in the first rack"
+)
+def step_near_lasting_task(context: Context, cores: int) -> None:
+    step = job_builders.step(
+        count=1,
+        size=resources.Vector(float(cores), 100.0),
+        data_rack="rack-1",
+        long_running=True,
+    )
+    context.state.accept(
+        job_builders.job(step, job=LASTING),
+        model.Progress(),
+        0,
+        context.now,
+        False,
+    )
+    context.state.create_due(0.0, context.now)
+
+
+@behave.when(
+    "its team gets a limit of {cores:d} cores, all granted to the pool"
+)
+def step_gets_limit(context: Context, cores: int) -> None:
+    step_team_limit(context, cores)
+
+
+@behave.when('pool "{name}" asks for {cores:d} cores')
+def step_asks(context: Context, name: str, cores: int) -> None:
+    limits = context.limits[name]
+    size = resources.Vector(float(cores), 100.0)
+    limits.request_grant(TEAM, size, size, context.now)
+    assert not limits.rebalance(context.store, context.now)
+
+
+@behave.when('pool "{name}" returns its grant {seconds:g} seconds later')
+def step_returns_grant(context: Context, name: str, seconds: float) -> None:
+    context.now += seconds
+    limits = context.limits[name]
+    limits._return_grant(context.store, TEAM, limits._account(TEAM))
+
+
+@behave.then('pool "{name}" counts on {cores:d} cores')
+def step_counts_on(context: Context, name: str, cores: int) -> None:
+    found = context.limits[name].headroom(TEAM, context.now)
+    assert found.cores == cores, found
+
+
+# Orders and the ends of workers
+
+
+def _executor(context: Context, link: mock.Mock) -> t.Any:
+    for worker in context.state.workers.values():
+        worker.link = link
+    pool_context = job_builders.context(
+        context.state, memory_store.MemoryStore()
+    )
+    return orderexecutor.OrderExecutor(pool_context, mock.Mock(), None)
+
+
+@behave.when("its worker ends before the start is sent")
+def step_ends_before(context: Context) -> None:
+    (start,) = (o for o in context.orders if isinstance(o, orders.Start))
+    worker = start.run.worker
+    workerends.lost(context.state, worker, "gone", context.now, ended=True)
+    context.link = mock.Mock()
+    _executor(context, context.link)._start_run(start)
+
+
+@behave.then("the start is not sent")
+def step_start_not_sent(context: Context) -> None:
+    context.link.start.assert_not_called()
+
+
+@behave.when("the worker restarts while it is told to stop the run")
+def step_restarts_in_stop(context: Context) -> None:
+    run = context.run = _only_run(context)
+    run.require_stop("by the test")
+
+    def stop(*_: t.Any) -> ports.Done:
+        workerends.restarted(context.state, run.worker, 2, context.now)
+        return ports.Done()
+
+    _executor(context, mock.Mock(stop=stop))._stop_run(run)
+
+
+@behave.then("the stop does not count as answered")
+def step_stop_not_answered(context: Context) -> None:
+    assert not context.run.stop_answered_at
+
+
+@behave.when("the start is not sent, as the connection was refused")
+def step_refused(context: Context) -> None:
+    run = _only_run(context)
+    reason = f"{runstarts.NOT_SENT}connection refused"
+    runstarts.rejected(context.state, run, reason, context.now)
--- a/tests/features/steps/job_trace_steps.py
+++ b/tests/features/steps/job_trace_steps.py
@@ -176,15 +176,6 @@
     return t.cast(runs.Task, step.tasks[0])
 
 
-@behave.given(
-    "the task is kept from both workers"
-    " and may not return to the one with room"
-)
-def step_kept(context: Context) -> None:
-    _only_task(context).excluded_workers.add("w1")
-    context.workers[1].used = context.workers[1].registration.size
-
-
 @behave.given("the task has failed on both workers")
 def step_failed_on_both(context: Context) -> None:
     _only_task(context).excluded_workers.update({"w1", "w2"})
