LOST: models of unanswered starts and of parts of a limit

The checker now looks for stuck states too: something waits, and no steps of the system lead out. latestarts has a start without an answer on a worker that may be silent, end and return under its name; grants has two pools whose tasks need more than half of one limit, and runs that outlive their jobs.

--- a/models/report.py
+++ b/models/report.py
@@ -7,6 +7,8 @@
 from models import claim
 from models import ends
 from models import escrow
+from models import grants
+from models import latestarts
 from models import pool
 from models import specification
 from models import takeover
@@ -21,6 +23,8 @@
         budget,
         ends,
         takeover,
+        latestarts,
+        grants,
     )
 }
 
--- a/models/specification.py
+++ b/models/specification.py
@@ -21,6 +21,9 @@
         enabled guards.
     :ivar invariant: returns whether the invariant holds in a state.
     :ivar guards: name of the code that implements each guard.
+    :ivar stuck: returns whether no step of the system leads out of a state
+        in which something waits, under the enabled guards; None for a
+        specification in which nothing waits.
     """
 
     name: str
@@ -28,6 +31,7 @@
     transitions: t.Callable[[State, frozenset[str]], Transitions]
     invariant: t.Callable[[State], bool]
     guards: dict[str, str]
+    stuck: t.Callable[[State, frozenset[str]], bool] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,7 +41,7 @@
     :ivar exhaustive: whether every reachable state was searched.
     :ivar states: number of reachable states found.
     :ivar counterexample: labels of the shortest path to a state that
-        violates the invariant, empty when it holds.
+        violates the invariant or is stuck, empty when there is none.
     """
 
     holds: bool
@@ -52,6 +56,15 @@
     """Search every reachable state, with at most one guard disabled."""
     guards = frozenset(specification.guards) - {disabled_guard}
     state_type = type(specification.initial)
+
+    def safe(fields: dict[str, t.Any]) -> bool:
+        state = state_type(**fields)
+        if not specification.invariant(state):
+            return False
+        return specification.stuck is None or not specification.stuck(
+            state, guards
+        )
+
     protocol = minicheck.Protocol(
         name=specification.name,
         candidate=False,
@@ -63,11 +76,7 @@
                 state_type(*state), guards
             )
         ],
-        invariants={
-            "invariant": lambda fields: specification.invariant(
-                state_type(**fields)
-            )
-        },
+        invariants={"invariant": safe},
     )
     result = minicheck.check_safety(protocol, max_states=MAX_STATES)
     property_result = result["properties"]["invariant"]
@@ -78,3 +87,27 @@
         int(result["reachable_states"]),
         tuple(step["label"] for step in trace if step["label"]),
     )
+
+
+def leads_to(
+    state: State,
+    transitions: t.Callable[[State], Transitions],
+    labels: frozenset[str],
+    goal: t.Callable[[State], bool],
+) -> bool:
+    """Return whether steps with these labels lead to a goal.
+
+    :param labels: what the system does by itself. Steps that may never
+        happen, such as the return of a machine, are not among them.
+    """
+    found = {state}
+    pending = [state]
+    while pending:
+        present = pending.pop()
+        if goal(present):
+            return True
+        for label, successor in transitions(present):
+            if label in labels and successor not in found:
+                found.add(successor)
+                pending.append(successor)
+    return False
--- a/tests/features/models.feature
+++ b/tests/features/models.feature
@@ -17,3 +17,5 @@
       | budget     | 5000   |
       | ends       | 50000  |
       | takeover   | 500    |
+      | latestarts | 3000   |
+      | grants     | 100    |
