--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -212,11 +212,14 @@
             gevent.sleep(POLICY_RETRY_SECONDS)
             return
         valid = answer.valid_seconds or queue.policy.ticket_seconds
-        refused = set(order.workers) - set(answer.by_worker)
-        if step.tickets is not None:
-            refused |= step.tickets.refused
-        step.tickets = runs.Tickets(
-            refused, answer.by_worker, asked_at + valid
+        step.tickets = runs.joined_tickets(
+            step.tickets,
+            runs.Tickets(
+                set(order.workers) - set(answer.by_worker),
+                answer.by_worker,
+                asked_at + valid,
+            ),
+            clock.now(),
         )
 
 
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -141,19 +141,22 @@
         allowed = [
             worker for worker in found if worker.name in tickets.by_worker
         ]
-        if not allowed:
+        need = self._state.reserved_size(step)
+        if not self._free.fitting(need, allowed):
             self._request_tickets(step, found)
         return allowed
 
     def _request_tickets(
         self, step: runs.StepRun, usable: list[fleet.WorkerState]
     ) -> None:
-        """Ask the policy about workers that it has not refused for a step."""
+        """Ask the policy about workers whose answer for a step is not known."""
         tickets = step.tickets
-        refused = tickets.refused if tickets is not None else set()
-        names = [
-            worker.name for worker in usable if worker.name not in refused
-        ]
+        known: set[str] = set()
+        if tickets is not None:
+            known |= tickets.refused
+        if tickets is not None and tickets.until > self._now:
+            known |= set(tickets.by_worker)
+        names = [worker.name for worker in usable if worker.name not in known]
         if names and not step.policy_request_pending:
             step.policy_request_pending = True
             chosen = tuple(names[:MAX_POLICY_WORKERS])
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -379,6 +379,25 @@
         self.until = until
 
 
+def joined_tickets(
+    known: Tickets | None, found: Tickets, now: float
+) -> Tickets:
+    """Return what two answers of the policy about a step say together.
+
+    :param known: the earlier answer, None without one.
+    """
+    if known is None:
+        return found
+    refused = known.refused | found.refused
+    if known.until <= now:
+        return Tickets(refused, found.by_worker, found.until)
+    return Tickets(
+        refused,
+        known.by_worker | found.by_worker,
+        min(known.until, found.until),
+    )
+
+
 class JobRun:
     """A job that has not ended.
 
--- a/tests/features/accepted_jobs.feature
+++ b/tests/features/accepted_jobs.feature
@@ -298,6 +298,15 @@
     Then the task runs on worker "w40"
     And the policy was asked 2 times
 
+  Scenario: The only worker that the placement policy allowed so far is full
+    Given a pool with 40 workers
+    And its queue has a placement policy that allows workers "w1" and "w40"
+    And long-running tasks fill worker "w1"
+    And a job of 1 tasks of 1 core
+    When the pool is planned and the policy answers, 3 times
+    Then a task runs on worker "w40"
+    And the policy was asked 2 times
+
   # Guards against a job shown as failed after one failed run, as its queue
   # was not configured any more.
   Scenario: A job of a queue that operators removed keeps its attempts
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -615,10 +615,13 @@
 
 
 class _Policy:
-    """A placement policy that allows one worker."""
+    """A placement policy that allows some workers.
+
+    :ivar questions: how often it was asked.
+    """
 
     def __init__(self, allowed: str) -> None:
-        self._allowed = allowed
+        self.allowed = {allowed}
         self.questions = 0
 
     def ask(
@@ -626,7 +629,7 @@
     ) -> ports.Tickets:
         """Return a ticket for the worker, if it is named."""
         self.questions += 1
-        granted = [name for name in workers if name == self._allowed]
+        granted = [name for name in workers if name in self.allowed]
         return ports.Tickets(dict.fromkeys(granted, "ticket"), 0.0)
 
 
@@ -817,3 +820,17 @@
     run = _only_run(context)
     reason = f"{runstarts.NOT_SENT}connection refused"
     runstarts.rejected(context.state, run, reason, context.now)
+
+
+@behave.given(
+    "its queue has a placement policy that allows workers "
+    '"{first}" and "{second}"'
+)
+def step_policy_of_two(context: Context, first: str, second: str) -> None:
+    step_policy(context, first)
+    context.policy.allowed.add(second)
+
+
+@behave.then('a task runs on worker "{name}"')
+def step_some_run_on(context: Context, name: str) -> None:
+    assert context.state.workers[name].runs
