--- a/src/agaterudder/jobs/load.py
+++ b/src/agaterudder/jobs/load.py
@@ -152,13 +152,16 @@
 
     :param workers: those that have capacity for tasks now or soon.
     """
-    size = _size_of(workers)
+    sizes = [worker.registration.size for worker in workers]
     return [
         step
         for step in state.ready.values()
         if step.ready_at
         and not step.step.required_label
-        and state.reserved_size(step).fits_in(size)
+        and any(
+            state.reserved_size(step).fits_in(size)
+            for size in sizes or (DEFAULT_WORKER_SIZE,)
+        )
         and step.job.ending is None
         and now - step.ready_at > FIT_WAIT_SECONDS
         and _waiting(step)
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -149,7 +149,7 @@
     def _request_tickets(
         self, step: runs.StepRun, usable: list[fleet.WorkerState]
     ) -> None:
-        """Ask the policy about workers whose answer for a step is not known."""
+        """Ask the policy about workers that it has not judged for a step."""
         tickets = step.tickets
         known: set[str] = set()
         if tickets is not None:
--- a/src/agaterudder/jobs/runstarts.py
+++ b/src/agaterudder/jobs/runstarts.py
@@ -81,7 +81,9 @@
         ports.REJECTED_BUSY,
         ports.REJECTED_OTHER_INCARNATION,
     ) or reason.startswith(NOT_SENT):
-        run.worker.quarantined_until = now + REJECTION_PAUSE_SECONDS
+        run.worker.quarantined_until = max(
+            run.worker.quarantined_until, now + REJECTION_PAUSE_SECONDS
+        )
     if reason == ports.REJECTED_TICKET and run.task is not None:
         run.task.step.tickets = None
     if reason == ports.REJECTED_INVALID and run.task is not None:
--- a/src/agaterudder/jobs/teamlimits.py
+++ b/src/agaterudder/jobs/teamlimits.py
@@ -21,7 +21,7 @@
 # A grant that is not needed for this long is returned.
 IDLE_SECONDS = 1.5
 # For this long, a request that failed shows that a limit is fully granted.
-EXHAUSTED_SECONDS = 1.0
+EXHAUSTED_SECONDS = 3.0
 # A grant that is too small for the next task, with none to be added, is
 # returned after this long: what it holds may be what another pool lacks.
 BLOCKED_SECONDS = 0.3
