--- /dev/null
+++ b/tests/features/ended_workers.feature
@@ -0,0 +1,109 @@
+Feature: What is known of a worker's end is known of what it was told
+  A start without an answer holds its task only while it may take effect.
+
+  # Guards against a second run, by a start that was sent after its worker had
+  # ended and its task had been given up there.
+  Scenario: A start whose worker ended before it was sent
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And its worker ends before the start is sent
+    Then the start is not sent
+
+  # Guards against a second run, by the answer of an earlier incarnation.
+  Scenario: A stop is answered by the incarnation before
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the worker restarts while it is told to stop the run
+    Then the stop does not count as answered
+
+  # Guards against starts that go to a worker which refuses connections, over
+  # and over.
+  Scenario: A worker that could not be connected to gets a pause
+    Given a pool with 1 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the start is not sent, as the connection was refused
+    And the pool is planned
+    Then 1 starts are ordered
+
+  # Guards against a task that waited 12.5 s for a start that a worker which had
+  # ended could not carry out any more.
+  Scenario Outline: An unanswered start on a worker that <event>
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the start gets no answer
+    And its worker <event>
+    And the pool is planned
+    Then <starts> starts are ordered
+
+    Examples:
+      | event                                     | starts |
+      | is not run by any machine                 | 2      |
+      | was moved to standby                      | 2      |
+      | answers no poll, and its lease has lapsed | 1      |
+
+  # Guards against a second run of a task, by a start that reached the worker's
+  # next incarnation late.
+  Scenario: A worker that returns under its name is told to stop a late start
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the start gets no answer
+    And its worker is not run by any machine
+    And its worker restarts under its name after 3.0 seconds
+    And the pool is planned
+    Then the late start is stopped
+
+  # Guards against a long-running task that was stopped although it ran, as the
+  # answer to its start had been lost.
+  Scenario Outline: An unanswered start whose run is listed, stopped <before>
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the start gets no answer
+    And the pool is planned <rounds> times after <answered> answered polls
+    And all runs are listed as running
+    And 1.0 seconds pass
+    And the pool is planned
+    Then <stops> stops are ordered
+
+    Examples:
+      | before     | rounds | answered | stops |
+      | not before | 1      | 0        | 0     |
+      | before     | 1      | 1        | 2     |
+
+  # Guards against a run of a job that is over, which went on for ever as its
+  # start had got no answer before.
+  Scenario Outline: A start gets no answer, <event>, and the run is listed
+    Given a pool with 2 workers
+    And a job of 2 tasks of 1 core
+    When the pool is planned
+    And none of the starts gets an answer
+    And <event>
+    And all runs are listed as running
+    And 1.0 seconds pass
+    And the pool is planned
+    Then <stops> stops are ordered
+
+    Examples:
+      | event                | stops |
+      | its team cancels the job | 2     |
+      | all workers restart | 2     |
+      | nothing else happens | 0     |
+
+  # Guards against starts on a worker that ended while it was idle.
+  Scenario: An idle worker is polled from time to time, and when it is woken
+    Given a worker loop whose worker has listed 0 ends
+    When the loop runs for 11.0 seconds with an idle worker
+    Then the worker was polled 2 times
+    When the loop is woken
+    Then the worker was polled 3 times
+
+  # Guards against a worker that was dropped by an answer from its old address.
+  Scenario: Another worker answers at the address that a worker has left
+    Given a worker loop whose worker has listed 0 ends
+    When the worker moves to another address while its old one is polled
+    Then the worker is still registered
--- /dev/null
+++ b/tests/features/steps/ended_worker_steps.py
@@ -0,0 +1,224 @@
+"""Steps for workers that have ended, and for unanswered starts."""
+
+import typing as t
+from unittest import mock
+
+import behave
+import gevent
+
+from agaterudder.jobs import orderexecutor
+from agaterudder.jobs import orders
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+from agaterudder.jobs import runstarts
+from agaterudder.jobs import workerends
+from agaterudder.jobs import workerloop
+from tests import job_builders
+from tests import memory_store
+
+Context = t.Any
+FIRST = "00000000000000aa"
+
+
+def _only_run(context: Context) -> runs.Run:
+    (run,) = (
+        run
+        for worker in context.state.workers.values()
+        for run in worker.runs.values()
+    )
+    return run
+
+
+@behave.when("its worker is not run by any machine")
+def step_no_machine(context: Context) -> None:
+    worker = context.run.worker
+    worker.terminated = True
+    workerends.lost(
+        context.state, worker, "no machine runs it", context.now, ended=True
+    )
+
+
+@behave.when("its worker was moved to standby")
+def step_moved(context: Context) -> None:
+    step_no_machine(context)
+
+
+@behave.when("its worker answers no poll, and its lease has lapsed")
+def step_lapsed(context: Context) -> None:
+    worker = context.run.worker
+    worker.fenced = False
+    workerends.lost(context.state, worker, "its lease has lapsed", context.now)
+
+
+@behave.when("its worker restarts under its name after {seconds:g} seconds")
+def step_returns(context: Context, seconds: float) -> None:
+    context.now += seconds
+    name = context.run.worker.name
+    del context.state.workers[name]
+    context.returned = job_builders.worker(name, incarnation=2)
+    context.state.adopt_worker(context.returned)
+    workerends.stop_late_starts(context.state, context.returned, context.now)
+
+
+@behave.then("the late start is stopped")
+def step_late_start(context: Context) -> None:
+    stopped = [
+        order.run.number
+        for order in context.orders
+        if isinstance(order, orders.Stop)
+        and order.run.worker is context.returned
+    ]
+    assert stopped == [context.run.number], stopped
+
+
+@behave.when(
+    "the pool is planned {rounds:d} times after {answered:d} answered polls"
+)
+def step_planned_after(context: Context, rounds: int, answered: int) -> None:
+    for _ in range(answered):
+        context.execute_steps("When the worker lists no runs")
+    for _ in range(rounds):
+        context.execute_steps("When the pool is planned")
+
+
+@behave.when("the loop runs for {seconds:g} seconds with an idle worker")
+def step_idle_loop(context: Context, seconds: float) -> None:
+    context.polls = 0
+    context.until = seconds
+    context.waited = 0.0
+
+    def wait(timeout: float) -> bool:
+        context.waited += timeout
+        if context.waited > context.until:
+            raise gevent.GreenletExit
+        return False
+
+    poll = context.loop._poll
+
+    def count_poll() -> None:
+        context.polls += 1
+        poll()
+
+    context.event = mock.Mock(wait=wait, set=lambda: None)
+    with mock.patch.object(
+        workerloop.WorkerLoop, "_poll", lambda _: count_poll()
+    ):
+        context.loop._wake = context.event
+        try:
+            context.loop._run()
+        except gevent.GreenletExit:
+            pass
+
+
+@behave.when("the loop is woken")
+def step_woken(context: Context) -> None:
+    woken = iter([True])
+
+    def wait(timeout: float) -> bool:
+        if not next(woken, False):
+            raise gevent.GreenletExit
+        return True
+
+    def count_poll() -> None:
+        context.polls += 1
+
+    context.loop._wake = mock.Mock(wait=wait)
+    with mock.patch.object(
+        workerloop.WorkerLoop, "_poll", lambda _: count_poll()
+    ):
+        try:
+            context.loop._run()
+        except gevent.GreenletExit:
+            pass
+
+
+@behave.then("the worker was polled {count:d} times")
+def step_polled(context: Context, count: int) -> None:
+    assert context.polls == count, context.polls
+
+
+@behave.when("the worker moves to another address while its old one is polled")
+def step_moves_address(context: Context) -> None:
+    other = ports.Rejected(ports.REJECTED_OTHER_INCARNATION)
+
+    def exchange() -> None:
+        context.worker.link = mock.Mock()
+
+    context.link.answers = [other]
+    context.link.on_renew = exchange
+    context.loop._poll()
+
+
+@behave.then("the worker is still registered")
+def step_registered(context: Context) -> None:
+    assert context.worker.registered
+
+
+@behave.when("none of the starts gets an answer")
+def step_no_answers(context: Context) -> None:
+    for worker in context.state.workers.values():
+        for run in worker.runs.values():
+            runstarts.unanswered(context.state, run, "time-out", context.now)
+
+
+@behave.when("its team cancels the job")
+def step_cancelled(context: Context) -> None:
+    context.state.cancel(FIRST, 0.0)
+
+
+@behave.when("all workers restart")
+def step_workers_restart(context: Context) -> None:
+    for worker in context.state.workers.values():
+        workerends.restarted(context.state, worker, 1, context.now)
+
+
+@behave.when("nothing else happens")
+def step_nothing(context: Context) -> None:
+    assert context.state.jobs
+
+
+def _executor(context: Context, link: mock.Mock) -> t.Any:
+    for worker in context.state.workers.values():
+        worker.link = link
+    pool_context = job_builders.context(
+        context.state, memory_store.MemoryStore()
+    )
+    return orderexecutor.OrderExecutor(pool_context, mock.Mock(), None)
+
+
+@behave.when("its worker ends before the start is sent")
+def step_ends_before(context: Context) -> None:
+    (start,) = (o for o in context.orders if isinstance(o, orders.Start))
+    worker = start.run.worker
+    workerends.lost(context.state, worker, "gone", context.now, ended=True)
+    context.link = mock.Mock()
+    _executor(context, context.link)._start_run(start)
+
+
+@behave.then("the start is not sent")
+def step_start_not_sent(context: Context) -> None:
+    context.link.start.assert_not_called()
+
+
+@behave.when("the worker restarts while it is told to stop the run")
+def step_restarts_in_stop(context: Context) -> None:
+    run = context.run = _only_run(context)
+    run.require_stop("by the test")
+
+    def stop(*_: t.Any) -> ports.Done:
+        workerends.restarted(context.state, run.worker, 2, context.now)
+        return ports.Done()
+
+    _executor(context, mock.Mock(stop=stop))._stop_run(run)
+
+
+@behave.then("the stop does not count as answered")
+def step_stop_not_answered(context: Context) -> None:
+    assert not context.run.stop_answered_at
+
+
+@behave.when("the start is not sent, as the connection was refused")
+def step_refused(context: Context) -> None:
+    run = _only_run(context)
+    reason = f"{runstarts.NOT_SENT}connection refused"
+    runstarts.rejected(context.state, run, reason, context.now)
--- /dev/null
+++ b/tests/features/steps/placement_policy_steps.py
@@ -0,0 +1,82 @@
+"""Steps for tickets of the placement policy."""
+
+import typing as t
+from unittest import mock
+
+import behave
+
+from agaterudder.jobs import clock
+from agaterudder.jobs import operatorconfig
+from agaterudder.jobs import orderexecutor
+from agaterudder.jobs import orders
+from agaterudder.jobs import planning
+from agaterudder.jobs import ports
+from tests import job_builders
+
+Context = t.Any
+
+
+class _Policy:
+    """A placement policy that allows some workers.
+
+    :ivar questions: how often it was asked.
+    """
+
+    def __init__(self, allowed: str) -> None:
+        self.allowed = {allowed}
+        self.questions = 0
+
+    def ask(
+        self, step: str, workers: t.Sequence[str], timeout: float
+    ) -> ports.Tickets:
+        """Return a ticket for the worker, if it is named."""
+        self.questions += 1
+        granted = [name for name in workers if name in self.allowed]
+        return ports.Tickets(dict.fromkeys(granted, "ticket"), 0.0)
+
+
+@behave.given(
+    'its queue has a placement policy that allows worker "{name}" only'
+)
+def step_policy(context: Context, name: str) -> None:
+    times = operatorconfig.PolicyTimes(0.0, 0.0, 60.0)
+    queue = job_builders.queue(policy=times)
+    context.state.queues = {queue.name: queue}
+    context.policy = _Policy(name)
+
+
+@behave.when("the pool is planned and the policy answers, {times:d} times")
+def step_policy_answers(context: Context, times: int) -> None:
+    executor = orderexecutor.OrderExecutor(
+        mock.Mock(state=context.state), mock.Mock(), context.policy
+    )
+    with mock.patch.object(clock, "now", lambda: context.now):
+        for _ in range(times):
+            for order in planning.Plan(context.state, context.now).orders():
+                if isinstance(order, orders.RequestTickets):
+                    executor._request_tickets(order)
+
+
+@behave.then('the task runs on worker "{name}"')
+def step_runs_on(context: Context, name: str) -> None:
+    worker = context.state.workers[name]
+    assert len(worker.runs) == 1, worker.runs
+
+
+@behave.then("the policy was asked {count:d} times")
+def step_asked(context: Context, count: int) -> None:
+    assert context.policy.questions == count, context.policy.questions
+
+
+@behave.given(
+    "its queue has a placement policy that allows workers "
+    '"{first}" and "{second}"'
+)
+def step_policy_of_two(context: Context, first: str, second: str) -> None:
+    step_policy(context, first)
+    context.policy.allowed.add(second)
+
+
+@behave.then('a task runs on worker "{name}"')
+def step_some_run_on(context: Context, name: str) -> None:
+    assert context.state.workers[name].runs
