BUDGET: count the crashes under a task and start suspects apart

Callers saw: one request crashed server after server.

Cause: a loss that was nobody's fault was counted by nobody. Pool.remove_run freed the task, and the next round started it again wherever there was room, together with the same company; retries after a loss had no bound.

Change: the crash of a worker is recorded for each of its runs in the stored progress (Progress.crashes). A task that had just started is a suspect at once, any other from two crashes on. A suspect starts on a worker without any other run, nothing else starts there, and each start of it is stored as an attempt before the order is sent (Progress.attempts), so that neither a take-over nor a deposed holder loses the count. A run that ends, or lasts for 1 s alone, ends the suspicion. An end by order, a drain, a lapsed lease or a start that was not sent is no crash.

Why it works: the second crash names its cause, as nothing else ran there.

The scenario 'A start is accepted before a restart that becomes known first' of recovery.feature expected the second start in the round after the restart. That run may have crashed the worker, so that its next start waits for the store now; the scenario asks for no start before, and for exactly one after.

--- a/src/agaterudder/codes.py
+++ b/src/agaterudder/codes.py
@@ -50,6 +50,8 @@
     OUTCOME_UNKNOWN = 500
     SHORT_ANSWER = 501
     TIMED_OUT = 502
+    ATTEMPTS_EXHAUSTED = 503
+    CRASHES_WORKERS = 504
     CONFLICT = 600
     BUDGET = 601
     CHANGE_UNKNOWN = 602
@@ -170,6 +172,18 @@
     Result.TIMED_OUT: Description(
         504, _UNKNOWN, False, "Look the effect up before repeating."
     ),
+    Result.ATTEMPTS_EXHAUSTED: Description(
+        200,
+        _UNKNOWN,
+        False,
+        "Correct the job: a task of it failed too often.",
+    ),
+    Result.CRASHES_WORKERS: Description(
+        200,
+        _UNKNOWN,
+        False,
+        "Correct the job: its task crashes the workers that start it.",
+    ),
     Result.CONFLICT: Description(
         409, _NOT_RUN, True, "Read the present state, then decide again."
     ),
--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -171,6 +171,11 @@
         )
         return self.registration.size - sum(long_running, resources.ZERO)
 
+    @property
+    def end_expected(self) -> bool:
+        """Whether it ends by an order, or as it shuts down."""
+        return self.terminated or bool(self.cordon_reason)
+
     def unresponsive(self, now: float) -> bool:
         """Return whether polls have gone unanswered for too long."""
         return bool(
--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -62,9 +62,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobState:
-    """State of a job."""
+    """State of a job.
+
+    :ivar code: number of the result of a failed job, 0 for any other.
+    :ivar reason: why it failed, empty for any other.
+    """
 
     state: str
+    code: int = 0
+    reason: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -261,7 +267,10 @@
         ended = self._read(model.ENDED_TABLE, pool, call)
         if ended is None:
             return None
-        return JobState(model.decode(ended.value, model.Ended).state)
+        found = model.decode(ended.value, model.Ended)
+        if found.state != model.STATE_FAILED:
+            return JobState(found.state)
+        return JobState(found.state, found.code, found.reason)
 
     def _read(self, table: str, pool: str, call: Call) -> ports.Row | None:
         """Read a row of the job; retry after a failure if time is left."""
--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -83,6 +83,9 @@
                         },
                     )
                 self._stored.set()
+                if self._context.state.suspects:
+                    # Suspects start once their attempts are stored.
+                    self._context.plan_needed.set()
                 return True
             case ports.Conflicted(rows=rows):
                 self._context.check_epoch(rows)
@@ -163,6 +166,9 @@
             round(first_starts.longest, 3),
             pool=self._context.pool,
         )
+        self._context.metrics.gauge(
+            "pool_suspects", len(state.suspects), pool=self._context.pool
+        )
         self._context.metrics.gauge(
             "pool_late_jobs", first_starts.late, pool=self._context.pool
         )
--- a/src/agaterudder/jobs/listedtasks.py
+++ b/src/agaterudder/jobs/listedtasks.py
@@ -16,8 +16,8 @@
     if job is None:
         return None
     for step in job.create_up_to(name, now):
-        if not step.finished and job.ending is None:
-            state.ready[step.name] = step
+        if job.ending is None:
+            state.add_step(step)
     return job.task(name)
 
 
--- a/src/agaterudder/jobs/listings.py
+++ b/src/agaterudder/jobs/listings.py
@@ -1,5 +1,6 @@
 """Application of a worker's listing to the state of its pool."""
 
+from agaterudder.jobs import crashes
 from agaterudder.jobs import fleet
 from agaterudder.jobs import listedtasks
 from agaterudder.jobs import pool as pools
@@ -63,6 +64,7 @@
     run.progress = item.progress
     run.listed_at = now
     run.measurement = item.measurement
+    crashes.run_listed(state, run, now)
 
 
 def _adopt_run(
@@ -85,6 +87,7 @@
     listedtasks.report_duplicates(state, task, worker, item.run, "running")
     task.last_run = max(task.last_run, item.run)
     task.runs.append(run)
+    crashes.adopt(state, run)
     state.limits.adopt(job.job.team, run.limit_key, task.step.step.size)
     if job.ending is not None or task.done:
         run.stop_reason = "job or task has ended"
@@ -112,4 +115,5 @@
     stopped = run.stop_answered_at and sent_at >= run.stop_answered_at
     if start_expired or stopped:
         reason = "start expired" if start_expired else "stop answered"
+        crashes.withdraw(state, run)
         state.remove_run(run, now, f"not listed: {reason}")
--- a/src/agaterudder/jobs/machines.py
+++ b/src/agaterudder/jobs/machines.py
@@ -23,6 +23,8 @@
 # A cached list older than this is read again.
 MAX_CACHE_AGE_SECONDS = 0.4
 RECLAIM_MARGIN_SECONDS = 0.2
+# Why a worker has ended that no order and no upkeep of its machine ended.
+NO_MACHINE = "no machine runs it"
 
 
 class LastOrder(msgspec.Struct, frozen=True, array_like=True):
@@ -113,7 +115,7 @@
             (m for m in self.machines.values() if m.worker == worker), None
         )
         if machine is None:
-            return "no machine runs it"
+            return NO_MACHINE
         if machine.state != ports.MACHINE_UP:
             return f"its machine is {machine.state}"
         return ""
--- a/src/agaterudder/jobs/model.py
+++ b/src/agaterudder/jobs/model.py
@@ -98,11 +98,17 @@
         and step for a gang), so that an end that is listed again counts
         once.
     :ivar checkpoints: last checkpoints of tasks that are not done.
+    :ivar crashes: numbers of the runs under which a worker crashed, by task
+        (or by occurrence and step for a gang).
+    :ivar attempts: numbers of runs, by the same keys, that were stored before
+        their start and whose outcome is not known.
     """
 
     done: dict[str, list[int]] = {}
     failures: dict[str, list[int]] = {}
     checkpoints: dict[str, str] = {}
+    crashes: dict[str, list[int]] = {}
+    attempts: dict[str, list[int]] = {}
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True):
@@ -110,11 +116,13 @@
 
     :ivar state: completed, failed or cancelled.
     :ivar ended_at: seconds of the store's clock.
+    :ivar code: number of the result, see :mod:`agaterudder.codes`.
     """
 
     state: str
     ended_at: float
     reason: str = ""
+    code: int = 0
 
 
 class Holder(msgspec.Struct, frozen=True, array_like=True):
--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -12,6 +12,7 @@
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 from agaterudder.jobs import runstarts
+from agaterudder.jobs import workerends
 from agaterudder.jobs import workerregistry
 
 LOG = logging.getLogger(__name__)
@@ -142,9 +143,7 @@
             case ports.Rejected(reason=ports.REJECTED_FENCED):
                 self._context.step_down("a worker has seen a higher epoch")
             case ports.Rejected(reason=ports.REJECTED_OTHER_INCARNATION):
-                self._context.state.remove_run(
-                    run, clock.now(), "stop reached another incarnation"
-                )
+                workerends.superseded(self._context.state, run, clock.now())
             case other:
                 LOG.info(
                     "stop of run not confirmed",
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -2,9 +2,11 @@
 
 import typing as t
 
+from agaterudder.jobs import crashes
 from agaterudder.jobs import fleet
 from agaterudder.jobs import freecapacity
 from agaterudder.jobs import groupchoice
+from agaterudder.jobs import isolation
 from agaterudder.jobs import orders
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import preemption
@@ -12,6 +14,7 @@
 from agaterudder.jobs import runstarts
 from agaterudder.jobs import steporder
 from agaterudder.jobs import stops
+from agaterudder.jobs import suspects
 from agaterudder.jobs import throttling
 from agaterudder.jobs import workerchoice
 
@@ -35,6 +38,8 @@
         "_now",
         "_orders",
         "_starts",
+        "_recovering",
+        "_isolation",
         "_usable",
         "_free",
         "_choice",
@@ -46,11 +51,16 @@
         self._now = now
         self._orders: list[orders.Order] = []
         self._starts = 0
-        self._usable = [
+        self._recovering = state.recovery.pending(now)
+        accepting = [
             worker
             for worker in state.workers.values()
             if self._accepts_tasks(worker)
         ]
+        self._isolation = isolation.Isolation(
+            state, accepting, self._recovering, now
+        )
+        self._usable = self._isolation.others
         self._free = freecapacity.FreeCapacity(self._usable)
         self._choice = workerchoice.WorkerChoice(
             state, self._usable, self._free, now
@@ -64,11 +74,10 @@
         stops.restart_stragglers(state, self._usable)
         self._orders.extend(stops.due_stops(state, self._now))
         self._orders.extend(throttling.due_orders(state, self._now))
-        recovering = state.recovery.pending(self._now)
         for step in steporder.sorted_steps(state, self._usable, self._now):
             if self._starts >= MAX_STARTS_PER_ROUND:
                 break
-            if recovering and step.job.recovered:
+            if self._recovering and step.job.recovered:
                 continue
             self._place_step(step)
         state.placements.write()
@@ -82,9 +91,15 @@
 
     def _place_step(self, step: runs.StepRun) -> None:
         tasks = step.waiting_tasks(self._now)
+        if self._state.suspects:
+            suspected = [
+                task for task in tasks if task in self._state.suspects
+            ]
+            tasks = [task for task in tasks if task not in suspected]
+            self._place_apart(step, suspected)
         if not tasks:
             return
-        candidates = self._candidates(step)
+        candidates = self._candidates(step, self._usable)
         if candidates is None:
             return
         if step.step.gang or step.step.rack_local:
@@ -108,8 +123,43 @@
                 return
             self._start(task, worker, self._state.next_run())
 
+    def _place_apart(
+        self, step: runs.StepRun, suspected: list[runs.Task]
+    ) -> None:
+        """Place suspects, each on the workers that are kept for it."""
+        units = {task.unit_name: task.unit for task in suspected}
+        for unit in units.values():
+            workers = self._isolation.workers_for(unit[0])
+            if not workers:
+                continue
+            found = suspects.evidence(unit[0])
+            if found.exhausted:
+                crashes.give_up(self._state, unit[0], found)
+                return
+            candidates = self._candidates(step, workers)
+            if candidates is None:
+                return
+            chosen = groupchoice.choose(
+                self._state,
+                step,
+                unit,
+                candidates,
+                freecapacity.FreeCapacity(candidates),
+                self._now,
+            )
+            if chosen is None or not self._grant_covers(step, unit, unit):
+                continue
+            if unit[0].prepared is None:
+                crashes.prepare(self._state, unit[0])
+            number = crashes.take_stored(self._state, unit[0])
+            if number is None:
+                continue
+            for task, worker in zip(unit, chosen):
+                run = self._start(task, worker, number)
+                run.attempt = run.apart = True
+
     def _candidates(
-        self, step: runs.StepRun
+        self, step: runs.StepRun, workers: t.Sequence[fleet.WorkerState]
     ) -> list[fleet.WorkerState] | None:
         """Return the workers for a step, None without valid tickets.
 
@@ -120,7 +170,7 @@
         label = step.step.required_label
         found = [
             worker
-            for worker in self._usable
+            for worker in workers
             if not label or label in worker.registration.labels
         ]
         if self._state.queue_of(step).policy is None:
@@ -183,7 +233,7 @@
 
     def _start(
         self, task: runs.Task, worker: fleet.WorkerState, number: int
-    ) -> None:
+    ) -> runs.Run:
         state = self._state
         step = task.step
         kind = task.start_kind
@@ -201,6 +251,7 @@
         self._orders.append(orders.Start(run, task.checkpoint, ticket))
         self._starts += 1
         state.placements.add(run, kind, before, self._now)
+        return run
 
     def _make_room(
         self,
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -6,6 +6,7 @@
 
 import logging
 
+from agaterudder import codes
 from agaterudder.jobs import acknowledgements
 from agaterudder.jobs import demand
 from agaterudder.jobs import deployment
@@ -20,6 +21,7 @@
 from agaterudder.jobs import poolrecovery
 from agaterudder.jobs import ratelimit
 from agaterudder.jobs import runs
+from agaterudder.jobs import suspects
 from agaterudder.jobs import teamlimits
 from agaterudder import metrics
 from agaterudder import resources
@@ -51,6 +53,8 @@
     :ivar acknowledged: stored ends that are not logged yet.
     :ivar recovery: recovery after the take-over by this holder.
     :ivar late_starts: unanswered starts of workers that have ended.
+    :ivar suspects: tasks that are suspected of crashing their workers.
+    :ivar kept_workers: workers that were kept for them in the last round.
     :ivar orphaned_runs: runs whose job has ended or is unknown; they are
         stopped, and reserve capacity until they have ended.
     :ivar ended_jobs: jobs whose end was stored lately.
@@ -78,6 +82,8 @@
         "demand",
         "ended_jobs",
         "late_starts",
+        "suspects",
+        "kept_workers",
         "_submission_buckets",
     )
 
@@ -115,6 +121,8 @@
         self.demand = demand.Demand()
         self.ended_jobs = endedjobs.EndedJobs()
         self.late_starts = latestarts.LateStarts()
+        self.suspects = suspects.Suspects()
+        self.kept_workers: frozenset[str] = frozenset()
         self._submission_buckets: dict[str, ratelimit.TokenBucket] = {}
 
     # Jobs
@@ -177,8 +185,7 @@
             job = self.awaiting_occurrences[name]
             created = job.create_due(wall, now)
             for step in created:
-                if not step.finished:
-                    self.ready[step.name] = step
+                self.add_step(step)
             if created and not job.over_submission_rate and not job.recovered:
                 arrived_at = now if job.job.request.times else job.accepted_at
                 self.demand.add(self._arrival(created, arrived_at))
@@ -186,17 +193,29 @@
                 del self.awaiting_occurrences[name]
             self.check_finished(job)
 
+    def add_step(self, step: runs.StepRun) -> None:
+        """Add a step that was created, unless all of its tasks are done."""
+        if not step.finished:
+            self.ready[step.name] = step
+            self.suspects.restore(step)
+
     def finish_job(
-        self, job: runs.JobRun, state: str, reason: str, clock: float
+        self,
+        job: runs.JobRun,
+        state: str,
+        reason: str,
+        clock: float,
+        code: codes.Result = codes.Result.OK,
     ) -> None:
         """End a job; the journal stores the end.
 
         :param clock: time by the store's clock, 0 if not known; the journal
             replaces it by the time of the write.
+        :param code: number of the result, for the team.
         """
         if job.ending is not None:
             return
-        job.ending = model.Ended(state, clock, reason)
+        job.ending = model.Ended(state, clock, reason, code.value)
         self.awaiting_occurrences.pop(job.job.job, None)
         for step in job.steps.values():
             self.ready.pop(step.name, None)
@@ -211,6 +230,7 @@
                 "team": job.job.team,
                 "state": state,
                 "why": reason,
+                "code": code.value,
             },
         )
 
--- a/src/agaterudder/jobs/runends.py
+++ b/src/agaterudder/jobs/runends.py
@@ -2,6 +2,8 @@
 
 import logging
 
+from agaterudder import codes
+from agaterudder.jobs import crashes
 from agaterudder.jobs import fleet
 from agaterudder.jobs import listedtasks
 from agaterudder.jobs import model
@@ -50,6 +52,7 @@
             state, task, worker, ended.run, ended.outcome
         )
     task.last_run = max(task.last_run, ended.run)
+    crashes.run_ended(state, task, ended.run)
     job = task.step.job
     match ended.outcome:
         case ports.END_DONE:
@@ -87,6 +90,8 @@
             step.done += 1
             job.progress.done.setdefault(step.key, []).append(member.index)
             job.progress.checkpoints.pop(f"{step.key}.{member.index}", None)
+            job.progress.crashes.pop(member.progress_key, None)
+            job.progress.attempts.pop(member.progress_key, None)
         for other in member.runs:
             other.stop_reason = other.stop_reason or "the task is done"
     state.journal.mark(job)
@@ -121,8 +126,7 @@
         return
     if step.step.long_running:
         return
-    key = step.key if step.step.gang else f"{step.key}.{task.index}"
-    failed = job.progress.failures.setdefault(key, [])
+    failed = job.progress.failures.setdefault(task.progress_key, [])
     if run_number in failed:
         return
     failed.append(run_number)
@@ -134,4 +138,5 @@
             model.STATE_FAILED,
             f"task {task.name} failed {count} times",
             0.0,
+            codes.Result.ATTEMPTS_EXHAUSTED,
         )
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -1,5 +1,6 @@
 """Jobs, steps, tasks and runs, as known to the holder of a pool."""
 
+import dataclasses
 import enum
 import typing as t
 
@@ -16,6 +17,17 @@
 START_UNANSWERED = "start unanswered"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prepared:
+    """A run that starts once its attempt is stored.
+
+    :ivar mark: the journal mark up to which it is stored.
+    """
+
+    number: int
+    mark: int
+
+
 class RunState(enum.Enum):
     """What the holder knows about a run.
 
@@ -43,6 +55,10 @@
     full_until: float
     quarantined_until: float
 
+    @property
+    def end_expected(self) -> bool:
+        """Whether it ends by an order, or as it shuts down."""
+
     @property
     def free(self) -> resources.Vector:
         """Capacity that no run reserves."""
@@ -76,6 +92,10 @@
     :ivar stop_sent_at: when a stop was last sent, 0 before.
     :ivar stop_answered_at: when the worker answered a stop, 0 before.
     :ivar loss_reported: whether it was reported as lost with its worker.
+    :ivar attempt: whether it was stored before its start and its outcome is
+        not known yet.
+    :ivar apart: whether it is the run of a suspect, beside which nothing else
+        starts.
     :ivar progress: per cent of its work that is done; 100 for a
         long-running task that is available.
     :ivar listed_at: when its progress was last listed.
@@ -104,6 +124,8 @@
         "stop_sent_at",
         "stop_answered_at",
         "loss_reported",
+        "attempt",
+        "apart",
         "size",
         "size_known",
         "task_name",
@@ -137,6 +159,8 @@
         self.stop_sent_at = 0.0
         self.stop_answered_at = 0.0
         self.loss_reported = False
+        self.attempt = False
+        self.apart = False
         self.size = size
         self.size_known = True
 
@@ -184,6 +208,7 @@
     :ivar last_run: highest run number known of it, 0 without one.
     :ivar done_run: number of the run whose end made it done, 0 if unknown.
     :ivar stopped_at: when a run of it last ended, 0 before.
+    :ivar prepared: its next run, whose attempt is being stored; None without.
     """
 
     __slots__ = (
@@ -200,6 +225,7 @@
         "last_run",
         "done_run",
         "stopped_at",
+        "prepared",
     )
 
     def __init__(self, name: str, step: "StepRun", index: int) -> None:
@@ -216,6 +242,23 @@
         self.last_run = 0
         self.done_run = 0
         self.stopped_at = 0.0
+        self.prepared: Prepared | None = None
+
+    @property
+    def unit(self) -> "list[Task]":
+        """Tasks whose failures and crashes count together: it or its gang."""
+        return self.step.tasks if self.step.step.gang else [self]
+
+    @property
+    def progress_key(self) -> str:
+        """Key of its failures and crashes in the stored progress."""
+        step = self.step
+        return step.key if step.step.gang else f"{step.key}.{self.index}"
+
+    @property
+    def unit_name(self) -> str:
+        """Name of the task or of its gang."""
+        return self.step.name if self.step.step.gang else self.name
 
     def record_end(self, run: Run, now: float) -> None:
         """Record the end of a run, unless it never ran."""
@@ -478,10 +521,12 @@
         for task in step.tasks:
             key = f"{step.key}.{task.index}"
             task.checkpoint = self.progress.checkpoints.get(key, "")
-            failed = self.progress.failures.get(
-                step.key if step.step.gang else key, ()
+            numbers = (
+                *self.progress.failures.get(task.progress_key, ()),
+                *self.progress.crashes.get(task.progress_key, ()),
+                *self.progress.attempts.get(task.progress_key, ()),
             )
-            task.last_run = max(failed, default=0)
+            task.last_run = max(numbers, default=0)
 
     def check_ready(self, step: StepRun, now: float) -> bool:
         """Mark a step ready when the steps that it depends on are done.
--- a/src/agaterudder/jobs/runstarts.py
+++ b/src/agaterudder/jobs/runstarts.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from agaterudder.jobs import crashes
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
@@ -81,6 +82,7 @@
         run.task.step.tickets = None
     if reason == ports.REJECTED_INVALID and run.task is not None:
         run.task.not_before = now + INVALID_TASK_PAUSE_SECONDS
+    crashes.withdraw(state, run)
     state.remove_run(run, now)
 
 
--- /dev/null
+++ b/src/agaterudder/jobs/suspects.py
@@ -0,0 +1,119 @@
+"""Tasks that are suspected of crashing their workers.
+
+The stored progress of a job has, for each task (or for each gang as a whole),
+the runs under which a worker crashed, and the attempts: runs that were stored
+before their start and whose outcome is not known yet. An attempt that has no
+run any more had an outcome that no holder learnt; it may have been a crash.
+"""
+
+import dataclasses
+import typing as t
+
+if t.TYPE_CHECKING:
+    from agaterudder.jobs import runs
+
+# Crashes and attempts without an outcome from which on a task is suspected,
+# whatever its age was when its worker crashed.
+SUSPECT_CRASHES = 2
+# A suspect that runs for this long is not suspected any more.
+ALONE_SECONDS = 1.0
+# The same for one with so many crashes that its start may not be the cause.
+REPEATED_CRASHES = 3
+REPEATED_ALONE_SECONDS = 10.0
+# A task is given up at this many crashes and attempts without an outcome, if
+# so many of them are such attempts.
+MAX_EVIDENCE = 4
+MAX_UNRESOLVED = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What is known against a task.
+
+    :ivar crashes: number of the runs under which a worker crashed.
+    :ivar unresolved: number of the attempts without a run or an outcome.
+    """
+
+    crashes: int
+    unresolved: int
+
+    @property
+    def total(self) -> int:
+        """Number of the starts that may have crashed a worker."""
+        return self.crashes + self.unresolved
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether no further start is allowed."""
+        return self.total >= MAX_EVIDENCE and self.unresolved >= MAX_UNRESOLVED
+
+    @property
+    def alone_seconds(self) -> float:
+        """How long a run has to last to end the suspicion."""
+        repeated = self.total >= REPEATED_CRASHES
+        return REPEATED_ALONE_SECONDS if repeated else ALONE_SECONDS
+
+
+def evidence(task: "runs.Task") -> Evidence:
+    """Return what is known against a task."""
+    progress = task.step.job.progress
+    key = task.progress_key
+    open_numbers = {run.number for member in task.unit for run in member.runs}
+    prepared = task.unit[0].prepared
+    if prepared is not None:
+        open_numbers.add(prepared.number)
+    attempts = progress.attempts.get(key, ())
+    return Evidence(
+        len(progress.crashes.get(key, ())),
+        sum(1 for number in attempts if number not in open_numbers),
+    )
+
+
+class Suspects:
+    """Tasks of a pool that start apart from all others.
+
+    A gang is suspected as a whole, under its first task.
+    """
+
+    __slots__ = ("_tasks",)
+
+    def __init__(self) -> None:
+        self._tasks: dict[str, runs.Task] = {}
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def __contains__(self, task: "runs.Task") -> bool:
+        return task.unit_name in self._tasks
+
+    def add(self, task: "runs.Task") -> None:
+        """Suspect a task."""
+        self._tasks.setdefault(task.unit_name, task.unit[0])
+
+    def discard(self, task: "runs.Task") -> None:
+        """End the suspicion of a task."""
+        self._tasks.pop(task.unit_name, None)
+
+    def restore(self, step: "runs.StepRun") -> None:
+        """Suspect the tasks against which enough is stored."""
+        progress = step.job.progress
+        if not progress.crashes and not progress.attempts:
+            return
+        for task in step.tasks:
+            if not task.done and evidence(task).total >= SUSPECT_CRASHES:
+                self.add(task)
+
+    def waiting(self, now: float) -> "list[runs.Task]":
+        """Return those that may start now; forget those that have ended."""
+        for name, task in list(self._tasks.items()):
+            if task.done or task.step.job.ending is not None:
+                del self._tasks[name]
+        return [
+            task
+            for task in self._tasks.values()
+            if task.step.ready_at
+            and all(
+                member.waiting and member.not_before <= now
+                for member in task.unit
+            )
+        ]
--- a/src/agaterudder/jobs/workerends.py
+++ b/src/agaterudder/jobs/workerends.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from agaterudder.jobs import crashes
 from agaterudder.jobs import fleet
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import poolreports
@@ -45,6 +46,8 @@
             "heard": worker.heard(now),
         },
     )
+    if not worker.end_expected:
+        crashes.worker_crashed(state, worker, now)
     worker.reset_incarnation(incarnation, now)
     stop_late_starts(state, worker, now)
     for run in list(worker.runs.values()):
@@ -63,6 +66,7 @@
     now: float,
     learnt: str = "",
     ended: bool = False,
+    crashed: bool = False,
 ) -> None:
     """Handle the loss of a worker, which ended its runs.
 
@@ -71,6 +75,7 @@
 
     :param learnt: what the reason rests on.
     :param ended: whether the worker is known to have ended.
+    :param crashed: whether it ended by itself.
     """
     poolreports.runs_lost(
         state.metrics,
@@ -91,7 +96,11 @@
             "heard": worker.heard(now),
         },
     )
+    if crashed:
+        crashes.worker_crashed(state, worker, now)
     for run in list(worker.runs.values()):
+        if ended and not crashed:
+            crashes.withdraw(state, run)
         running = run.state is runs.RunState.RUNNING
         may_arrive = now - run.sent_at < fleet.MAX_ORDER_DELAY_SECONDS
         if not running and may_arrive and not ended:
@@ -101,6 +110,13 @@
         state.remove_run(run, now, reason)
 
 
+def superseded(state: pools.Pool, run: runs.Run, now: float) -> None:
+    """Remove a run whose stop reached a later incarnation of its worker."""
+    if not run.worker.end_expected:
+        crashes.run_crashed(state, run, now)
+    state.remove_run(run, now, "stop reached another incarnation")
+
+
 def stop_late_starts(
     state: pools.Pool, worker: fleet.WorkerState, now: float
 ) -> None:
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -11,6 +11,7 @@
 from agaterudder.jobs import greenlets
 from agaterudder.jobs import leases
 from agaterudder.jobs import listings
+from agaterudder.jobs import machines
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import poolreports
 from agaterudder.jobs import ports
@@ -164,6 +165,7 @@
             and run.state is not runs.RunState.SENT
             or run.stop_reason
             or run.starting_up
+            or run.attempt
             for run in worker.runs.values()
         ):
             return UNSETTLED_WAIT_SECONDS
@@ -312,6 +314,7 @@
             now,
             "its answer, just now",
             ended=True,
+            crashed=not worker.end_expected,
         )
         self._holder.state.recovery.discard_worker(
             worker.name, reason, "its answer, just now", now
@@ -342,6 +345,7 @@
         )
         evidence = f"{worker.unanswered_polls} polls without an answer"
         ended = bool(reason)
+        crashed = reason == machines.NO_MACHINE and not worker.end_expected
         if not ended and worker.fenced and worker.lease_expired(now):
             reason = "its lease has lapsed"
             worker.fenced = False
@@ -350,7 +354,9 @@
             evidence = self._holder.machine_evidence(clock.now())
             state.recovery.discard_worker(worker.name, reason, evidence, now)
         if reason and worker.runs:
-            workerends.lost(state, worker, reason, now, evidence, ended)
+            workerends.lost(
+                state, worker, reason, now, evidence, ended, crashed
+            )
         expired = [
             run
             for run in worker.runs.values()
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -6,6 +6,7 @@
 from agaterudder.jobs import fleet
 from agaterudder.jobs import journalwriter
 from agaterudder.jobs import listings
+from agaterudder.jobs import machines
 from agaterudder.jobs import model
 from agaterudder.jobs import orders
 from agaterudder.jobs import planning
@@ -20,7 +21,6 @@
 TICK_SECONDS = 0.05
 RETURN_SECONDS = 3.0
 LEASE_SECONDS = 6.0
-NO_MACHINE = "no machine runs it"
 
 
 @dataclasses.dataclass(slots=True)
@@ -209,7 +209,7 @@
 
     def _poll_dead(self, worker: fleet.WorkerState) -> None:
         holder = pool_fakes.FakeHolder(self.state)
-        holder.reason = NO_MACHINE
+        holder.reason = machines.NO_MACHINE
         loop = workerloop.WorkerLoop(
             worker, t.cast(t.Any, holder), LEASE_SECONDS
         )
--- a/tests/features/recovery.feature
+++ b/tests/features/recovery.feature
@@ -97,6 +97,9 @@
     And the workers accept all starts
     And the worker answers a stop and lists nothing since its restart
     And the pool is planned
+    Then 1 starts are ordered
+    When the attempt of its next start is stored
+    And the pool is planned
     Then 2 starts are ordered
 
   # Guards against two runs of a task at once.
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -282,6 +282,14 @@
     context.state.recovery.worker_fenced(worker, context.now)
 
 
+@behave.when("the attempt of its next start is stored")
+def step_attempt_stored(context: Context) -> None:
+    (job,) = context.state.jobs.values()
+    (numbers,) = job.progress.attempts.values()
+    assert len(numbers) == 1, numbers
+    context.state.journal.stored = context.state.journal.marked
+
+
 @behave.when("the worker restarts and lists the run")
 def step_restart_lists(context: Context) -> None:
     (worker,) = context.state.workers.values()
