--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -13,6 +13,7 @@
 from agaterudder.jobs import linelimit
 from agaterudder.jobs import model
 from agaterudder.jobs import pool as pools
+from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 from agaterudder.jobs import suspects
 
@@ -33,26 +34,51 @@
 def worker_crashed(
     state: pools.Pool, worker: fleet.WorkerState, now: float
 ) -> None:
-    """Record that a worker crashed under its runs."""
-    for run in list(worker.runs.values()):
-        run_crashed(state, run, now)
+    """Record that a worker crashed under its runs, and judge them."""
+    _runs_crashed(state, list(worker.runs.values()), now)
 
 
 def run_crashed(state: pools.Pool, run: runs.Run, now: float) -> None:
-    """Record that the worker of a run crashed, once for each run number."""
+    """Record that the worker of a run crashed, and judge it."""
+    _runs_crashed(state, [run], now)
+
+
+def _runs_crashed(
+    state: pools.Pool, found: t.Iterable[runs.Run], now: float
+) -> None:
+    recorded = [run for run in found if _record(state, run)]
+    for run in recorded:
+        _judge(state, run, now)
+
+
+def _record(state: pools.Pool, run: runs.Run) -> bool:
+    """Record a crash under a run; return whether it is a new one."""
     task = run.task
     if task is None or task.done or task.step.job.ending is not None:
-        return
+        return False
     progress = task.step.job.progress
-    recorded = progress.crashes.setdefault(task.progress_key, [])
-    if run.number in recorded:
-        return
-    recorded.append(run.number)
+    numbers = progress.crashes.setdefault(task.progress_key, [])
+    if run.number in numbers:
+        return False
+    numbers.append(run.number)
     _remove(progress.attempts, task.progress_key, run.number)
+    life = (run.worker.name, run.worker.incarnation)
+    state.suspects.add_crash(life, task, run.number)
     state.journal.mark(task.step.job)
+    return True
+
+
+def _judge(state: pools.Pool, run: runs.Run, now: float) -> None:
+    """Suspect the task of a run that crashed, or give it up."""
+    task = run.task
+    if task is None or task.step.job.ending is not None:
+        return
     first_sign = run.worker.unanswered_since or now
     just_started = run.sent_at > first_sign - SUSPECT_AGE_SECONDS
     found = suspects.evidence(task)
+    if not found.crashes:
+        # The cause of the crash is found.
+        return
     if run.apart and _proven(run, just_started, found):
         give_up(state, task, found, run)
     elif just_started or found.total >= suspects.SUSPECT_CRASHES:
@@ -74,8 +100,8 @@
         or other.task.unit_name != run.task.unit_name
     ]
     if not company:
-        return found.total >= MAX_CRASHES_ALONE
-    return just_started and found.total >= MAX_CRASHES_APART
+        return found.crashes >= MAX_CRASHES_ALONE
+    return just_started and found.crashes >= MAX_CRASHES_APART
 
 
 def _suspect(
@@ -136,6 +162,8 @@
     )
     state.metrics.count("jobs_given_up", pool=state.name, code=str(code.value))
     state.suspects.discard(task)
+    for other, number in state.suspects.explained_by(task):
+        _clear(state, other, number)
     state.finish_job(
         job,
         model.STATE_FAILED,
@@ -145,6 +173,23 @@
     )
 
 
+def _clear(state: pools.Pool, task: runs.Task, number: int) -> None:
+    """Remove a crash from a task, as another one caused it."""
+    job = task.step.job
+    if _remove(job.progress.crashes, task.progress_key, number):
+        state.journal.mark(job)
+    if not suspects.evidence(task).total:
+        _end_suspicion(state, task)
+
+
+def _end_suspicion(state: pools.Pool, task: runs.Task) -> None:
+    state.suspects.discard(task)
+    first = task.unit[0]
+    if first.prepared is not None:
+        _settle(state, first, first.prepared.number)
+        first.prepared = None
+
+
 def prepare(state: pools.Pool, task: runs.Task) -> None:
     """Record an attempt that is to be stored before its start."""
     job = task.step.job
@@ -152,15 +197,48 @@
     job.progress.attempts.setdefault(task.progress_key, []).append(number)
     state.journal.mark(job)
     task.prepared = runs.Prepared(number, state.journal.marked)
+    state.suspects.prepared_mark = state.journal.marked
+
 
+def stored_numbers(
+    state: pools.Pool, tasks: t.Sequence[runs.Task]
+) -> list[int] | None:
+    """Return the run numbers of tasks that start together.
 
-def take_stored(state: pools.Pool, task: runs.Task) -> int | None:
-    """Return the number of a prepared attempt once it is stored."""
-    prepared = task.prepared
-    if prepared is None or state.journal.stored < prepared.mark:
+    Some tasks start only once the attempt is stored.
+
+    :returns: None while an attempt is being stored.
+    """
+    firsts = {task.unit_name: task.unit[0] for task in tasks}
+    numbers: dict[str, int] = {}
+    for name, first in firsts.items():
+        if not _stored_before_start(state, first):
+            numbers[name] = state.next_run()
+            continue
+        if first.prepared is None:
+            prepare(state, first)
+        if (
+            first.prepared is not None
+            and first.prepared.mark <= state.journal.stored
+        ):
+            numbers[name] = first.prepared.number
+    if len(numbers) < len(firsts):
         return None
-    task.prepared = None
-    return prepared.number
+    for first in firsts.values():
+        first.prepared = None
+    return [numbers[task.unit_name] for task in tasks]
+
+
+def _stored_before_start(state: pools.Pool, task: runs.Task) -> bool:
+    """Return whether the next start of a task is stored before.
+
+    That is the case for suspects, and for the first start by this holder of a
+    task that an earlier one may have started without a trace.
+    """
+    job = task.step.job
+    if task in state.suspects:
+        return True
+    return job.recovered and job.started and task.last_run < state.first_run
 
 
 def withdraw(state: pools.Pool, run: runs.Run) -> None:
@@ -177,32 +255,52 @@
     found = suspects.evidence(task)
     if now - run.running_since < found.alone_seconds:
         return
+    if not all(member.runs for member in task.unit):
+        return
     run.attempt = False
     _settle(state, task, run.number)
     if run.apart:
         run.apart = False
-        state.suspects.discard(task)
+        _end_suspicion(state, task)
+
 
+def run_ended(
+    state: pools.Pool, task: runs.Task, number: int, outcome: str
+) -> None:
+    """Apply that a worker lists the end of a run: it did not crash.
 
-def run_ended(state: pools.Pool, task: runs.Task, number: int) -> None:
-    """Apply that a worker lists the end of a run: it did not crash."""
+    :param outcome: an ``END_`` constant. The members of a gang end as broken
+        when the worker of one of them crashes.
+    """
+    if outcome in (ports.END_BROKEN, ports.END_ALONE):
+        return
     progress = task.step.job.progress
     if _remove(progress.crashes, task.progress_key, number):
         state.journal.mark(task.step.job)
     _settle(state, task, number)
     found = suspects.evidence(task)
-    if found.total < suspects.REPEATED_CRASHES:
-        state.suspects.discard(task)
+    if task in state.suspects and found.total < suspects.REPEATED_CRASHES:
+        _end_suspicion(state, task)
+
+
+def watch(run: runs.Run) -> None:
+    """Watch a run if it was stored before its start."""
+    if run.task is not None:
+        attempts = run.task.step.job.progress.attempts
+        run.attempt = run.number in attempts.get(run.task.progress_key, ())
 
 
 def adopt(state: pools.Pool, run: runs.Run) -> None:
     """Watch a run of an earlier holder that was stored before its start."""
+    watch(run)
     task = run.task
-    if task is None:
+    if not run.attempt or task is None or task not in state.suspects:
+        return
+    if suspects.evidence(task).total < suspects.SUSPECT_CRASHES:
+        # It was suspected before this run was known.
+        _end_suspicion(state, task)
         return
-    attempts = task.step.job.progress.attempts.get(task.progress_key, ())
-    run.attempt = run.number in attempts
-    run.apart = run.attempt and task in state.suspects
+    run.apart = True
 
 
 def _settle(state: pools.Pool, task: runs.Task, number: int) -> None:
--- a/src/agaterudder/jobs/isolation.py
+++ b/src/agaterudder/jobs/isolation.py
@@ -5,6 +5,7 @@
 from agaterudder.jobs import fleet
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import runs
+from agaterudder.jobs import suspects
 
 # One in this many workers may be kept for suspects, and one in any case.
 WORKERS_PER_KEPT = 3
@@ -46,7 +47,12 @@
                 for task in state.suspects.waiting(now)
                 if not (recovering and task.step.job.recovered)
             ]
-            waiting.sort(key=lambda task: state.queue_of(task.step).priority)
+            waiting.sort(
+                key=lambda task: (
+                    state.queue_of(task.step).priority,
+                    -suspects.evidence(task).total,
+                )
+            )
             self._keep_for(waiting, accepting)
         self.others = [
             worker for worker in accepting if worker.name not in self._names
@@ -72,6 +78,8 @@
         for task in waiting:
             if len(self._names) >= limit:
                 break
+            if not self._grant_covers(task):
+                continue
             chosen = self._choose(task, accepting, kept_before)
             if chosen:
                 self._kept[task.unit_name] = chosen
@@ -80,6 +88,16 @@
             worker.name for kept in self._kept.values() for worker in kept
         )
 
+    def _grant_covers(self, task: runs.Task) -> bool:
+        """Return whether the team's grant covers a suspect, or ask for it."""
+        team = task.step.job.job.team
+        limits = self._state.limits
+        size = task.step.step.size.scaled(len(task.unit))
+        if not limits.limited(team) or limits.fits(team, size):
+            return True
+        limits.request_grant(team, size, size, self._now)
+        return False
+
     def _choose(
         self,
         task: runs.Task,
@@ -115,15 +133,17 @@
             if missing <= 0:
                 break
             room = worker.free_without_short_tasks
+            present = step.count_on_worker(worker.name)
             count = 0
             while (
                 count < missing
-                and (not limit or count < limit)
+                and (not limit or present + count < limit)
                 and need.scaled(count + 1).fits_in(room)
             ):
                 count += 1
             missing -= count
-            chosen.append(worker)
+            if count:
+                chosen.append(worker)
         return chosen if missing <= 0 else []
 
     def _seconds_until_empty(self, worker: fleet.WorkerState) -> float:
--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -70,6 +70,7 @@
         )
         match outcome:
             case ports.Committed(version=version):
+                stored_before = journal.stored
                 ended = journal.committed(batch, version)
                 for job in ended:
                     self._context.state.remove_ended_job(job, clock.now())
@@ -83,8 +84,7 @@
                         },
                     )
                 self._stored.set()
-                if self._context.state.suspects:
-                    # Suspects start once their attempts are stored.
+                if stored_before < self._context.state.suspects.prepared_mark:
                     self._context.plan_needed.set()
                 return True
             case ports.Conflicted(rows=rows):
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -121,7 +121,11 @@
                 return
             if not self._grant_covers(step, [task], tasks):
                 return
-            self._start(task, worker, self._state.next_run())
+            numbers = crashes.stored_numbers(self._state, [task])
+            if numbers is None:
+                self._free.hold(worker, self._state.reserved_size(step))
+                continue
+            self._start(task, worker, numbers[0])
 
     def _place_apart(
         self, step: runs.StepRun, suspected: list[runs.Task]
@@ -149,14 +153,9 @@
             )
             if chosen is None or not self._grant_covers(step, unit, unit):
                 continue
-            if unit[0].prepared is None:
-                crashes.prepare(self._state, unit[0])
-            number = crashes.take_stored(self._state, unit[0])
-            if number is None:
-                continue
-            for task, worker in zip(unit, chosen):
-                run = self._start(task, worker, number)
-                run.attempt = run.apart = True
+            numbers = crashes.stored_numbers(self._state, unit)
+            for task, worker, number in zip(unit, chosen, numbers or ()):
+                self._start(task, worker, number).apart = True
 
     def _candidates(
         self, step: runs.StepRun, workers: t.Sequence[fleet.WorkerState]
@@ -226,10 +225,9 @@
             return
         if not self._grant_covers(step, tasks, tasks):
             return
-        number = self._state.next_run()
-        for task, worker in zip(tasks, chosen):
-            run_number = number if gang else self._state.next_run()
-            self._start(task, worker, run_number)
+        numbers = crashes.stored_numbers(self._state, tasks)
+        for task, worker, number in zip(tasks, chosen, numbers or ()):
+            self._start(task, worker, number)
 
     def _start(
         self, task: runs.Task, worker: fleet.WorkerState, number: int
@@ -240,6 +238,7 @@
         before = task.last_run
         runstarts.record_placement(state, task, kind, self._now)
         run = state.add_run(task, worker, number, self._now)
+        crashes.watch(run)
         self._free.reread(worker)
         state.limits.charge(step.job.job.team, run.limit_key, step.step.size)
         run.deadline = worker.lease_deadline(
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -275,10 +275,15 @@
 
     # Runs
 
+    @property
+    def first_run(self) -> int:
+        """Number below which all runs of earlier holders are."""
+        return self.epoch * RUNS_PER_EPOCH
+
     def next_run(self) -> int:
         """Return a run number above all earlier ones of this pool."""
         self._run_count += 1
-        return self.epoch * RUNS_PER_EPOCH + self._run_count
+        return self.first_run + self._run_count
 
     def add_run(
         self,
--- a/src/agaterudder/jobs/runends.py
+++ b/src/agaterudder/jobs/runends.py
@@ -52,7 +52,7 @@
             state, task, worker, ended.run, ended.outcome
         )
     task.last_run = max(task.last_run, ended.run)
-    crashes.run_ended(state, task, ended.run)
+    crashes.run_ended(state, task, ended.run, ended.outcome)
     job = task.step.job
     match ended.outcome:
         case ports.END_DONE:
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -47,6 +47,7 @@
     """
 
     name: str
+    incarnation: int
     registration: ports.WorkerRegistration
     link: ports.Worker
     runs: "dict[tuple[str, int], Run]"
--- a/src/agaterudder/jobs/suspects.py
+++ b/src/agaterudder/jobs/suspects.py
@@ -16,14 +16,19 @@
 # whatever its age was when its worker crashed.
 SUSPECT_CRASHES = 2
 # A suspect that runs for this long is not suspected any more.
-ALONE_SECONDS = 1.0
+ALONE_SECONDS = 0.5
 # The same for one with so many crashes that its start may not be the cause.
 REPEATED_CRASHES = 3
 REPEATED_ALONE_SECONDS = 10.0
-# A task is given up at this many crashes and attempts without an outcome, if
-# so many of them are such attempts.
+# Crashes and attempts without an outcome at which a task is given up, if so
+# many of them are such attempts: each of them may have been a crash.
 MAX_EVIDENCE = 4
 MAX_UNRESOLVED = 2
+# Crashes of workers that are remembered until their cause is found.
+MAX_CRASHES_KEPT = 100
+
+# Name and incarnation of the worker that crashed.
+Life = tuple[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,12 +78,16 @@
     """Tasks of a pool that start apart from all others.
 
     A gang is suspected as a whole, under its first task.
+
+    :ivar prepared_mark: the journal mark of the last prepared attempt.
     """
 
-    __slots__ = ("_tasks",)
+    __slots__ = ("prepared_mark", "_tasks", "_crashes")
 
     def __init__(self) -> None:
+        self.prepared_mark = 0
         self._tasks: dict[str, runs.Task] = {}
+        self._crashes: dict[Life, dict[str, tuple[runs.Task, int]]] = {}
 
     def __len__(self) -> int:
         return len(self._tasks)
@@ -94,6 +103,30 @@
         """End the suspicion of a task."""
         self._tasks.pop(task.unit_name, None)
 
+    def add_crash(self, life: Life, task: "runs.Task", number: int) -> None:
+        """Note that a worker crashed under a run of a task."""
+        found = self._crashes.setdefault(life, {})
+        found[task.unit_name] = (task, number)
+        if len(self._crashes) > MAX_CRASHES_KEPT:
+            del self._crashes[next(iter(self._crashes))]
+
+    def explained_by(self, task: "runs.Task") -> "list[tuple[runs.Task, int]]":
+        """Return the other runs under which this task crashed a worker.
+
+        Forgets these crashes, as their cause is found.
+        """
+        found = [
+            life
+            for life, under in self._crashes.items()
+            if task.unit_name in under
+        ]
+        return [
+            (other, number)
+            for life in found
+            for name, (other, number) in self._crashes.pop(life).items()
+            if name != task.unit_name
+        ]
+
     def restore(self, step: "runs.StepRun") -> None:
         """Suspect the tasks against which enough is stored."""
         progress = step.job.progress
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -1,6 +1,7 @@
 """A pool whose workers crash under some tasks, in simulated time."""
 
 import dataclasses
+import random
 import typing as t
 
 from agaterudder.jobs import fleet
@@ -12,8 +13,10 @@
 from agaterudder.jobs import planning
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
+from agaterudder.jobs import runs
 from agaterudder.jobs import runstarts
 from agaterudder.jobs import workerloop
+from agaterudder import resources
 from tests import job_builders
 from tests import memory_store
 from tests import pool_fakes
@@ -21,6 +24,18 @@
 TICK_SECONDS = 0.05
 RETURN_SECONDS = 3.0
 LEASE_SECONDS = 6.0
+# Moments of a take-over.
+NEVER = "never"
+AFTER_START = "after a start of a culprit"
+AFTER_STORE = "after its crash is stored"
+MAX_FORCED_TAKE_OVERS = 12
+# A random play, and the quiet time at its end.
+RANDOM_SECONDS = 12.0
+QUIET_SECONDS = 60.0
+CRASH_PROBABILITY = 0.02
+FAULT_PROBABILITY = 0.1
+AWAY_PROBABILITY = 0.03
+TAKE_OVER_PROBABILITY = 0.005
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,6 +76,11 @@
     :ivar crashed: the tasks that ran on each worker that crashed.
     :ivar answers_lost: whether the answer to a deadly start is lost.
     :ivar stores: whether the store is in reach of the holder.
+    :ivar take_over_at: when the pool is taken over, for some times.
+    :ivar suspect_starts: the numbers of the runs of suspects, and whether
+        each was stored before its start.
+    :ivar company: suspects beside which another task began or ran.
+    :ivar most_kept: the most workers that were kept for suspects at a time.
     """
 
     def __init__(self, count: int) -> None:
@@ -73,8 +93,15 @@
         self.jobs: dict[str, model.Job] = {}
         self.answers_lost = False
         self.stores = True
+        self.take_over_at = NEVER
+        self.take_overs = 0
+        self.suspect_starts: dict[int, bool] = {}
+        self.company: list[str] = []
+        self.most_kept = 0
         self._returns: list[tuple[float, str]] = []
         self._named = 0
+        self._unhandled = False
+        self._broken_gangs: set[int] = set()
         self.epoch = job_builders.EPOCH
         self.state = self._new_state()
         for number in range(count):
@@ -159,10 +186,32 @@
     def tick(self) -> None:
         """Poll the workers, store the journal and plan."""
         self.now += TICK_SECONDS
+        crashed = len(self.crashed)
         self.progress()
         self.poll()
         self.write()
+        if self.take_over_at == AFTER_STORE and self._unhandled:
+            self._forced_take_over()
         self.plan()
+        self._unhandled = len(self.crashed) > crashed
+        if self.take_over_at == AFTER_START and self._unhandled:
+            self._forced_take_over()
+        self._check_company()
+
+    def _forced_take_over(self) -> None:
+        if self.take_overs < MAX_FORCED_TAKE_OVERS:
+            self.take_overs += 1
+            self.take_over()
+
+    def _check_company(self) -> None:
+        kept = set(self.state.kept_workers)
+        for worker in self.state.workers.values():
+            apart = [run for run in worker.runs.values() if run.apart]
+            if apart:
+                kept.add(worker.name)
+            if apart and len(worker.runs) > 1:
+                self.company.extend(run.task_name for run in apart)
+        self.most_kept = max(self.most_kept, len(kept))
 
     def progress(self) -> None:
         """Let runs end, deadly tasks crash, and workers return."""
@@ -175,11 +224,7 @@
                     if lasts >= self.deadly[task]:
                         self.crash(process)
                 elif lasts >= self._duration(task):
-                    del process.running[(task, number)]
-                    end = len(process.ended) + 1
-                    process.ended.append(
-                        ports.Ended(end, task, number, ports.END_DONE, "")
-                    )
+                    self._end(process, task, number, ports.END_DONE)
         due = [item for item in self._returns if item[0] <= self.now]
         for item in due:
             self._returns.remove(item)
@@ -194,9 +239,28 @@
         """End the process of a worker; another returns in its place."""
         process.alive = False
         self.crashed.append(tuple(task for task, _ in process.running))
+        for task, number in process.running:
+            self._break_gang(task, number)
         process.running.clear()
         self._returns.append((self.now + RETURN_SECONDS, process.rack))
 
+    def _break_gang(self, task: str, number: int) -> None:
+        """End the other members of the gang of a run that was lost."""
+        job, _, step, _ = task.split(".")
+        if not self.jobs[job].request.steps[int(step)].gang:
+            return
+        self._broken_gangs.add(number)
+        for process in self.processes.values():
+            for other, other_number in list(process.running):
+                if process.alive and other_number == number:
+                    self._end(process, other, number, ports.END_BROKEN)
+
+    @staticmethod
+    def _end(process: Process, task: str, number: int, outcome: str) -> None:
+        del process.running[(task, number)]
+        end = len(process.ended) + 1
+        process.ended.append(ports.Ended(end, task, number, outcome, ""))
+
     def poll(self) -> None:
         """Poll every worker."""
         for worker in list(self.state.workers.values()):
@@ -244,11 +308,15 @@
                 self.state, run, "not sent: connection refused", self.now
             )
             return
+        if run.apart:
+            self.suspect_starts[run.number] = self._stored(run)
         beside = tuple(task for task, _ in process.running)
         self.begun.append(
             Begun(run.task_name, run.number, process.name, self.epoch, beside)
         )
         process.running[(run.task_name, run.number)] = self.now
+        if run.number in self._broken_gangs:
+            self._end(process, run.task_name, run.number, ports.END_BROKEN)
         if self.deadly.get(run.task_name) == 0.0:
             self.crash(process)
             if self.answers_lost:
@@ -258,6 +326,14 @@
                 return
         runstarts.accepted(self.state, run, self.now)
 
+    def _stored(self, run: runs.Run) -> bool:
+        """Return whether the attempt of a run is stored."""
+        assert run.task is not None
+        job = run.task.step.job.job.job
+        row = self.store.rows[(model.PROGRESS_TABLE, job_builders.POOL, job)]
+        progress = model.decode(row[0], model.Progress)
+        return run.number in progress.attempts.get(run.task.progress_key, [])
+
     # What tests ask
 
     def starts(self, task: str) -> int:
@@ -268,7 +344,63 @@
         """Return how many workers crashed while a task ran there."""
         return sum(1 for tasks in self.crashed if task in tasks)
 
+    def crashed_twice_and_alone(self, job: str) -> bool:
+        """Return whether two workers crashed under a task, one when alone."""
+        tasks = {item.task for item in self.begun if item.task[:16] == job}
+        return any(
+            self.crashes_under(task) > 1 and (task,) in self.crashed
+            for task in tasks
+        )
+
     def ending(self, name: str) -> model.Ended | None:
         """Return the stored end of a job."""
         row = self.store.rows.get((model.ENDED_TABLE, job_builders.POOL, name))
         return model.decode(row[0], model.Ended) if row else None
+
+
+def play_random(seed: int, culprit: str) -> Simulation:
+    """Play a pool with a culprit, other crashes and take-overs.
+
+    :param culprit: name of the job of the task that crashes its workers.
+    """
+    source = random.Random(seed)
+    played = Simulation(source.randint(3, 7))
+    size = resources.Vector(float(source.choice((1, 2, 5))), 100.0)
+    for number in range(source.randint(3, 8)):
+        step = job_builders.step(
+            count=source.randint(1, 6),
+            size=size,
+            estimate_seconds=source.choice((0.2, 0.6, 1.5)),
+        )
+        played.submit(f"{number:016x}", step)
+    step = job_builders.step(
+        count=source.randint(1, 4), size=size, estimate_seconds=0.5
+    )
+    played.submit(culprit, step)
+    played.answers_lost = source.random() < 0.5
+    played.deadly[model.task_name(culprit, 0, 0, 0)] = source.choice(
+        (0.0, 0.0, 0.1)
+    )
+    until = played.now + RANDOM_SECONDS
+    while played.now < until:
+        _random_tick(played, source)
+    played.stores = True
+    played.run(QUIET_SECONDS)
+    return played
+
+
+def _random_tick(played: Simulation, source: random.Random) -> None:
+    """Let time pass, with a take-over at any moment of it."""
+    played.now += TICK_SECONDS
+    if source.random() < CRASH_PROBABILITY:
+        alive = [item for item in played.processes.values() if item.alive]
+        if alive:
+            played.crash(source.choice(alive))
+    if source.random() < FAULT_PROBABILITY:
+        played.store.faults.append(source.choice(("lost", "refused")))
+    if source.random() < AWAY_PROBABILITY:
+        played.stores = not played.stores
+    for happen in (played.progress, played.poll, played.write, played.plan):
+        happen()
+        if source.random() < TAKE_OVER_PROBABILITY:
+            played.take_over()
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -19,3 +19,195 @@
       | answer  |
       | given   |
       | lost    |
+
+  # Guards against jobs that are given up as they ran beside the cause.
+  Scenario: Jobs beside several tasks that crash their workers complete
+    Given a simulated pool of 6 workers
+    And 3 simulated culprits of 4 tasks of 1 core that last 0.5 seconds
+    And 8 simulated jobs of 4 tasks of 1 core that last 0.5 seconds
+    When 40 simulated seconds pass
+    Then each culprit was started 5 times at most and stored as failed
+    And every other job is stored as completed
+    And no suspect had company
+    And at most a third of the workers were kept for suspects
+
+  # Guards against workers that crash one after the other as suspects, put
+  # together once more, tell nothing.
+  Scenario: A suspect waits for a worker to become empty
+    Given a simulated pool of 2 workers
+    And a simulated job "culprit" of 1 tasks of 1 core that last 0.5 seconds
+    And 12 simulated jobs of 6 tasks of 2 core that last 0.7 seconds
+    And task 1 of job "culprit" crashes its worker at once
+    When 60 simulated seconds pass
+    Then task 1 of job "culprit" was started 3 times at most
+    And job "culprit" is stored as failed
+    And every other job is stored as completed
+    And no suspect had company
+
+  # Guards against an endless search as no worker is without long-running
+  # tasks.
+  Scenario: A suspect starts where only long-running tasks are beside it
+    Given a simulated pool of 3 workers
+    And a simulated job "lasting" of 9 long-running tasks, 3 per worker
+    And a simulated job "culprit" of 2 tasks of 1 core that last 0.5 seconds
+    And task 1 of job "culprit" crashes its worker at once
+    When 30 simulated seconds pass
+    Then task 1 of job "culprit" was started 4 times at most
+    And job "culprit" is stored as failed
+    And every task of job "lasting" runs
+
+  # Guards against a long-running task that crashes worker after worker.
+  Scenario Outline: A long-running task crashes its worker after <seconds> s
+    Given a simulated pool of 4 workers
+    And a simulated job "culprit" of 2 long-running tasks, 1 per worker
+    And 4 simulated jobs of 4 tasks of 1 core that last 0.5 seconds
+    And task 1 of job "culprit" crashes its worker after <seconds> seconds
+    When 60 simulated seconds pass
+    Then task 1 of job "culprit" was started 5 times at most
+    And job "culprit" is stored as failed
+    And every other job is stored as completed
+
+    Examples: seconds
+      | seconds |
+      | 0.0     |
+      | 0.2     |
+      | 2.0     |
+
+  # Guards against a gang that crashes worker after worker.
+  Scenario: A gang with a task that crashes its worker is given up
+    Given a simulated pool of 4 workers
+    And a simulated gang "culprit" of 3 tasks of 6 cores
+    And 4 simulated jobs of 4 tasks of 1 core that last 0.5 seconds
+    And task 2 of job "culprit" crashes its worker at once
+    When 60 simulated seconds pass
+    Then task 2 of job "culprit" was started 4 times at most
+    And job "culprit" is stored as failed
+    And every other job is stored as completed
+
+  # Guards against jobs that fail as their workers crashed for another reason.
+  Scenario Outline: All workers of a rack crash <times> times
+    Given a simulated pool of 6 workers
+    And 10 simulated jobs of 6 tasks of 1 core that last 1.5 seconds
+    When all workers of rack "rack-1" crash <times> times, <seconds> s apart
+    And 60 simulated seconds pass
+    Then every other job is stored as completed
+
+    Examples: times
+      | times | seconds |
+      | 1     | 1.0     |
+      | 3     | 4.0     |
+
+  # Guards against crashes that are counted where a worker ended by order, or
+  # was only silent.
+  Scenario Outline: A worker that <event> has not crashed
+    Given a simulated pool of 1 workers
+    And a simulated job "culprit" of 2 tasks of 1 core that last 9 seconds
+    When 0.2 simulated seconds pass
+    And the simulated worker <event>
+    Then 0 crashes of job "culprit" are counted
+    And the pool has 0 suspects
+
+    Examples: events
+      | event                    |
+      | is moved by an order     |
+      | is in upkeep             |
+      | shuts down after a drain |
+      | is cut off               |
+
+  # Guards against crashes that are not counted, or counted twice.
+  Scenario Outline: A worker that <event> has crashed
+    Given a simulated pool of 1 workers
+    And a simulated job "culprit" of 2 tasks of 1 core that last 9 seconds
+    When 0.2 simulated seconds pass
+    And the simulated worker <event>
+    And the simulated worker <event>
+    Then 2 crashes of job "culprit" are counted
+    And the pool has 2 suspects
+
+    Examples: events
+      | event                           |
+      | is gone from the list           |
+      | has another one at its address  |
+      | lists a new incarnation         |
+      | answers a stop as another       |
+
+  # Guards against a suspicion that holds back a task without a cause.
+  Scenario: A start that was not sent is no crash
+    Given a simulated pool of 1 workers
+    And a simulated job "culprit" of 2 tasks of 1 core that last 9 seconds
+    When the pool is planned and its starts are rejected
+    Then 0 crashes of job "culprit" are counted
+    And the pool has 0 suspects
+
+  # Guards against a count that a take-over forgets.
+  Scenario Outline: The pool is taken over <when> each start of the culprit
+    Given a simulated pool of 6 workers
+    And a simulated job "culprit" that has begun, with 2 more tasks of 1 core
+    And 4 simulated jobs of 4 tasks of 1 core that last 0.5 seconds
+    And task 1 of job "culprit" crashes its worker at once
+    And the pool is taken over <when> each start of the culprit
+    When 60 simulated seconds pass
+    Then task 1 of job "culprit" was started 5 times at most
+    And job "culprit" is stored as failed
+    And every other job is stored as completed
+
+    Examples: moments
+      | when                      |
+      | at once after             |
+      | when the crash is stored  |
+
+  # Guards against a start whose attempt a later holder does not know.
+  Scenario Outline: Attempts are stored before their start: <answers>
+    Given a simulated pool of 6 workers
+    And a simulated job "culprit" of 2 tasks of 1 core that last 0.5 seconds
+    And task 1 of job "culprit" crashes its worker at once
+    And the answers of the store are <answers>
+    When 30 simulated seconds pass
+    Then every start of a suspect was stored before
+    And task 1 of job "culprit" was started 3 times at most
+    And job "culprit" is stored as failed
+
+    Examples: answers
+      | answers             |
+      | ok                  |
+      | lost,lost,lost      |
+      | ok,lost,ok,lost     |
+      | refused,ok,refused  |
+      | late,late           |
+
+  # Guards against a start by a holder that was deposed meanwhile.
+  Scenario: A deposed holder starts no suspect
+    Given a simulated pool of 6 workers
+    And a simulated job "culprit" of 2 tasks of 1 core that last 0.5 seconds
+    And task 1 of job "culprit" crashes its worker at once
+    When the culprit has crashed its first worker
+    And another holder has taken the pool over, unknown to the present one
+    And 5 simulated seconds pass
+    Then task 1 of job "culprit" was started 1 times at most
+
+  # Guards against rows of earlier releases that can't be read.
+  Scenario: Progress and ends of earlier releases are read
+    When progress and an end are read as earlier releases stored them
+    Then they have no crashes, no attempts and the code 0
+
+  # Guards against a team that does not learn why its job failed.
+  Scenario: The state of a job that was given up has a code
+    Given a simulated pool of 6 workers
+    And a simulated job "culprit" of 2 tasks of 1 core that last 0.5 seconds
+    And task 1 of job "culprit" crashes its worker at once
+    When 30 simulated seconds pass
+    Then the answer about job "culprit" has the code CRASHES_WORKERS
+    And its body holds the state alone
+
+  # Guards against all of these at once, at any moment.
+  Scenario Outline: Random pools, crashes and take-overs from seed <seed>
+    When 40 random pools with a culprit are played from seed <seed>
+    Then no culprit was started more than 5 times
+    And no other job failed without two crashes, the last of them alone
+    And every job ended
+
+    Examples: seeds
+      | seed |
+      | 1    |
+      | 1001 |
+      | 2001 |
--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -1,15 +1,32 @@
 """Steps for tasks that crash their workers."""
 
+import pathlib
+import sys
 import typing as t
 from unittest import mock
 
 import behave
+import msgspec
 
-from agaterudder.jobs import model
-from agaterudder.jobs import workerloop
-from agaterudder import resources
-from tests import crash_simulation
-from tests import job_builders
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+sys.path.append(str(ROOT / "platform"))
+
+from agaterudder import codes  # noqa: E402
+from agaterudder.jobs import clock  # noqa: E402
+from agaterudder.jobs import jobapi  # noqa: E402
+from agaterudder.jobs import machines  # noqa: E402
+from agaterudder.jobs import model  # noqa: E402
+from agaterudder.jobs import orders  # noqa: E402
+from agaterudder.jobs import planning  # noqa: E402
+from agaterudder.jobs import ports  # noqa: E402
+from agaterudder.jobs import runstarts  # noqa: E402
+from agaterudder.jobs import workerends  # noqa: E402
+from agaterudder.jobs import workerloop  # noqa: E402
+from agaterudder import resources  # noqa: E402
+from agaterudder_platform import gateway  # noqa: E402
+from tests import crash_simulation  # noqa: E402
+from tests import job_builders  # noqa: E402
+from tests import pool_fakes  # noqa: E402
 
 Context = t.Any
 CULPRIT = "00000000000000cc"
@@ -93,9 +110,284 @@
     endings = {
         name: simulation.ending(name)
         for name in simulation.jobs
-        if name != CULPRIT
+        if name not in {task[:16] for task in simulation.deadly}
     }
     assert all(
         ending is not None and ending.state == model.STATE_COMPLETED
         for ending in endings.values()
     ), endings
+
+
+LASTING = "00000000000000dd"
+MORE_CULPRITS = "0000000000002{:03d}"
+JOB_NAMES = {"culprit": CULPRIT, "lasting": LASTING}
+EVENT_SECONDS = 20.0
+
+
+@behave.given(
+    "{jobs:d} simulated culprits of {count:d} tasks of {cores:g} core "
+    "that last {seconds:g} seconds"
+)
+def step_culprits(
+    context: Context, jobs: int, count: int, cores: float, seconds: float
+) -> None:
+    for number in range(jobs):
+        name = MORE_CULPRITS.format(number)
+        context.simulation.submit(name, _step(count, cores, seconds))
+        context.simulation.deadly[_task(number + 1, name)] = 0.0
+
+
+@behave.given(
+    'a simulated job "{name}" of {count:d} long-running tasks, '
+    "{apart:d} per worker"
+)
+def step_lasting(context: Context, name: str, count: int, apart: int) -> None:
+    context.simulation.submit(
+        JOB_NAMES[name],
+        _step(count, 2.0, 1.0, long_running=True, max_per_worker=apart),
+    )
+
+
+@behave.given(
+    'a simulated job "culprit" that has begun, with {count:d} more tasks of '
+    "{cores:g} core"
+)
+def step_begun(context: Context, count: int, cores: float) -> None:
+    simulation = context.simulation
+    first = _step(1, cores, 0.2)
+    simulation.submit(CULPRIT, _step(count, cores, 0.5, after=(1,)), first)
+    while not simulation.state.jobs[CULPRIT].started:
+        simulation.tick()
+    simulation.write()
+
+
+@behave.given(
+    'a simulated gang "culprit" of {count:d} tasks of {cores:g} cores'
+)
+def step_gang(context: Context, count: int, cores: float) -> None:
+    context.simulation.submit(CULPRIT, _step(count, cores, 0.5, gang=True))
+
+
+@behave.given(
+    'task {number:d} of job "culprit" crashes its worker after '
+    "{seconds:g} seconds"
+)
+def step_deadly_after(context: Context, number: int, seconds: float) -> None:
+    context.simulation.deadly[_task(number)] = seconds
+
+
+@behave.given("the pool is taken over {when} each start of the culprit")
+def step_taken_over(context: Context, when: str) -> None:
+    moments = {
+        "at once after": crash_simulation.AFTER_START,
+        "when the crash is stored": crash_simulation.AFTER_STORE,
+    }
+    context.simulation.take_over_at = moments[when]
+
+
+@behave.given("the answers of the store are {answers}")
+def step_store_answers(context: Context, answers: str) -> None:
+    context.simulation.store.faults = answers.split(",")
+
+
+@behave.when(
+    'all workers of rack "{rack}" crash {times:d} times, {seconds:g} s apart'
+)
+def step_rack(context: Context, rack: str, times: int, seconds: float) -> None:
+    for _ in range(times):
+        context.simulation.run(seconds)
+        for process in list(context.simulation.processes.values()):
+            if process.alive and process.rack == rack:
+                context.simulation.crash(process)
+
+
+@behave.when("the simulated worker {event}")
+def step_event(context: Context, event: str) -> None:
+    simulation = context.simulation
+    state = simulation.state
+    (worker,) = state.workers.values()
+    holder = pool_fakes.FakeHolder(state)
+    loop = workerloop.WorkerLoop(worker, t.cast(t.Any, holder), 6.0)
+    closed = ports.NoAnswer("connection closed")
+    match event:
+        case "is moved by an order":
+            workerends.lost(state, worker, "moved", simulation.now, ended=True)
+        case "is in upkeep":
+            holder.reason = "its machine is upkeep"
+            loop._handle_no_answer(closed, simulation.now)
+        case "shuts down after a drain":
+            worker.cordon("draining", simulation.now)
+            holder.reason = machines.NO_MACHINE
+            loop._handle_no_answer(closed, simulation.now)
+        case "is cut off":
+            loop._handle_no_answer(closed, simulation.now)
+            loop._handle_no_answer(closed, simulation.now + EVENT_SECONDS)
+            assert not worker.runs
+        case "is gone from the list":
+            holder.reason = machines.NO_MACHINE
+            loop._handle_no_answer(closed, simulation.now)
+        case "has another one at its address":
+            loop._handle_replacement(simulation.now)
+        case "lists a new incarnation":
+            workerends.restarted(
+                state, worker, worker.incarnation + 1, simulation.now
+            )
+        case "answers a stop as another":
+            for run in list(worker.runs.values()):
+                workerends.superseded(state, run, simulation.now)
+        case _:
+            raise AssertionError(event)
+
+
+@behave.when("the pool is planned and its starts are rejected")
+def step_rejected(context: Context) -> None:
+    state = context.simulation.state
+    now = context.simulation.now
+    for order in planning.Plan(state, now).orders():
+        assert isinstance(order, orders.Start)
+        runstarts.rejected(state, order.run, "not sent: refused", now)
+
+
+@behave.when("the culprit has crashed its first worker")
+def step_first_crash(context: Context) -> None:
+    while not context.simulation.crashed:
+        context.simulation.tick()
+
+
+@behave.when(
+    "another holder has taken the pool over, unknown to the present one"
+)
+def step_deposed(context: Context) -> None:
+    place = (model.HOLDERS_TABLE, job_builders.POOL, model.HOLDER_KEY)
+    epoch = context.simulation.epoch + 1
+    context.simulation.store.rows[place] = (b"", epoch)
+
+
+@behave.when("progress and an end are read as earlier releases stored them")
+def step_old_rows(context: Context) -> None:
+    progress = [{"0.0": [1]}, {"0.0.1": [7]}, {"0.0.0": "half"}]
+    context.progress = model.decode(model.encode(progress), model.Progress)
+    ending = [model.STATE_FAILED, 5.0, "task failed 3 times"]
+    context.ended = model.decode(model.encode(ending), model.Ended)
+
+
+@behave.when(
+    "{count:d} random pools with a culprit are played from seed {seed:d}"
+)
+def step_random(context: Context, count: int, seed: int) -> None:
+    sleep = mock.patch.object(workerloop.gevent, "sleep", lambda _: None)
+    sleep.start()
+    context.cleanups.append(sleep.stop)
+    context.played = {
+        number: crash_simulation.play_random(number, CULPRIT)
+        for number in range(seed, seed + count)
+    }
+
+
+@behave.then(
+    "each culprit was started {most:d} times at most and stored as failed"
+)
+def step_culprits_ended(context: Context, most: int) -> None:
+    simulation = context.simulation
+    for task in simulation.deadly:
+        assert 1 <= simulation.starts(task) <= most, task
+        ending = simulation.ending(task.partition(".")[0])
+        assert ending is not None and ending.state == model.STATE_FAILED
+
+
+@behave.then("no suspect had company")
+def step_no_company(context: Context) -> None:
+    simulation = context.simulation
+    assert simulation.suspect_starts
+    assert not simulation.company, simulation.company
+
+
+@behave.then("at most a third of the workers were kept for suspects")
+def step_kept(context: Context) -> None:
+    assert 1 <= context.simulation.most_kept <= 2
+
+
+@behave.then('every task of job "lasting" runs')
+def step_lasting_runs(context: Context) -> None:
+    job = context.simulation.state.jobs[LASTING]
+    tasks = job.steps["0.0"].tasks
+    assert all(task.runs for task in tasks)
+
+
+@behave.then('{count:d} crashes of job "culprit" are counted')
+def step_counted(context: Context, count: int) -> None:
+    crashes = context.simulation.state.jobs[CULPRIT].progress.crashes
+    assert sum(map(len, crashes.values())) == count, crashes
+
+
+@behave.then("the pool has {count:d} suspects")
+def step_suspects(context: Context, count: int) -> None:
+    assert len(context.simulation.state.suspects) == count
+
+
+@behave.then("every start of a suspect was stored before")
+def step_stored_before(context: Context) -> None:
+    starts = context.simulation.suspect_starts
+    assert starts and all(starts.values()), starts
+
+
+@behave.then("they have no crashes, no attempts and the code 0")
+def step_old_read(context: Context) -> None:
+    assert context.progress.crashes == {} == context.progress.attempts
+    assert context.progress.checkpoints == {"0.0.0": "half"}
+    assert context.ended.code == 0
+
+
+@behave.then('the answer about job "culprit" has the code {name:w}')
+def step_code(context: Context, name: str) -> None:
+    store = context.simulation.store
+    api = job_builders.job_api(store, job_builders.configuration())
+    call = jobapi.Call(
+        job_builders.queue(), CULPRIT, "key-1", clock.now() + 3.0
+    )
+    state = api.state(call)
+    assert isinstance(state, jobapi.JobState), state
+    context.reply = gateway._reply(state)
+    code = str(codes.Result[name].value)
+    assert dict(context.reply.headers)["Agaterudder-Code"] == code
+
+
+@behave.then("its body holds the state alone")
+def step_body(context: Context) -> None:
+    assert msgspec.json.decode(context.reply.content) == {"state": "failed"}
+
+
+@behave.then("no culprit was started more than {most:d} times")
+def step_random_starts(context: Context, most: int) -> None:
+    found = {
+        seed: starts
+        for seed, played in context.played.items()
+        for task in played.deadly
+        if (starts := played.starts(task)) > most
+    }
+    assert not found, found
+
+
+@behave.then("no other job failed without two crashes, the last of them alone")
+def step_random_failed(context: Context) -> None:
+    wrong = {
+        seed: name
+        for seed, played in context.played.items()
+        for name in played.jobs
+        if name != CULPRIT
+        and (ending := played.ending(name)) is not None
+        and ending.state == model.STATE_FAILED
+        and not played.crashed_twice_and_alone(name)
+    }
+    assert not wrong, wrong
+
+
+@behave.then("every job ended")
+def step_all_ended(context: Context) -> None:
+    waiting = {
+        seed: name
+        for seed, played in context.played.items()
+        for name in played.jobs
+        if played.ending(name) is None
+    }
+    assert not waiting, waiting
