BUDGET: old runs are suspected later, and suspects keep the pool's size

Cause: four long-running tasks that had lost three workers beside culprits were suspects that had to last 10 s alone, and held the only place for suspects, while the autoscaler moved their workers. The other suspects asked for no grant of their teams' limits meanwhile, so that the pool saw no demand and shrank.

Change: all suspects ask for a grant. Long-running tasks take no place of the others, which are half of the workers now; tasks that had just started when their worker crashed come first; any other is suspected from three crashes on, and lasts 3 s alone instead of 10 s.

Also adds the model crashes.

--- a/models/report.py
+++ b/models/report.py
@@ -5,6 +5,7 @@
 from models import acceptance
 from models import budget
 from models import claim
+from models import crashes
 from models import ends
 from models import escrow
 from models import pool
@@ -21,6 +22,7 @@
         budget,
         ends,
         takeover,
+        crashes,
     )
 }
 
--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -81,8 +81,9 @@
         return
     if run.apart and _proven(run, just_started, found):
         give_up(state, task, found, run)
-    elif just_started or found.total >= suspects.SUSPECT_CRASHES:
-        _suspect(state, run, task, found, now)
+    elif just_started or found.total >= suspects.SUSPECT_CRASHES_LATE:
+        state.suspects.add(task, just_started)
+        _report_suspect(state, run, task, found, now)
 
 
 def _proven(
@@ -104,14 +105,13 @@
     return just_started and found.crashes >= MAX_CRASHES_APART
 
 
-def _suspect(
+def _report_suspect(
     state: pools.Pool,
     run: runs.Run,
     task: runs.Task,
     found: suspects.Evidence,
     now: float,
 ) -> None:
-    state.suspects.add(task)
     state.metrics.count("crashes_suspected", pool=state.name)
     if not _lines.take(now):
         return
--- a/src/agaterudder/jobs/isolation.py
+++ b/src/agaterudder/jobs/isolation.py
@@ -5,10 +5,9 @@
 from agaterudder.jobs import fleet
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import runs
-from agaterudder.jobs import suspects
 
 # One in this many workers may be kept for suspects, and one in any case.
-WORKERS_PER_KEPT = 3
+WORKERS_PER_KEPT = 2
 
 
 class Isolation:
@@ -47,12 +46,7 @@
                 for task in state.suspects.waiting(now)
                 if not (recovering and task.step.job.recovered)
             ]
-            waiting.sort(
-                key=lambda task: (
-                    state.queue_of(task.step).priority,
-                    -suspects.evidence(task).total,
-                )
-            )
+            waiting.sort(key=lambda task: state.queue_of(task.step).priority)
             self._keep_for(waiting, accepting)
         self.others = [
             worker for worker in accepting if worker.name not in self._names
@@ -62,7 +56,7 @@
         """Return the workers on which a suspect may start now."""
         kept = self._kept.get(task.unit_name, [])
         ready = all(
-            run.task is not None and run.task.step.step.long_running
+            _long_running(run)
             for worker in kept
             for run in worker.runs.values()
         )
@@ -74,16 +68,24 @@
         accepting: t.Sequence[fleet.WorkerState],
     ) -> None:
         limit = max(len(accepting) // WORKERS_PER_KEPT, 1)
+        kept = sum(
+            1
+            for worker in self._state.workers.values()
+            if any(
+                run.apart and not _long_running(run)
+                for run in worker.runs.values()
+            )
+        )
         kept_before = self._state.kept_workers
         for task in waiting:
-            if len(self._names) >= limit:
-                break
-            if not self._grant_covers(task):
+            # All of them ask for a grant, so that the pool keeps its size.
+            if not self._grant_covers(task) or kept >= limit:
                 continue
             chosen = self._choose(task, accepting, kept_before)
             if chosen:
                 self._kept[task.unit_name] = chosen
                 self._names.update(worker.name for worker in chosen)
+                kept += len(chosen)
         self._state.kept_workers = frozenset(
             worker.name for kept in self._kept.values() for worker in kept
         )
@@ -157,3 +159,7 @@
             ),
             default=0.0,
         )
+
+
+def _long_running(run: runs.Run) -> bool:
+    return run.task is not None and run.task.step.step.long_running
--- a/src/agaterudder/jobs/suspects.py
+++ b/src/agaterudder/jobs/suspects.py
@@ -12,14 +12,16 @@
 if t.TYPE_CHECKING:
     from agaterudder.jobs import runs
 
-# Crashes and attempts without an outcome from which on a task is suspected,
-# whatever its age was when its worker crashed.
+# Crashes and attempts without an outcome from which on a new holder suspects
+# a task.
 SUSPECT_CRASHES = 2
+# The same for a task that had not just started when its worker crashed.
+SUSPECT_CRASHES_LATE = 3
 # A suspect that runs for this long is not suspected any more.
 ALONE_SECONDS = 0.5
 # The same for one with so many crashes that its start may not be the cause.
 REPEATED_CRASHES = 3
-REPEATED_ALONE_SECONDS = 10.0
+REPEATED_ALONE_SECONDS = 3.0
 # Crashes and attempts without an outcome at which a task is given up, if so
 # many of them are such attempts: each of them may have been a crash.
 MAX_EVIDENCE = 4
@@ -82,11 +84,12 @@
     :ivar prepared_mark: the journal mark of the last prepared attempt.
     """
 
-    __slots__ = ("prepared_mark", "_tasks", "_crashes")
+    __slots__ = ("prepared_mark", "_tasks", "_just_started", "_crashes")
 
     def __init__(self) -> None:
         self.prepared_mark = 0
         self._tasks: dict[str, runs.Task] = {}
+        self._just_started: set[str] = set()
         self._crashes: dict[Life, dict[str, tuple[runs.Task, int]]] = {}
 
     def __len__(self) -> int:
@@ -95,13 +98,19 @@
     def __contains__(self, task: "runs.Task") -> bool:
         return task.unit_name in self._tasks
 
-    def add(self, task: "runs.Task") -> None:
-        """Suspect a task."""
+    def add(self, task: "runs.Task", just_started: bool = False) -> None:
+        """Suspect a task.
+
+        :param just_started: whether a worker crashed when it had just started.
+        """
         self._tasks.setdefault(task.unit_name, task.unit[0])
+        if just_started:
+            self._just_started.add(task.unit_name)
 
     def discard(self, task: "runs.Task") -> None:
         """End the suspicion of a task."""
         self._tasks.pop(task.unit_name, None)
+        self._just_started.discard(task.unit_name)
 
     def add_crash(self, life: Life, task: "runs.Task", number: int) -> None:
         """Note that a worker crashed under a run of a task."""
@@ -137,11 +146,14 @@
                 self.add(task)
 
     def waiting(self, now: float) -> "list[runs.Task]":
-        """Return those that may start now; forget those that have ended."""
-        for name, task in list(self._tasks.items()):
+        """Return those that may start now, the more likely causes first.
+
+        Forgets those that have ended.
+        """
+        for task in list(self._tasks.values()):
             if task.done or task.step.job.ending is not None:
-                del self._tasks[name]
-        return [
+                self.discard(task)
+        waiting = [
             task
             for task in self._tasks.values()
             if task.step.ready_at
@@ -150,3 +162,12 @@
                 for member in task.unit
             )
         ]
+        waiting.sort(key=self._order)
+        return waiting
+
+    def _order(self, task: "runs.Task") -> tuple[bool, int]:
+        """Rank the more likely causes first."""
+        return (
+            task.unit_name not in self._just_started,
+            -evidence(task).total,
+        )
--- a/tests/features/models.feature
+++ b/tests/features/models.feature
@@ -17,3 +17,4 @@
       | budget     | 5000   |
       | ends       | 50000  |
       | takeover   | 500    |
+      | crashes    | 2000   |
