--- a/src/agaterudder/jobs/isolation.py
+++ b/src/agaterudder/jobs/isolation.py
@@ -46,7 +46,12 @@
                 for task in state.suspects.waiting(now)
                 if not (recovering and task.step.job.recovered)
             ]
-            waiting.sort(key=lambda task: state.queue_of(task.step).priority)
+            waiting.sort(
+                key=lambda task: (
+                    state.queue_of(task.step).priority,
+                    not task.step.step.long_running,
+                )
+            )
             self._keep_for(waiting, accepting)
         self.others = [
             worker for worker in accepting if worker.name not in self._names
--- a/src/agaterudder/jobs/stalls.py
+++ b/src/agaterudder/jobs/stalls.py
@@ -138,6 +138,9 @@
         return Reason("its last start was rejected as invalid")
     if step.step.gang and any(not other.waiting for other in step.tasks):
         return Reason("a task of its gang does not wait")
+    if task in state.suspects:
+        kept = poolreports.names(sorted(state.kept_workers))
+        return Reason("suspected: waits for a worker to itself", kept)
     return _reason_of_workers(state, task, now)
 
 
