--- a/models/report.py
+++ b/models/report.py
@@ -5,6 +5,7 @@
 from models import acceptance
 from models import budget
 from models import claim
+from models import crashes
 from models import ends
 from models import escrow
 from models import grants
@@ -25,6 +26,7 @@
         takeover,
         latestarts,
         grants,
+        crashes,
     )
 }
 
--- /dev/null
+++ b/src/agaterudder/jobs/crashes.py
@@ -0,0 +1,322 @@
+"""Crashes of workers under the runs of tasks.
+
+A crash ends all runs of a worker, and one of them may have caused it. A task
+that had just started is suspected at once, any other when it happens again.
+A suspect starts apart from all others, so that the next crash tells.
+"""
+
+import logging
+import typing as t
+
+from agaterudder import codes
+from agaterudder.jobs import fleet
+from agaterudder.jobs import linelimit
+from agaterudder.jobs import model
+from agaterudder.jobs import pool as pools
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+from agaterudder.jobs import suspects
+
+LOG = logging.getLogger(__name__)
+
+# A run that was sent this long before the first sign of a crash may have
+# caused it by its start.
+SUSPECT_AGE_SECONDS = 0.3
+# A suspect that had only long-running tasks beside it is given up at this many
+# crashes; one that was alone, at fewer.
+MAX_CRASHES_ALONE = 2
+MAX_CRASHES_APART = 3
+LINES_PER_SECOND = 20
+
+_lines = linelimit.LineLimit(LINES_PER_SECOND)
+
+
+def worker_crashed(
+    state: pools.Pool, worker: fleet.WorkerState, now: float
+) -> None:
+    """Record that a worker crashed under its runs, and judge them."""
+    _runs_crashed(state, list(worker.runs.values()), now)
+
+
+def run_crashed(state: pools.Pool, run: runs.Run, now: float) -> None:
+    """Record that the worker of a run crashed, and judge it."""
+    _runs_crashed(state, [run], now)
+
+
+def _runs_crashed(
+    state: pools.Pool, found: t.Iterable[runs.Run], now: float
+) -> None:
+    recorded = [run for run in found if _record(state, run)]
+    for run in recorded:
+        _judge(state, run, now)
+
+
+def _record(state: pools.Pool, run: runs.Run) -> bool:
+    """Record a crash under a run; return whether it is a new one."""
+    task = run.task
+    if task is None or task.done or task.step.job.ending is not None:
+        return False
+    progress = task.step.job.progress
+    numbers = progress.crashes.setdefault(task.progress_key, [])
+    if run.number in numbers:
+        return False
+    numbers.append(run.number)
+    _remove(progress.attempts, task.progress_key, run.number)
+    life = (run.worker.name, run.worker.incarnation)
+    state.suspects.add_crash(life, task, run.number)
+    state.journal.mark(task.step.job)
+    return True
+
+
+def _judge(state: pools.Pool, run: runs.Run, now: float) -> None:
+    """Suspect the task of a run that crashed, or give it up."""
+    task = run.task
+    if task is None or task.step.job.ending is not None:
+        return
+    first_sign = run.worker.unanswered_since or now
+    just_started = run.sent_at > first_sign - SUSPECT_AGE_SECONDS
+    found = suspects.evidence(task)
+    if not found.crashes:
+        # The cause of the crash is found.
+        return
+    if run.apart and _proven(run, just_started, found):
+        give_up(state, task, found, run)
+    elif just_started or found.total >= suspects.SUSPECT_CRASHES_LATE:
+        state.suspects.add(task, just_started)
+        _report_suspect(state, run, task, found, now)
+
+
+def _proven(
+    run: runs.Run, just_started: bool, found: suspects.Evidence
+) -> bool:
+    """Return whether the crash of its worker shows that a suspect caused it.
+
+    :param just_started: whether it was started just before.
+    """
+    company = [
+        other
+        for other in run.worker.runs.values()
+        if other.task is None
+        or run.task is None
+        or other.task.unit_name != run.task.unit_name
+    ]
+    if not company:
+        return found.crashes >= MAX_CRASHES_ALONE
+    return just_started and found.crashes >= MAX_CRASHES_APART
+
+
+def _report_suspect(
+    state: pools.Pool,
+    run: runs.Run,
+    task: runs.Task,
+    found: suspects.Evidence,
+    now: float,
+) -> None:
+    state.metrics.count("crashes_suspected", pool=state.name)
+    if not _lines.take(now):
+        return
+    LOG.info(
+        "task suspected of crashing its worker",
+        extra={
+            "pool": state.name,
+            "task": task.name,
+            "run": run.number,
+            "worker": run.worker.name,
+            "state": run.state.value,
+            "age": round(now - run.sent_at, 3),
+            "beside": len(run.worker.runs) - 1,
+            "apart": run.apart,
+            "crashes": found.crashes,
+            "unresolved": found.unresolved,
+        },
+    )
+
+
+def give_up(
+    state: pools.Pool,
+    task: runs.Task,
+    found: suspects.Evidence,
+    run: runs.Run | None = None,
+) -> None:
+    """End the job of a task that crashes its workers as failed.
+
+    :param run: the run under which the last worker crashed, None when only
+        the stored attempts of earlier holders show it.
+    """
+    job = task.step.job
+    code = codes.Result.CRASHES_WORKERS
+    progress = job.progress
+    LOG.warning(
+        "job given up: its task crashes workers",
+        extra={
+            "pool": state.name,
+            "job": job.job.job,
+            "queue": job.job.queue,
+            "team": job.job.team,
+            "task": task.name,
+            "crashes": progress.crashes.get(task.progress_key, []),
+            "attempts": progress.attempts.get(task.progress_key, []),
+            "worker": run.worker.name if run is not None else "",
+            "beside": len(run.worker.runs) - 1 if run is not None else 0,
+        },
+    )
+    state.metrics.count("jobs_given_up", pool=state.name, code=str(code.value))
+    state.suspects.discard(task)
+    for other, number in state.suspects.explained_by(task):
+        _clear(state, other, number)
+    state.finish_job(
+        job,
+        model.STATE_FAILED,
+        f"{found.total} workers crashed under task {task.name}",
+        0.0,
+        code,
+    )
+
+
+def _clear(state: pools.Pool, task: runs.Task, number: int) -> None:
+    """Remove a crash from a task, as another one caused it."""
+    job = task.step.job
+    if _remove(job.progress.crashes, task.progress_key, number):
+        state.journal.mark(job)
+    if not suspects.evidence(task).total:
+        _end_suspicion(state, task)
+
+
+def _end_suspicion(state: pools.Pool, task: runs.Task) -> None:
+    state.suspects.discard(task)
+    first = task.unit[0]
+    if first.prepared is not None:
+        _settle(state, first, first.prepared.number)
+        first.prepared = None
+
+
+def prepare(state: pools.Pool, task: runs.Task) -> None:
+    """Record an attempt that is to be stored before its start."""
+    job = task.step.job
+    number = state.next_run()
+    job.progress.attempts.setdefault(task.progress_key, []).append(number)
+    state.journal.mark(job)
+    task.prepared = runs.Prepared(number, state.journal.marked)
+    state.suspects.prepared_mark = state.journal.marked
+
+
+def stored_numbers(
+    state: pools.Pool, tasks: t.Sequence[runs.Task]
+) -> list[int] | None:
+    """Return the run numbers of tasks that start together.
+
+    Some tasks start only once the attempt is stored.
+
+    :returns: None while an attempt is being stored.
+    """
+    firsts = {task.unit_name: task.unit[0] for task in tasks}
+    numbers: dict[str, int] = {}
+    for name, first in firsts.items():
+        if not _stored_before_start(state, first):
+            numbers[name] = state.next_run()
+            continue
+        if first.prepared is None:
+            prepare(state, first)
+        if (
+            first.prepared is not None
+            and first.prepared.mark <= state.journal.stored
+        ):
+            numbers[name] = first.prepared.number
+    if len(numbers) < len(firsts):
+        return None
+    for first in firsts.values():
+        first.prepared = None
+    return [numbers[task.unit_name] for task in tasks]
+
+
+def _stored_before_start(state: pools.Pool, task: runs.Task) -> bool:
+    """Return whether the next start of a task is stored before.
+
+    That is the case for suspects, and for the first start by this holder of a
+    task that an earlier one may have started without a trace.
+    """
+    job = task.step.job
+    if task in state.suspects:
+        return True
+    return job.recovered and job.started and task.last_run < state.first_run
+
+
+def withdraw(state: pools.Pool, run: runs.Run) -> None:
+    """Remove the attempt of a run that no crash ended."""
+    if run.task is not None:
+        _settle(state, run.task, run.number)
+
+
+def run_listed(state: pools.Pool, run: runs.Run, now: float) -> None:
+    """Apply that a worker lists a run as running."""
+    task = run.task
+    if task is None or not run.attempt:
+        return
+    found = suspects.evidence(task)
+    if now - run.running_since < found.alone_seconds:
+        return
+    if not all(member.runs for member in task.unit):
+        return
+    run.attempt = False
+    _settle(state, task, run.number)
+    if run.apart:
+        run.apart = False
+        _end_suspicion(state, task)
+
+
+def run_ended(
+    state: pools.Pool, task: runs.Task, number: int, outcome: str
+) -> None:
+    """Apply that a worker lists the end of a run: it did not crash.
+
+    :param outcome: an ``END_`` constant. The members of a gang end as broken
+        when the worker of one of them crashes.
+    """
+    if outcome in (ports.END_BROKEN, ports.END_ALONE):
+        return
+    progress = task.step.job.progress
+    if _remove(progress.crashes, task.progress_key, number):
+        state.journal.mark(task.step.job)
+    _settle(state, task, number)
+    found = suspects.evidence(task)
+    if task in state.suspects and found.total < suspects.REPEATED_CRASHES:
+        _end_suspicion(state, task)
+
+
+def watch(run: runs.Run) -> None:
+    """Watch a run if it was stored before its start."""
+    if run.task is not None:
+        attempts = run.task.step.job.progress.attempts
+        run.attempt = run.number in attempts.get(run.task.progress_key, ())
+
+
+def adopt(state: pools.Pool, run: runs.Run) -> None:
+    """Watch a run of an earlier holder that was stored before its start."""
+    watch(run)
+    task = run.task
+    if not run.attempt or task is None or task not in state.suspects:
+        return
+    if suspects.evidence(task).total < suspects.SUSPECT_CRASHES:
+        # It was suspected before this run was known.
+        _end_suspicion(state, task)
+        return
+    run.apart = True
+
+
+def _settle(state: pools.Pool, task: runs.Task, number: int) -> None:
+    job = task.step.job
+    if _remove(job.progress.attempts, task.progress_key, number):
+        state.journal.mark(job)
+
+
+def _remove(
+    stored: t.MutableMapping[str, list[int]], key: str, number: int
+) -> bool:
+    """Remove a number; return whether it was there."""
+    numbers = stored.get(key)
+    if numbers is None or number not in numbers:
+        return False
+    numbers.remove(number)
+    if not numbers:
+        del stored[key]
+    return True
--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -70,6 +70,7 @@
         )
         match outcome:
             case ports.Committed(version=version):
+                stored_before = journal.stored
                 ended = journal.committed(batch, version)
                 for job in ended:
                     self._context.state.remove_ended_job(job, clock.now())
@@ -83,6 +84,8 @@
                         },
                     )
                 self._stored.set()
+                if stored_before < self._context.state.suspects.prepared_mark:
+                    self._context.plan_needed.set()
                 return True
             case ports.Conflicted(rows=rows):
                 self._context.check_epoch(rows)
@@ -163,6 +166,9 @@
             round(first_starts.longest, 3),
             pool=self._context.pool,
         )
+        self._context.metrics.gauge(
+            "pool_suspects", len(state.suspects), pool=self._context.pool
+        )
         self._context.metrics.gauge(
             "pool_late_jobs", first_starts.late, pool=self._context.pool
         )
--- /dev/null
+++ b/src/agaterudder/jobs/suspects.py
@@ -0,0 +1,173 @@
+"""Tasks that are suspected of crashing their workers.
+
+The stored progress of a job has, for each task (or for each gang as a whole),
+the runs under which a worker crashed, and the attempts: runs that were stored
+before their start and whose outcome is not known yet. An attempt that has no
+run any more had an outcome that no holder learnt; it may have been a crash.
+"""
+
+import dataclasses
+import typing as t
+
+if t.TYPE_CHECKING:
+    from agaterudder.jobs import runs
+
+# Crashes and attempts without an outcome from which on a new holder suspects
+# a task.
+SUSPECT_CRASHES = 2
+# The same for a task that had not just started when its worker crashed.
+SUSPECT_CRASHES_LATE = 3
+# A suspect that runs for this long is not suspected any more.
+ALONE_SECONDS = 0.5
+# The same for one with so many crashes that its start may not be the cause.
+REPEATED_CRASHES = 3
+REPEATED_ALONE_SECONDS = 3.0
+# Crashes and attempts without an outcome at which a task is given up, if so
+# many of them are such attempts: each of them may have been a crash.
+MAX_EVIDENCE = 4
+MAX_UNRESOLVED = 2
+# Crashes of workers that are remembered until their cause is found.
+MAX_CRASHES_KEPT = 100
+
+# Name and incarnation of the worker that crashed.
+Life = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What is known against a task.
+
+    :ivar crashes: number of the runs under which a worker crashed.
+    :ivar unresolved: number of the attempts without a run or an outcome.
+    """
+
+    crashes: int
+    unresolved: int
+
+    @property
+    def total(self) -> int:
+        """Number of the starts that may have crashed a worker."""
+        return self.crashes + self.unresolved
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether no further start is allowed."""
+        return self.total >= MAX_EVIDENCE and self.unresolved >= MAX_UNRESOLVED
+
+    @property
+    def alone_seconds(self) -> float:
+        """How long a run has to last to end the suspicion."""
+        repeated = self.total >= REPEATED_CRASHES
+        return REPEATED_ALONE_SECONDS if repeated else ALONE_SECONDS
+
+
+def evidence(task: "runs.Task") -> Evidence:
+    """Return what is known against a task."""
+    progress = task.step.job.progress
+    key = task.progress_key
+    open_numbers = {run.number for member in task.unit for run in member.runs}
+    prepared = task.unit[0].prepared
+    if prepared is not None:
+        open_numbers.add(prepared.number)
+    attempts = progress.attempts.get(key, ())
+    return Evidence(
+        len(progress.crashes.get(key, ())),
+        sum(1 for number in attempts if number not in open_numbers),
+    )
+
+
+class Suspects:
+    """Tasks of a pool that start apart from all others.
+
+    A gang is suspected as a whole, under its first task.
+
+    :ivar prepared_mark: the journal mark of the last prepared attempt.
+    """
+
+    __slots__ = ("prepared_mark", "_tasks", "_just_started", "_crashes")
+
+    def __init__(self) -> None:
+        self.prepared_mark = 0
+        self._tasks: dict[str, runs.Task] = {}
+        self._just_started: set[str] = set()
+        self._crashes: dict[Life, dict[str, tuple[runs.Task, int]]] = {}
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def __contains__(self, task: "runs.Task") -> bool:
+        return task.unit_name in self._tasks
+
+    def add(self, task: "runs.Task", just_started: bool = False) -> None:
+        """Suspect a task.
+
+        :param just_started: whether a worker crashed when it had just started.
+        """
+        self._tasks.setdefault(task.unit_name, task.unit[0])
+        if just_started:
+            self._just_started.add(task.unit_name)
+
+    def discard(self, task: "runs.Task") -> None:
+        """End the suspicion of a task."""
+        self._tasks.pop(task.unit_name, None)
+        self._just_started.discard(task.unit_name)
+
+    def add_crash(self, life: Life, task: "runs.Task", number: int) -> None:
+        """Note that a worker crashed under a run of a task."""
+        found = self._crashes.setdefault(life, {})
+        found[task.unit_name] = (task, number)
+        if len(self._crashes) > MAX_CRASHES_KEPT:
+            del self._crashes[next(iter(self._crashes))]
+
+    def explained_by(self, task: "runs.Task") -> "list[tuple[runs.Task, int]]":
+        """Return the other runs under which this task crashed a worker.
+
+        Forgets these crashes, as their cause is found.
+        """
+        found = [
+            life
+            for life, under in self._crashes.items()
+            if task.unit_name in under
+        ]
+        return [
+            (other, number)
+            for life in found
+            for name, (other, number) in self._crashes.pop(life).items()
+            if name != task.unit_name
+        ]
+
+    def restore(self, step: "runs.StepRun") -> None:
+        """Suspect the tasks against which enough is stored."""
+        progress = step.job.progress
+        if not progress.crashes and not progress.attempts:
+            return
+        for task in step.tasks:
+            if not task.done and evidence(task).total >= SUSPECT_CRASHES:
+                self.add(task)
+
+    def waiting(self, now: float) -> "list[runs.Task]":
+        """Return those that may start now, the more likely causes first.
+
+        Forgets those that have ended.
+        """
+        for task in list(self._tasks.values()):
+            if task.done or task.step.job.ending is not None:
+                self.discard(task)
+        waiting = [
+            task
+            for task in self._tasks.values()
+            if task.step.ready_at
+            and all(
+                member.waiting and member.not_before <= now
+                for member in task.unit
+            )
+        ]
+        waiting.sort(key=self._order)
+        return waiting
+
+    def _order(self, task: "runs.Task") -> tuple[bool, int]:
+        """Rank the more likely causes first."""
+        return (
+            task.unit_name not in self._just_started,
+            -evidence(task).total,
+        )
--- a/tests/features/models.feature
+++ b/tests/features/models.feature
@@ -19,3 +19,4 @@
       | takeover   | 500    |
       | latestarts | 3000   |
       | grants     | 500    |
+      | crashes    | 2000   |
