BUDGET: a waiting suspect counts as work for a whole worker

The pool shrank from 14 workers to 2 while 43 jobs waited.

Cause: the load counts a waiting task by its size and time; sixty suspects of a core and half a second are little of that, but each needs a worker to itself.

Change: each waiting suspect adds the time that it needs alone.

Evidence: 'Each waiting suspect counts as work for a whole worker' failed without the change.

--- a/src/agaterudder/jobs/load.py
+++ b/src/agaterudder/jobs/load.py
@@ -11,6 +11,7 @@
 from agaterudder.jobs import fleet
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import runs
+from agaterudder.jobs import suspects
 from agaterudder import resources
 
 # Time in which the backlog present when a machine joins is to be worked off.
@@ -75,9 +76,11 @@
     # A few large jobs are no steady load: the load is capped at the size of
     # the tasks that run, wait or are expected until a machine can join.
     usable = busy + wanted + rate.peak_size.scaled(join_seconds)
+    # A suspect uses a whole worker, however small it is.
+    apart = len(state.suspects.waiting(now)) * suspects.ALONE_SECONDS
     return Load(
         rate.work.elementwise_min(usable).dominant_share(size),
-        work.dominant_share(size),
+        work.dominant_share(size) + apart,
         len(workers) + joining - long_running.dominant_share(size),
     )
 
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -44,6 +44,15 @@
     And every other job is stored as completed
     And no suspect had company
 
+  # Guards against a pool that shrinks while many suspects wait in turn.
+  Scenario: Each waiting suspect counts as work for a whole worker
+    Given a simulated pool of 2 workers
+    And a simulated job "culprit" of 20 tasks of 0.1 core that last 9 seconds
+    When all workers of rack "rack-0" crash 1 times, 0.1 s apart
+    And 0.05 simulated seconds pass
+    Then at least 10 suspects wait
+    And the waiting work is at least 0.5 worker-seconds for each of them
+
   # Guards against an endless search as no worker is without long-running
   # tasks.
   Scenario: A suspect starts where only long-running tasks are beside it
--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -14,6 +14,7 @@
 from agaterudder import codes  # noqa: E402
 from agaterudder.jobs import clock  # noqa: E402
 from agaterudder.jobs import jobapi  # noqa: E402
+from agaterudder.jobs import load as loads  # noqa: E402
 from agaterudder.jobs import machines  # noqa: E402
 from agaterudder.jobs import model  # noqa: E402
 from agaterudder.jobs import orders  # noqa: E402
@@ -295,6 +296,24 @@
         assert ending is not None and ending.state == model.STATE_FAILED
 
 
+@behave.then("at least {count:d} suspects wait")
+def step_waiting(context: Context, count: int) -> None:
+    simulation = context.simulation
+    waiting = simulation.state.suspects.waiting(simulation.now)
+    context.waiting = len(waiting)
+    assert context.waiting >= count, waiting
+
+
+@behave.then(
+    "the waiting work is at least {seconds:g} worker-seconds for each of them"
+)
+def step_waiting_work(context: Context, seconds: float) -> None:
+    simulation = context.simulation
+    workers = list(simulation.state.workers.values())
+    load = loads.measure(simulation.state, workers, 0, 3.0, simulation.now)
+    assert load.waiting >= seconds * context.waiting, load
+
+
 @behave.then("no suspect had company")
 def step_no_company(context: Context) -> None:
     simulation = context.simulation
