LIMIT: ask a source that is away without waiting for changes

Change: while a watch fails, its calls don't wait.

Evidence: the scenario 'A watch whose source is away asks without waiting' fails without the change; 136 scenarios of failing_loops, shrinking_workers, leases, recovery, configuration, logs and job_traces pass.

--- a/src/agaterudder/jobs/watcher.py
+++ b/src/agaterudder/jobs/watcher.py
@@ -82,18 +82,12 @@
     def run(self) -> None:
         """Watch until killed."""
         while True:
-            asked_at = clock.now()
-            if not self._poll_once():
-                gevent.sleep(RETRY_SECONDS)
-                continue
-            self.confirmed_at = asked_at
-            if self._unavailable:
-                self._unavailable = False
-                LOG.info("watch resumed", extra={"source": self._name})
-            gevent.sleep(self._batch_seconds())
+            succeeded = self._poll_once()
+            gevent.sleep(self._batch_seconds() if succeeded else RETRY_SECONDS)
 
     def _poll_once(self) -> bool:
         """Read and pass on what has changed; return whether it succeeded."""
+        asked_at = clock.now()
         try:
             self._poll()
         except exceptions.CallFailed as error:
@@ -108,13 +102,20 @@
             )
             self._snapshot_needed = True
             return False
+        self.confirmed_at = asked_at
+        if self._unavailable:
+            self._unavailable = False
+            LOG.info("watch resumed", extra={"source": self._name})
         return True
 
     def _poll(self) -> None:
         if self._version is None or self._snapshot_needed:
             self._read_snapshot()
             return
-        found = self._source.changes(self._version, self._wait_seconds)
+        # A call that waits and gets no answer would hide for as long that the
+        # source is back.
+        wait_seconds = 0.0 if self._unavailable else self._wait_seconds
+        found = self._source.changes(self._version, wait_seconds)
         if isinstance(found, ports.HistoryLost):
             LOG.info(
                 "watch history lost; reading a new snapshot",
--- a/tests/features/failing_loops.feature
+++ b/tests/features/failing_loops.feature
@@ -33,3 +33,10 @@
     Given processes "a" and "b" and one pool
     When "a" acquires the pool and its renewal ends by a fault
     Then "a" has lost the pool
+
+  # Guards against pools that start nothing for seconds after the store is back,
+  # as the call that waits for changes was sent while it was away.
+  Scenario: A watch whose source is away asks without waiting
+    Given a watch whose source is away for the next 2 calls
+    When the watch polls 4 times
+    Then the calls asked to wait for "2, 0, 0, 2" seconds
--- a/tests/features/steps/failing_loop_steps.py
+++ b/tests/features/steps/failing_loop_steps.py
@@ -6,6 +6,7 @@
 import behave
 import gevent
 
+from agaterudder import exceptions
 from agaterudder.jobs import leases
 from agaterudder.jobs import model
 from agaterudder.jobs import watcher
@@ -13,6 +14,7 @@
 from tests import job_builders
 
 Context = t.Any
+WAIT_SECONDS = 2.0
 
 
 @behave.when("the loop fails while it polls")
@@ -42,6 +44,8 @@
     def __init__(self) -> None:
         self.version = 0
         self.snapshots = 0
+        self.away = 0
+        self.waits: list[float] = []
 
     def snapshot(self) -> tuple[tuple[str, ...], int]:
         """Return the row and its version."""
@@ -52,7 +56,11 @@
     def changes(
         self, after: int, wait_seconds: float
     ) -> tuple[tuple[str, ...], int]:
-        """Return a change of the row."""
+        """Return a change of the row, or fail while it is away."""
+        self.waits.append(wait_seconds)
+        if self.away:
+            self.away -= 1
+            raise exceptions.CallFailed("time-out", True)
         self.version += 1
         return ("row",), self.version
 
@@ -71,6 +79,19 @@
     )
 
 
+@behave.given("a watch whose source is away for the next {count:d} calls")
+def step_source_away(context: Context, count: int) -> None:
+    context.source = _Source()
+    context.source.away = count
+    context.watch = watcher.Watcher(
+        "rows",
+        context.source,
+        lambda _: None,
+        lambda _: None,
+        WAIT_SECONDS,
+    )
+
+
 @behave.when("the watch polls {count:d} times")
 def step_watch_polls(context: Context, count: int) -> None:
     context.watch._poll_once()
@@ -78,6 +99,12 @@
         context.watch._poll_once()
 
 
+@behave.then('the calls asked to wait for "{seconds}" seconds')
+def step_waits(context: Context, seconds: str) -> None:
+    expected = [float(text) for text in seconds.split(", ")]
+    assert context.source.waits == expected, context.source.waits
+
+
 @behave.then("it has read {count:d} snapshots and is watching again")
 def step_watching(context: Context, count: int) -> None:
     assert context.source.snapshots == count, context.source.snapshots
