BUDGET: count crashes beside long-running tasks whenever they come

Change: a suspect is given up at the third crash under it, with long-running tasks beside it, whenever they come.

--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -79,20 +79,15 @@
     if not found.crashes:
         # The cause of the crash is found.
         return
-    if run.apart and _proven(run, just_started, found):
+    if run.apart and _proven(run, found):
         give_up(state, task, found, run)
     elif just_started or found.total >= suspects.SUSPECT_CRASHES_LATE:
         state.suspects.add(task, just_started)
         _report_suspect(state, run, task, found, now)
 
 
-def _proven(
-    run: runs.Run, just_started: bool, found: suspects.Evidence
-) -> bool:
-    """Return whether the crash of its worker shows that a suspect caused it.
-
-    :param just_started: whether it was started just before.
-    """
+def _proven(run: runs.Run, found: suspects.Evidence) -> bool:
+    """Return whether the crash of its worker shows that a run caused it."""
     company = [
         other
         for other in run.worker.runs.values()
@@ -102,7 +97,7 @@
     ]
     if not company:
         return found.crashes >= MAX_CRASHES_ALONE
-    return just_started and found.crashes >= MAX_CRASHES_APART
+    return found.crashes >= MAX_CRASHES_APART
 
 
 def _report_suspect(
