BUDGET: ask for tickets for the worker that is kept for a suspect

Change: any worker that the policy has not refused may be kept, a ticketed one first; the room of allowed workers is read from the workers.

--- a/src/agaterudder/jobs/isolation.py
+++ b/src/agaterudder/jobs/isolation.py
@@ -116,14 +116,18 @@
         need = self._state.reserved_size(step)
         label = step.step.required_label
         tickets = step.tickets
+        refused = tickets.refused if tickets is not None else set()
         able = [
             worker
             for worker in accepting
             if worker.name not in self._names
             and (not label or label in worker.registration.labels)
-            and (tickets is None or worker.name in tickets.by_worker)
+            and worker.name not in refused
             and need.fits_in(worker.free_without_short_tasks)
         ]
+        if tickets is not None and tickets.until > self._now:
+            ticketed = [w for w in able if w.name in tickets.by_worker]
+            able = ticketed or able
         able = [w for w in able if not w.long_running_count] or able
         able.sort(
             key=lambda worker: (
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -191,7 +191,7 @@
             worker for worker in found if worker.name in tickets.by_worker
         ]
         need = self._state.reserved_size(step)
-        if not self._free.fitting(need, allowed):
+        if not any(need.fits_in(worker.free) for worker in allowed):
             self._request_tickets(step, found)
         return allowed
 
