BUDGET: keep a crash of a task when another one beside it is proven a cause

Cause: a crash was taken to have one cause. A task that had just started may be another.

Change: only tasks that had lasted are cleared of the crash. The others keep it and are suspected no more while it is the only one; from the second on each has to prove itself. A new holder, which knows of no proof, suspects from the first.

--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -46,12 +46,18 @@
 def _runs_crashed(
     state: pools.Pool, found: t.Iterable[runs.Run], now: float
 ) -> None:
-    recorded = [run for run in found if _record(state, run)]
+    recorded = [run for run in found if _record(state, run, now)]
     for run in recorded:
         _judge(state, run, now)
 
 
-def _record(state: pools.Pool, run: runs.Run) -> bool:
+def _just_started(run: runs.Run, now: float) -> bool:
+    """Return whether a run was started just before its worker crashed."""
+    first_sign = run.worker.unanswered_since or now
+    return run.sent_at > first_sign - SUSPECT_AGE_SECONDS
+
+
+def _record(state: pools.Pool, run: runs.Run, now: float) -> bool:
     """Record a crash under a run; return whether it is a new one."""
     task = run.task
     if task is None or task.done or task.step.job.ending is not None:
@@ -63,7 +69,10 @@
     numbers.append(run.number)
     _remove(progress.attempts, task.progress_key, run.number)
     life = (run.worker.name, run.worker.incarnation)
-    state.suspects.add_crash(life, task, run.number)
+    if not _just_started(run, now):
+        state.suspects.add_victim(life, task, run.number)
+    else:
+        state.suspects.add_crash(life, task, run.number)
     state.journal.mark(task.step.job)
     return True
 
@@ -73,8 +82,7 @@
     task = run.task
     if task is None or task.step.job.ending is not None:
         return
-    first_sign = run.worker.unanswered_since or now
-    just_started = run.sent_at > first_sign - SUSPECT_AGE_SECONDS
+    just_started = _just_started(run, now)
     found = suspects.evidence(task)
     if not found.crashes:
         # The cause of the crash is found.
@@ -157,8 +165,13 @@
     )
     state.metrics.count("jobs_given_up", pool=state.name, code=str(code.value))
     state.suspects.discard(task)
-    for other, number in state.suspects.explained_by(task):
+    victims, others = state.suspects.explained_by(task)
+    for other, number in victims:
         _clear(state, other, number)
+    for other in others:
+        # It keeps the crash: it may be another cause.
+        if suspects.evidence(other).total < suspects.SUSPECT_CRASHES:
+            _end_suspicion(state, other)
     state.finish_job(
         job,
         model.STATE_FAILED,
--- a/src/agaterudder/jobs/suspects.py
+++ b/src/agaterudder/jobs/suspects.py
@@ -12,9 +12,11 @@
 if t.TYPE_CHECKING:
     from agaterudder.jobs import runs
 
-# Crashes and attempts without an outcome from which on a new holder suspects
-# a task.
+# Crashes and attempts without an outcome from which on a task stays suspected
+# when the cause of one of them is found.
 SUSPECT_CRASHES = 2
+# The same from which on a new holder suspects a task: it knows of no proof.
+SUSPECT_CRASHES_RESTORED = 1
 # The same for a task that had not just started when its worker crashed.
 SUSPECT_CRASHES_LATE = 3
 # A suspect that runs for this long is not suspected any more.
@@ -84,13 +86,20 @@
     :ivar prepared_mark: the journal mark of the last prepared attempt.
     """
 
-    __slots__ = ("prepared_mark", "_tasks", "_just_started", "_crashes")
+    __slots__ = (
+        "prepared_mark",
+        "_tasks",
+        "_just_started",
+        "_crashes",
+        "_victims",
+    )
 
     def __init__(self) -> None:
         self.prepared_mark = 0
         self._tasks: dict[str, runs.Task] = {}
         self._just_started: set[str] = set()
         self._crashes: dict[Life, dict[str, tuple[runs.Task, int]]] = {}
+        self._victims: dict[Life, dict[str, tuple[runs.Task, int]]] = {}
 
     def __len__(self) -> int:
         return len(self._tasks)
@@ -113,28 +122,56 @@
         self._just_started.discard(task.unit_name)
 
     def add_crash(self, life: Life, task: "runs.Task", number: int) -> None:
-        """Note that a worker crashed under a run of a task."""
-        found = self._crashes.setdefault(life, {})
-        found[task.unit_name] = (task, number)
-        if len(self._crashes) > MAX_CRASHES_KEPT:
-            del self._crashes[next(iter(self._crashes))]
-
-    def explained_by(self, task: "runs.Task") -> "list[tuple[runs.Task, int]]":
-        """Return the other runs under which this task crashed a worker.
+        """Note that a worker crashed under a run that had just started."""
+        self._note(self._crashes, life, task, number)
+
+    def add_victim(self, life: Life, task: "runs.Task", number: int) -> None:
+        """Note that a worker crashed under a run that had lasted."""
+        self._note(self._victims, life, task, number)
+
+    @staticmethod
+    def _note(
+        noted: "dict[Life, dict[str, tuple[runs.Task, int]]]",
+        life: Life,
+        task: "runs.Task",
+        number: int,
+    ) -> None:
+        noted.setdefault(life, {})[task.unit_name] = (task, number)
+        if len(noted) > MAX_CRASHES_KEPT:
+            del noted[next(iter(noted))]
+
+    def explained_by(
+        self, task: "runs.Task"
+    ) -> "tuple[list[tuple[runs.Task, int]], list[runs.Task]]":
+        """Return what else was on the workers that a task crashed.
 
         Forgets these crashes, as their cause is found.
+
+        :returns: the runs that had lasted, and the tasks that had just
+            started.
         """
-        found = [
+        lives = [
             life
-            for life, under in self._crashes.items()
-            if task.unit_name in under
-        ]
-        return [
-            (other, number)
-            for life in found
-            for name, (other, number) in self._crashes.pop(life).items()
-            if name != task.unit_name
+            for life in {*self._crashes, *self._victims}
+            if task.unit_name in self._crashes.get(life, ())
+            or task.unit_name in self._victims.get(life, ())
         ]
+        victims = []
+        others = []
+        for life in lives:
+            lasted = self._victims.pop(life, {})
+            started = self._crashes.pop(life, {})
+            victims += [
+                found
+                for name, found in lasted.items()
+                if name != task.unit_name
+            ]
+            others += [
+                other
+                for name, (other, _) in started.items()
+                if name != task.unit_name
+            ]
+        return victims, others
 
     def restore(self, step: "runs.StepRun") -> None:
         """Suspect the tasks against which enough is stored."""
@@ -142,7 +179,8 @@
         if not progress.crashes and not progress.attempts:
             return
         for task in step.tasks:
-            if not task.done and evidence(task).total >= SUSPECT_CRASHES:
+            total = evidence(task).total
+            if not task.done and total >= SUSPECT_CRASHES_RESTORED:
                 self.add(task)
 
     def waiting(self, now: float) -> "list[runs.Task]":
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -220,3 +220,32 @@
       | 1    |
       | 1001 |
       | 2001 |
+
+  # Guards against a task that crashed its workers again and again, as the proof
+  # against another one beside it cleared it, too.
+  Scenario Outline: <count> tasks that crash their workers begin together on <workers>
+    Given a simulated pool of <workers> workers
+    And <count> simulated culprits that begin together and crash after <delay> s
+    When 90 simulated seconds pass
+    Then each culprit was started 5 times at most and stored as failed
+
+    Examples:
+      | count | workers | delay |
+      | 8     | 1       | 0.01  |
+      | 12    | 2       | 0.01  |
+      | 12    | 6       | 0.01  |
+
+  # Guards against a task that crashed its workers again and again, some time
+  # after its start, beside long-running tasks.
+  Scenario Outline: A task crashes its worker <delay> s after its start, not alone
+    Given a simulated pool of 3 workers
+    And a simulated job "lasting" of 9 long-running tasks, 3 per worker
+    And 1 simulated culprits that begin together and crash after <delay> s
+    When 60 simulated seconds pass
+    Then each culprit was started 5 times at most and stored as failed
+
+    Examples:
+      | delay |
+      | 0.35  |
+      | 1.0   |
+      | 2.0   |
--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -31,6 +31,7 @@
 
 Context = t.Any
 CULPRIT = "00000000000000cc"
+CULPRIT_SECONDS = 0.5
 OTHER = "0000000000001{:03d}"
 
 
@@ -410,3 +411,20 @@
         if played.ending(name) is None
     }
     assert not waiting, waiting
+
+
+@behave.given(
+    "{count:d} simulated culprits that begin together and crash after "
+    "{delay:g} s"
+)
+def step_culprits_together(context: Context, count: int, delay: float) -> None:
+    step = job_builders.step(
+        count=1,
+        size=resources.Vector(1.0, 100.0),
+        estimate_seconds=CULPRIT_SECONDS,
+    )
+    for number in range(count):
+        name = f"{number:016x}"
+        context.simulation.submit(name, step)
+        task = model.task_name(name, 0, 0, 0)
+        context.simulation.deadly[task] = delay
