--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -31,6 +31,18 @@
 DEADLINE_SECONDS = 3.0
 
 
+def _accept(context: Context, step: model.Step, job: str = FIRST) -> None:
+    """Add a job of one step that has not begun."""
+    context.state.accept(
+        job_builders.job(step, job=job),
+        model.Progress(),
+        0,
+        context.now,
+        False,
+    )
+    context.state.create_due(0.0, context.now)
+
+
 @behave.given("a started job of {count:d} tasks of 1 core")
 def step_started_job(context: Context, count: int) -> None:
     job = job_builders.job(job_builders.step(count=count))
@@ -164,14 +176,7 @@
     step = job_builders.step(
         count=1, size=resources.Vector(cores, 100.0), long_running=lasting
     )
-    context.state.accept(
-        job_builders.job(step, job=job),
-        model.Progress(),
-        0,
-        context.now,
-        False,
-    )
-    context.state.create_due(0.0, context.now)
+    _accept(context, step, job)
     task = context.state.jobs[job].steps["0.0"].tasks[0]
     run = context.state.add_run(
         task,
@@ -185,10 +190,7 @@
 @behave.given("a job of 1 tasks of {cores:d} cores")
 def step_large_task(context: Context, cores: int) -> None:
     step = job_builders.step(count=1, size=resources.Vector(cores, 100.0))
-    context.state.accept(
-        job_builders.job(step), model.Progress(), 0, context.now, False
-    )
-    context.state.create_due(0.0, context.now)
+    _accept(context, step)
 
 
 @behave.given('its first task is kept from worker "{name}"')
@@ -267,19 +269,13 @@
         data_rack="rack-1",
         long_running=kind == "long-running",
     )
-    context.state.accept(
-        job_builders.job(step), model.Progress(), 0, context.now, False
-    )
-    context.state.create_due(0.0, context.now)
+    _accept(context, step)
 
 
 @behave.given("a job of 3 tasks, one per worker, of which 2 run")
 def step_limited_short(context: Context) -> None:
     step = job_builders.step(count=3, max_per_worker=1)
-    context.state.accept(
-        job_builders.job(step), model.Progress(), 0, context.now, False
-    )
-    context.state.create_due(0.0, context.now)
+    _accept(context, step)
     _plan(context)
 
 
@@ -293,14 +289,7 @@
         data_rack="rack-1",
         long_running=True,
     )
-    context.state.accept(
-        job_builders.job(step, job=LASTING),
-        model.Progress(),
-        0,
-        context.now,
-        False,
-    )
-    context.state.create_due(0.0, context.now)
+    _accept(context, step, LASTING)
 
 
 @behave.given("the team of the long-running task has a limit and no grant")
