--- a/src/agaterudder/jobs/draining.py
+++ b/src/agaterudder/jobs/draining.py
@@ -47,13 +47,14 @@
             step, bounds.stop
         ):
             continue
-        if may_stop(run, worker.draining) and (fits_elsewhere or overdue):
+        allowed = may_stop(run, worker.draining, now)
+        if allowed and (fits_elsewhere or overdue):
             chosen.append(run)
             steps.add(step.name)
     return chosen
 
 
-def may_stop(run: runs.Run, draining: bool) -> bool:
+def may_stop(run: runs.Run, draining: bool, now: float) -> bool:
     """Return whether a long-running task may be stopped now.
 
     A task that starts up counts as available, as it may be by the time that
@@ -63,7 +64,9 @@
     if draining:
         return True
     step = run.task.step
-    others_unavailable = step.unavailable_tasks() - (0 if run.available else 1)
+    others_unavailable = step.unavailable_tasks(now)
+    if not run.available(now):
+        others_unavailable -= 1
     return others_unavailable < max(step.step.max_unavailable, 1)
 
 
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -199,13 +199,16 @@
             now
         )
 
-    @property
-    def available(self) -> bool:
-        """Whether this run makes a long-running task available."""
+    def available(self, now: float) -> bool:
+        """Return whether this run makes a long-running task available.
+
+        On a worker that does not answer, it may have ended.
+        """
         return (
             self.state is RunState.RUNNING
             and self.progress >= 100
             and not self.stop_reason
+            and not self.worker.unresponsive(now)
         )
 
 
@@ -381,12 +384,12 @@
             and all(run.unreachable(now) for run in task.runs)
         )
 
-    def unavailable_tasks(self) -> int:
+    def unavailable_tasks(self, now: float) -> int:
         """Return how many tasks of a long-running step are unavailable."""
         return sum(
             1
             for task in self.tasks
-            if not any(run.available for run in task.runs)
+            if not any(run.available(now) for run in task.runs)
         )
 
     def count_on_worker(self, worker: str) -> int:
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -184,6 +184,22 @@
     And the pool is planned
     Then 0 stops are ordered
 
+  # Guards against a stop beside a task whose worker has crashed or is cut off.
+  Scenario Outline: Another long-running task's worker is silent for <silent> s
+    Given a pool with 4 workers
+    And a job of 3 long-running tasks, one per worker, of which 1 may be unavailable
+    When the pool is planned
+    And all runs are listed as running at 100 per cent
+    And the worker of another has been silent for <silent> seconds
+    And the worker of the first is cordoned for maintenance
+    And the pool is planned
+    Then <stops> stops are ordered
+
+    Examples:
+      | silent | stops |
+      | 0.5    | 1     |
+      | 3      | 0     |
+
   Scenario Outline: A new holder drains a worker <after> s after its first poll
     Given a pool with 4 workers
     And a job of 3 long-running tasks, one per worker, of which 1 may be unavailable
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -545,6 +545,18 @@
         run.progress = 0
 
 
+@behave.when("the worker of another has been silent for {seconds:g} seconds")
+def step_another_silent(context: Context, seconds: float) -> None:
+    silent = _runs(context)[1].worker
+    since = context.now
+    context.now += seconds
+    for worker in context.state.workers.values():
+        if worker is silent:
+            worker.unanswered_since = since
+        else:
+            worker.polled_at = context.now
+
+
 @behave.when("the worker of the first is cordoned for maintenance")
 def step_cordoned(context: Context) -> None:
     _runs(context)[0].worker.cordon("maintenance", context.now)
@@ -708,7 +720,7 @@
 @behave.then("{count:d} of its tasks are unavailable")
 def step_count_unavailable(context: Context, count: int) -> None:
     (job,) = context.state.jobs.values()
-    assert job.steps["0.0"].unavailable_tasks() == count
+    assert job.steps["0.0"].unavailable_tasks(context.now) == count
 
 
 @behave.then("all runs have the same number")
