AVAIL: stop no task beside one whose worker shuts down

Cause: a worker that shuts down has its long-running tasks stopped whatever else is away.

Change: tasks on workers that shut down count as unavailable for other stops, and their own stops wait for a pending one of their step, until the worker's grace is over.

The new scenarios ordered both stops before, one now.

--- a/src/agaterudder/jobs/draining.py
+++ b/src/agaterudder/jobs/draining.py
@@ -47,22 +47,23 @@
             step, bounds.stop
         ):
             continue
-        allowed = may_stop(run, worker.draining, now)
+        if worker.draining:
+            allowed = overdue or not _other_stop_pending(run)
+        else:
+            allowed = may_stop(run, now)
         if allowed and (fits_elsewhere or overdue):
             chosen.append(run)
             steps.add(step.name)
     return chosen
 
 
-def may_stop(run: runs.Run, draining: bool, now: float) -> bool:
+def may_stop(run: runs.Run, now: float) -> bool:
     """Return whether a long-running task may be stopped now.
 
     A task that starts up counts as available, as it may be by the time that
     the stop arrives.
     """
     assert run.task is not None
-    if draining:
-        return True
     step = run.task.step
     others_unavailable = step.unavailable_tasks(now)
     if not run.available(now):
@@ -70,6 +71,20 @@
     return others_unavailable < max(step.step.max_unavailable, 1)
 
 
+def _other_stop_pending(run: runs.Run) -> bool:
+    """Return whether another task of its step is being stopped.
+
+    Tasks on workers that shut down don't count, as they end in any case.
+    """
+    assert run.task is not None
+    return any(
+        other.stop_reason and not other.worker.draining
+        for task in run.task.step.tasks
+        for other in task.runs
+        if other is not run
+    )
+
+
 def _earlier_stops_visible(step: runs.StepRun, stop_seconds: float) -> bool:
     """Return whether the listings show all stops of earlier holders."""
     return all(
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -53,6 +53,7 @@
     runs: "dict[tuple[str, int], Run]"
     polled_at: float
     unanswered_since: float
+    draining: bool
     full_until: float
     quarantined_until: float
 
@@ -202,13 +203,15 @@
     def available(self, now: float) -> bool:
         """Return whether this run makes a long-running task available.
 
-        On a worker that does not answer, it may have ended.
+        On a worker that does not answer, it may have ended, and on one that
+        shuts down it is about to.
         """
         return (
             self.state is RunState.RUNNING
             and self.progress >= 100
             and not self.stop_reason
             and not self.worker.unresponsive(now)
+            and not self.worker.draining
         )
 
 
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -200,6 +200,40 @@
       | 0.5    | 1     |
       | 3      | 0     |
 
+  # Guards against a stop beside that of a worker that shuts down, whose tasks
+  # end in any case.
+  Scenario Outline: Two workers with tasks of one step, <order> to be planned
+    Given a pool with 4 workers
+    And a job of 3 long-running tasks, one per worker, of which 1 may be unavailable
+    When the pool is planned
+    And all runs are listed as running at 100 per cent
+    And the worker of the <cordoned> run is cordoned for maintenance
+    And the worker of the <draining> run begins to drain
+    And the pool is planned
+    Then only the <draining> run is stopped
+
+    Examples:
+      | order              | cordoned | draining |
+      | the cordoned first | first    | last     |
+      | the draining first | last     | first    |
+
+  Scenario Outline: A worker shuts down <after> s after another task was stopped
+    Given a pool with 4 workers
+    And a job of 3 long-running tasks, one per worker, of which 1 may be unavailable
+    When the pool is planned
+    And all runs are listed as running at 100 per cent
+    And the worker of the first run is cordoned for maintenance
+    And the pool is planned
+    And the worker of the last run begins to drain
+    And <after> seconds pass while the workers answer
+    And the pool is planned
+    Then <stopped>
+
+    Examples: the stop of the other may still be on its way
+      | after | stopped                             |
+      | 0.1   | only the first run is stopped       |
+      | 1.6   | the first and last runs are stopped |
+
   Scenario Outline: A new holder drains a worker <after> s after its first poll
     Given a pool with 4 workers
     And a job of 3 long-running tasks, one per worker, of which 1 may be unavailable
--- a/tests/features/steps/pool_steps.py
+++ b/tests/features/steps/pool_steps.py
@@ -557,6 +557,43 @@
             worker.polled_at = context.now
 
 
+PLACES = {"first": 0, "last": -1}
+
+
+@behave.when("the worker of the {place} run is cordoned for maintenance")
+def step_place_cordoned(context: Context, place: str) -> None:
+    worker = _runs(context)[PLACES[place]].worker
+    worker.cordon("maintenance", context.now)
+
+
+@behave.when("the worker of the {place} run begins to drain")
+def step_place_drains(context: Context, place: str) -> None:
+    worker = _runs(context)[PLACES[place]].worker
+    worker.draining = True
+    worker.cordon("draining", context.now)
+
+
+@behave.when("{seconds:g} seconds pass while the workers answer")
+def step_answering(context: Context, seconds: float) -> None:
+    context.now += seconds
+    for worker in context.state.workers.values():
+        worker.polled_at = context.now
+
+
+@behave.then("only the {place} run is stopped")
+def step_only_stopped(context: Context, place: str) -> None:
+    stopped = [bool(run.stop_reason) for run in _runs(context)]
+    expected = [False] * len(stopped)
+    expected[PLACES[place]] = True
+    assert stopped == expected, stopped
+
+
+@behave.then("the first and last runs are stopped")
+def step_both_stopped(context: Context) -> None:
+    stopped = [bool(run.stop_reason) for run in _runs(context)]
+    assert stopped == [True, False, True], stopped
+
+
 @behave.when("the worker of the first is cordoned for maintenance")
 def step_cordoned(context: Context) -> None:
     _runs(context)[0].worker.cordon("maintenance", context.now)
