Planner: start tasks at a cost that hardly grows with the pool

Cause: each start looked at every worker three times: for the largest free amounts, for those with room, and for the best. Vectors compared by generators.

Change: within a round capacity only shrinks, so the largest amounts are read once; of the workers with room, those whose capacity changed are looked at again. Vectors compare field by field.

--- a/src/agaterudder/jobs/freecapacity.py
+++ b/src/agaterudder/jobs/freecapacity.py
@@ -12,11 +12,14 @@
 
     Within a round it only shrinks, so a need that fitted nowhere is
     remembered, and greater ones are not tried again.
+
+    :ivar changed: names of the workers whose capacity changed, in order.
     """
 
-    __slots__ = ("_free", "_held", "_largest", "_unplaceable")
+    __slots__ = ("changed", "_free", "_held", "_largest", "_unplaceable")
 
     def __init__(self, workers: t.Iterable[fleet.WorkerState]) -> None:
+        self.changed: list[str] = []
         self._free = {worker.name: worker.free for worker in workers}
         self._held: dict[str, resources.Vector] = {}
         self._largest: resources.Vector | None = None
@@ -30,7 +33,7 @@
         """Read a worker again on which a run was added."""
         held = self._held.get(worker.name, resources.ZERO)
         self._free[worker.name] = worker.free - held
-        self._largest = None
+        self.changed.append(worker.name)
 
     def hold(self, worker: fleet.WorkerState, need: resources.Vector) -> None:
         """Keep room free on a worker for the rest of the round."""
@@ -44,12 +47,9 @@
         workers: t.Iterable[fleet.WorkerState],
     ) -> list[fleet.WorkerState]:
         """Return the workers that have room for a need."""
+        free = self._free
         return [
-            worker
-            for worker in workers
-            if need.cores
-            <= self._free[worker.name].cores + resources.TOLERANCE
-            and need.fits_in(self._free[worker.name])
+            worker for worker in workers if need.fits_in(free[worker.name])
         ]
 
     def mark_unplaceable(self, need: resources.Vector) -> None:
@@ -57,7 +57,11 @@
         self._unplaceable.append(need)
 
     def fits_nowhere(self, need: resources.Vector) -> bool:
-        """Return whether a need is known to fit on no worker."""
+        """Return whether a need is known to fit on no worker.
+
+        The largest amounts are those at the first call: as capacity only
+        shrinks, what exceeds them still fits nowhere.
+        """
         if self._largest is None:
             self._largest = functools.reduce(
                 resources.Vector.elementwise_max,
--- a/src/agaterudder/jobs/workerchoice.py
+++ b/src/agaterudder/jobs/workerchoice.py
@@ -1,5 +1,6 @@
 """Chooses the worker of a task that starts by itself."""
 
+import dataclasses
 import typing as t
 
 from agaterudder.jobs import fleet
@@ -15,6 +16,19 @@
 MAX_PREFERENCE_WAIT_SECONDS = 1.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Fitting:
+    """Workers that could take one more task of a step.
+
+    :ivar seen: how many changes of capacity they take into account.
+    """
+
+    step: runs.StepRun
+    candidates: list[fleet.WorkerState]
+    fitting: list[fleet.WorkerState]
+    seen: int
+
+
 class WorkerChoice:
     """Chooses workers in one scheduling round.
 
@@ -23,7 +37,7 @@
     :param now: seconds of this machine's monotonic clock.
     """
 
-    __slots__ = ("_state", "_usable", "_free", "_now")
+    __slots__ = ("_state", "_usable", "_free", "_now", "_last")
 
     def __init__(
         self,
@@ -36,6 +50,7 @@
         self._usable = usable
         self._free = free
         self._now = now
+        self._last: _Fitting | None = None
 
     def choose(
         self,
@@ -47,14 +62,7 @@
         need = self._state.reserved_size(step)
         if self._free.fits_nowhere(need):
             return None
-        others = [
-            worker
-            for worker in candidates
-            if worker.name not in task.excluded_workers
-        ]
-        fitting = self._fitting(step, need, others)
-        if not fitting and self._may_use_excluded(task, need, others):
-            fitting = self._fitting(step, need, candidates)
+        fitting = self._fitting_for(step, task, need, candidates)
         preferred = self._prefer_data_rack(step, fitting, candidates)
         if not preferred:
             return None
@@ -72,6 +80,59 @@
             )
         return min(preferred, key=lambda worker: self._free.of(worker).cores)
 
+    def _fitting_for(
+        self,
+        step: runs.StepRun,
+        task: runs.Task,
+        need: resources.Vector,
+        candidates: list[fleet.WorkerState],
+    ) -> list[fleet.WorkerState]:
+        """Return the workers that can take a task of a step."""
+        if not task.excluded_workers:
+            return self._refitted(step, need, candidates)
+        others = [
+            worker
+            for worker in candidates
+            if worker.name not in task.excluded_workers
+        ]
+        fitting = self._fitting(step, need, others)
+        if not fitting and self._may_use_excluded(task, need, others):
+            fitting = self._fitting(step, need, candidates)
+        return fitting
+
+    def _refitted(
+        self,
+        step: runs.StepRun,
+        need: resources.Vector,
+        candidates: list[fleet.WorkerState],
+    ) -> list[fleet.WorkerState]:
+        """Return the workers that can take one more task of a step.
+
+        Since the task of the same step before, only the workers whose
+        capacity changed are looked at again.
+        """
+        last = self._last
+        changed = self._free.changed
+        if (
+            last is None
+            or last.step is not step
+            or last.candidates is not candidates
+        ):
+            fitting = self._fitting(step, need, candidates)
+        else:
+            again = set(changed[last.seen :])
+            fitting = [
+                worker
+                for worker in last.fitting
+                if worker.name not in again
+                or need.fits_in(self._free.of(worker))
+                and step.within_worker_limit(worker.name)
+            ]
+            if not fitting and len(candidates) == len(self._usable):
+                self._free.mark_unplaceable(need)
+        self._last = _Fitting(step, candidates, fitting, len(changed))
+        return fitting
+
     def _fitting(
         self,
         step: runs.StepRun,
--- a/src/agaterudder/resources.py
+++ b/src/agaterudder/resources.py
@@ -29,11 +29,21 @@
         )
 
     def __sub__(self, other: "Vector") -> "Vector":
-        return self + other.scaled(-1.0)
+        return Vector(
+            self.cores - other.cores,
+            self.memory - other.memory,
+            self.accelerators - other.accelerators,
+            self.tasks - other.tasks,
+        )
 
     def scaled(self, factor: float) -> "Vector":
         """Return the vector multiplied by ``factor``."""
-        return Vector(*(value * factor for value in self.values()))
+        return Vector(
+            self.cores * factor,
+            self.memory * factor,
+            self.accelerators * factor,
+            self.tasks * factor,
+        )
 
     def values(self) -> tuple[float, float, float, float]:
         """Return the amounts in the order of the fields."""
@@ -45,9 +55,11 @@
 
     def fits_in(self, other: "Vector") -> bool:
         """Return whether no amount exceeds that of ``other``."""
-        return all(
-            mine <= theirs + TOLERANCE
-            for mine, theirs in zip(self.values(), other.values())
+        return (
+            self.cores <= other.cores + TOLERANCE
+            and self.memory <= other.memory + TOLERANCE
+            and self.accelerators <= other.accelerators + TOLERANCE
+            and self.tasks <= other.tasks + TOLERANCE
         )
 
     def elementwise_min(self, other: "Vector") -> "Vector":
