Autoscaling: leave machines on standby to pools that have few

Cause: a pool ordered all machines that it expected to need.

Change: the limit of a pool follows what it leaves, as the dynamic thresholds of shared buffers do. Long-running tasks that need more workers, and tasks that have room nowhere, are exempt.

Measured: fleet.feature, patterns with 30 and 180 machines.

--- a/src/agaterudder/jobs/autoscaler.py
+++ b/src/agaterudder/jobs/autoscaler.py
@@ -16,6 +16,7 @@
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
 from agaterudder.jobs import scaling
+from agaterudder.jobs import standbyshare
 
 LOG = logging.getLogger(__name__)
 
@@ -103,8 +104,8 @@
         self._drop_joined_moves(now)
         self._repeat_unanswered_moves()
         match scaling.decide(self._holder.state, len(self._moves), now):
-            case scaling.ScaleUp(count=count, reason=reason):
-                self._scale_up(count, reason)
+            case scaling.ScaleUp() as wanted:
+                self._scale_up(wanted)
             case scaling.ScaleDown(workers=workers):
                 moves = [
                     self._spawn(self._scale_down, worker) for worker in workers
@@ -158,7 +159,7 @@
         if self._moves:
             self._machine_cache.refresh()
 
-    def _scale_up(self, count: int, reason: str) -> None:
+    def _scale_up(self, wanted: scaling.ScaleUp) -> None:
         if not self._machine_cache.refresh():
             return
         now = clock.now()
@@ -172,19 +173,36 @@
             > CLAIM_RETRY_SECONDS
             and machine.machine not in self._moves
         ]
-        if len(free) < count:
-            self._log_shortage(count, len(free), reason, now)
+        count = wanted.count
+        if not wanted.required:
+            count = self._share_of_standby(count, len(free))
+        if min(count, len(free)) < wanted.count:
+            self._log_shortage(wanted, len(free), now)
         free.sort(key=self._rank)
         moves = [
-            self._spawn(self._move_from_standby, machine, reason)
+            self._spawn(self._move_from_standby, machine, wanted.reason)
             for machine in free[:count]
         ]
         gevent.joinall(moves)
 
+    def _share_of_standby(self, wanted: int, free: int) -> int:
+        """Return how many machines may be taken, so that others get some."""
+        standby = self._holder.standby_pools()
+        machine_list = self._machine_cache.machines.values()
+        pools_in_use = {
+            machine.pool
+            for machine in machine_list
+            if machine.pool not in standby
+        }
+        even_share = len(machine_list) // max(len(pools_in_use), 1)
+        own = self._machine_cache.in_pool(self._holder.pool)
+        present = {machine.machine for machine in own}.union(self._moves)
+        return standbyshare.allowed(wanted, len(present), free, even_share)
+
     def _log_shortage(
-        self, count: int, free: int, reason: str, now: float
+        self, wanted: scaling.ScaleUp, free: int, now: float
     ) -> None:
-        """Log that fewer machines are on standby than the pool needs."""
+        """Log that the pool gets fewer machines from standby than it needs."""
         if now - self._shortage_at < SHORTAGE_INTERVAL_SECONDS:
             return
         self._shortage_at = now
@@ -196,11 +214,11 @@
             "too few machines on standby",
             extra={
                 "pool": self._holder.pool,
-                "wanted": count,
+                "wanted": wanted.count,
                 "free": free,
                 "standby": standby,
                 "joining": len(self._moves),
-                "why": reason,
+                "why": wanted.reason,
             },
         )
 
--- a/src/agaterudder/jobs/scaling.py
+++ b/src/agaterudder/jobs/scaling.py
@@ -34,10 +34,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ScaleUp:
-    """Take machines from the standby pool."""
+    """Take machines from the standby pool.
+
+    :ivar required: whether tasks could not run at all without them.
+    """
 
     count: int
     reason: str
+    required: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +103,7 @@
         return ScaleUp(
             spread - present,
             "long-running tasks must spread over more workers",
+            required=True,
         )
     if scale_up:
         return ScaleUp(
@@ -111,6 +116,7 @@
         return ScaleUp(
             loads.workers_for(state, steps, usable),
             f"tasks of {steps[0].name} have room on no worker",
+            required=True,
         )
     idle = _idle([worker for worker in workers if worker not in usable], now)
     if idle:
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -228,6 +228,38 @@
       | is unresponsive               |
       | is in a taken-out data centre |
 
+  # Pattern: the load of several pools rises at once, and one of them expects
+  # more than the fleet has.
+  Scenario Outline: A pool of <present> machines wants <wanted> of <free> on standby
+    Given a fleet of <fleet> machines and 4 pools
+    Then the pool takes <taken>
+
+    Examples: it leaves some to others
+      | fleet | present | wanted | free | taken |
+      | 180   | 20      | 126    | 101  | 70    |
+      | 180   | 96      | 39     | 25   | 0     |
+      | 180   | 96      | 39     | 40   | 6     |
+      | 30    | 3       | 30     | 20   | 14    |
+
+    Examples: up to an even share it takes half of what there is
+      | fleet | present | wanted | free | taken |
+      | 180   | 30      | 21     | 12   | 6     |
+      | 180   | 44      | 21     | 12   | 1     |
+      | 180   | 45      | 21     | 12   | 0     |
+      | 30    | 6       | 3      | 1    | 1     |
+
+    Examples: it takes no more than it wants
+      | fleet | present | wanted | free | taken |
+      | 180   | 4       | 1      | 25   | 1     |
+      | 180   | 4       | 1      | 0    | 0     |
+
+  # Pattern: as before; the pools order in turn and know nothing of each other.
+  Scenario: Four pools of a fleet of 180 machines that all want 100 more
+    Given a fleet of 180 machines and 4 pools
+    And the pools have 40, 10, 10 and 5 machines
+    When each in turn takes what it may of 100 more, until none may
+    Then each pool took 3 machines or more, and none is left
+
   Scenario: Pools share a team's upper limit without exceeding it
     Given three pools of a team that may use 100 cores
     When they request and return cores at random, seed 3, answers lost
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -15,6 +15,7 @@
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
 from agaterudder.jobs import scaling
+from agaterudder.jobs import standbyshare
 from agaterudder.jobs import teamlimits
 from agaterudder import resources
 from tests import job_builders
@@ -103,7 +104,8 @@
         if not self.workers_registered:
             return None
         found = self._workers.setdefault(worker, job_builders.worker(worker))
-        found.runs = {("t", 1): None} if self._context.loaded else {}
+        run = mock.Mock(task=None)
+        found.runs = {("t", 1): run} if self._context.loaded else {}
         return found
 
     def worker_confirmed(self, worker: fleet.WorkerState) -> bool:
@@ -555,3 +557,54 @@
 @behave.then("no pool spent more than its grant")
 def step_spent(context: Context) -> None:
     assert context.overspent == 0
+
+
+@behave.given("a fleet of {count:d} machines and {pools:d} pools")
+def step_fleet_size(context: Context, count: int, pools: int) -> None:
+    context.fleet_size = count
+    context.even_share = count // pools
+
+
+@behave.then("the pool takes {taken:d}")
+def step_taken(context: Context, taken: int) -> None:
+    row = context.active_outline
+    found = standbyshare.allowed(
+        int(row["wanted"]),
+        int(row["present"]),
+        int(row["free"]),
+        context.even_share,
+    )
+    assert found == taken, found
+
+
+@behave.given("the pools have {a:d}, {b:d}, {c:d} and {d:d} machines")
+def step_pool_sizes(context: Context, a: int, b: int, c: int, d: int) -> None:
+    context.pool_sizes = [a, b, c, d]
+    context.first_sizes = [a, b, c, d]
+
+
+@behave.when(
+    "each in turn takes what it may of {wanted:d} more, until none may"
+)
+def step_take_turns(context: Context, wanted: int) -> None:
+    sizes = context.pool_sizes
+    left = [wanted for _ in sizes]
+    taken = 1
+    while taken:
+        taken = 0
+        for number, size in enumerate(sizes):
+            free = context.fleet_size - sum(sizes)
+            found = standbyshare.allowed(
+                left[number], size, free, context.even_share
+            )
+            sizes[number] += found
+            left[number] -= found
+            taken += found
+
+
+@behave.then("each pool took {count:d} machines or more, and none is left")
+def step_smallest_pool(context: Context, count: int) -> None:
+    sizes = context.pool_sizes
+    taken = [size - first for size, first in zip(sizes, context.first_sizes)]
+    assert min(taken) >= count, sizes
+    assert sum(sizes) == context.fleet_size, sizes
--- a/tests/features/steps/pool_log_steps.py
+++ b/tests/features/steps/pool_log_steps.py
@@ -16,6 +16,7 @@
 from agaterudder.jobs import poolstatus
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import scaling
 from agaterudder.jobs import workerends
 from agaterudder.jobs import workerloop
 from tests import job_builders
@@ -413,7 +414,7 @@
     )
     until = context.now + seconds
     while context.now < until:
-        scaler._scale_up(count, "much work")
+        scaler._scale_up(scaling.ScaleUp(count, "much work", required=True))
         scaler._refused.clear()
         context.now += SCALING_INTERVAL_SECONDS
 
