Waves: start machines in time whose tasks move one by one

Change: wavepacing.py holds the pace of a wave. A machine is started, whatever else is in progress, when the time that is left is what it needs; those that need the most come first.

--- a/src/agaterudder/jobs/maintenance.py
+++ b/src/agaterudder/jobs/maintenance.py
@@ -19,6 +19,7 @@
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
+from agaterudder.jobs import wavepacing
 
 LOG = logging.getLogger(__name__)
 
@@ -30,8 +31,6 @@
 STANDBY_FRACTION = 0.33
 # The holder learns of a machine that joins its pool within this time.
 JOIN_SECONDS = 2.0
-# Time for one machine, used to judge whether the wave is short of time.
-MACHINE_MAINTENANCE_SECONDS = 5.0
 DEADLINE_MARGIN_SECONDS = 6.0
 MAINTENANCE_REASON = "maintenance"
 # A pool whose waiting work is below this fraction of its cores can do without
@@ -179,9 +178,9 @@
             if name in own:
                 self._advance(wave, own[name])
         candidates = self._candidates(wave, record, own)
-        count = self._start_quota(wave, record, len(own), len(candidates))
-        if count:
-            self._start(wave, row, record, candidates[:count])
+        chosen = self._next_machines(wave, record, own, candidates)
+        if chosen:
+            self._start(wave, row, record, chosen)
         if not candidates and not record.down:
             self._check_completed(wave, record)
 
@@ -249,43 +248,41 @@
             return (bool(machine.worker), 0, 0.0)
         return (False, worker.long_running_count, worker.used.cores)
 
-    def _start_quota(
+    def _next_machines(
         self,
         wave: operatorconfig.Wave,
         record: Record,
-        own: int,
-        candidates: int,
-    ) -> int:
-        """Return for how many more machines maintenance may start now.
+        own: t.Mapping[str, ports.Machine],
+        candidates: list[ports.Machine],
+    ) -> list[ports.Machine]:
+        """Return the machines whose maintenance may start now.
 
-        :param own: number of machines of the pool.
-        :param candidates: number of machines that may be next.
+        :param own: machines of the pool.
+        :param candidates: those that may be next.
         """
+        if not candidates:
+            return []
         concurrency = MAX_CONCURRENT
         if self._holder.standby:
             concurrency = max(
-                math.ceil(own * STANDBY_FRACTION), MAX_CONCURRENT
+                math.ceil(len(own) * STANDBY_FRACTION), MAX_CONCURRENT
             )
         elapsed = self._holder.store_clock() - record.since
-        left = wave.seconds - elapsed - DEADLINE_MARGIN_SECONDS
-        short_of_time = left <= MACHINE_MAINTENANCE_SECONDS * math.ceil(
-            candidates / concurrency
-        )
-        if (
-            not short_of_time
-            and self._holder.backlog_ratio() >= LOW_BACKLOG_RATIO
-        ):
-            return 0
-        rounds = max(left / MACHINE_MAINTENANCE_SECONDS, 1.0)
-        concurrency = max(concurrency, math.ceil(candidates / rounds))
-        return max(
-            0,
-            min(
-                wave.max_down - len(record.down),
-                concurrency - len(self._steps),
-                candidates,
-            ),
+        progress = wavepacing.Progress(
+            wave.seconds - elapsed - DEADLINE_MARGIN_SECONDS,
+            wave.max_down - len(record.down),
+            len(self._steps),
+            concurrency,
+            self._holder.backlog_ratio() < LOW_BACKLOG_RATIO,
         )
+        needed = [
+            wavepacing.needed_seconds(
+                self._holder.worker_state(machine.worker)
+            )
+            for machine in candidates
+        ]
+        chosen = wavepacing.to_start(needed, progress)
+        return [candidates[index] for index in chosen]
 
     def _start(
         self,
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -103,6 +103,27 @@
       | 12    | 26      | in use     | 6    |
       | 60    | 26      | on standby | 20   |
 
+  # Guards against a wave that ended late for one machine: its worker had five
+  # long-running tasks of a step, which are moved one after the other, and it
+  # waited until the others were done.
+  Scenario Outline: <left> s are left for a machine with <tasks> tasks of a step
+    Given a pool of 12 machines of a wave, of which <progress> are in progress
+    And one more has a worker with <tasks> long-running tasks of a step
+    Then it is started: <started>
+
+    Examples: it needs 5 s, and 1.5 s for each further task
+      | tasks | left | progress | started |
+      | 1     | 5.5  | 11       | no      |
+      | 1     | 5.0  | 11       | yes     |
+      | 5     | 11.5 | 11       | no      |
+      | 5     | 11.0 | 11       | yes     |
+
+  Scenario: Machines that are urgent precede the others
+    Given a wave whose machines need 5, 5, 9.5, 5 and 6.5 s
+    Then with 9 s left and room for 5 the third is started
+    And with 6 s left and room for 5 the third and fifth are started
+    And with 6 s left and room for 1 the third is started
+
   Scenario Outline: A wave of <count> machines of a pool with waiting work
     Given a wave of <count> machines with at most 20 down at once
     And it has to be completed within 26 seconds
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import re
 import typing as t
 from unittest import mock
 
@@ -13,10 +14,12 @@
 from agaterudder.jobs import maintenance
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
+from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from agaterudder.jobs import scaling
 from agaterudder.jobs import standbyshare
 from agaterudder.jobs import teamlimits
+from agaterudder.jobs import wavepacing
 from agaterudder import resources
 from tests import job_builders
 from tests import memory_store
@@ -608,3 +611,62 @@
     taken = [size - first for size, first in zip(sizes, context.first_sizes)]
     assert min(taken) >= count, sizes
     assert sum(sizes) == context.fleet_size, sizes
+
+
+@behave.given(
+    "a pool of 12 machines of a wave, of which {count:d} are in progress"
+)
+def step_wave_progress(context: Context, count: int) -> None:
+    context.in_progress = count
+
+
+@behave.given(
+    "one more has a worker with {count:d} long-running tasks of a step"
+)
+def step_lasting_on_worker(context: Context, count: int) -> None:
+    worker = job_builders.worker()
+    state = job_builders.state([worker])
+    step = job_builders.step(count=count, long_running=True)
+    state.accept(
+        job_builders.job(step), model.Progress(), 0, job_builders.START, False
+    )
+    state.create_due(0.0, job_builders.START)
+    planning.Plan(state, job_builders.START).orders()
+    assert len(worker.runs) == count
+    context.needed = [wavepacing.needed_seconds(worker)]
+
+
+@behave.then("it is started: {answer}")
+def step_wave_started(context: Context, answer: str) -> None:
+    progress = wavepacing.Progress(
+        float(context.active_outline["left"]),
+        10,
+        context.in_progress,
+        1,
+        True,
+    )
+    found = wavepacing.to_start(context.needed, progress)
+    assert found == ([0] if answer == "yes" else []), found
+
+
+@behave.given("a wave whose machines need 5, 5, 9.5, 5 and 6.5 s")
+def step_wave_needs(context: Context) -> None:
+    context.needed = [5.0, 5.0, 9.5, 5.0, 6.5]
+
+
+@behave.then(
+    "with {left:g} s left and room for {room:d} the {places} are started"
+)
+@behave.then(
+    "with {left:g} s left and room for {room:d} the {places} is started"
+)
+def step_wave_order(
+    context: Context, left: float, room: int, places: str
+) -> None:
+    numbers = {"first": 0, "third": 2, "fifth": 4}
+    words = re.findall(r"\w+", places)
+    wanted = [numbers[word] for word in words if word in numbers]
+    # Enough others are in progress, so that only urgent ones are started.
+    progress = wavepacing.Progress(left, room, 3, 1, True)
+    found = wavepacing.to_start(context.needed, progress)
+    assert found == wanted, found
