Take-over: recover jobs in the order of their submission

Cause: a new holder read the stored jobs in the order of their random ids. The token bucket of a team's rate was filled by the latest of them and gave nothing for the earlier ones: most of the recovered jobs counted as submitted beyond their team's rate, were served after all others and were no reason for machines. Arrivals before the take-over were not counted as load either.

Change: recovered jobs are loaded by the time of their acceptance and count as arrivals; the latest arrivals are kept, in whatever order they come.

Measured: of 30 jobs of a team that kept to its rate, 28 counted as beyond it after a recovery, 0 now (recovery.feature).

--- a/src/agaterudder/jobs/demand.py
+++ b/src/agaterudder/jobs/demand.py
@@ -1,6 +1,6 @@
 """Arrival rate of work in a pool, from the latest arrivals."""
 
-import collections
+import bisect
 import dataclasses
 
 from agaterudder import resources
@@ -43,13 +43,12 @@
     __slots__ = ("_arrivals",)
 
     def __init__(self) -> None:
-        self._arrivals: collections.deque[Arrival] = collections.deque(
-            maxlen=MAX_ARRIVALS
-        )
+        self._arrivals: list[Arrival] = []
 
     def add(self, arrival: Arrival) -> None:
-        """Add an arrived job."""
-        self._arrivals.append(arrival)
+        """Add an arrived job; they need not come in order."""
+        bisect.insort(self._arrivals, arrival, key=lambda item: item.at)
+        del self._arrivals[:-MAX_ARRIVALS]
 
     def rate(self, now: float) -> ArrivalRate:
         """Return the arrival rate.
@@ -57,14 +56,11 @@
         The oldest arrival only marks the start of the span and is not
         counted, so that a single job gives no rate.
         """
-        recent = sorted(
-            (
-                arrival
-                for arrival in self._arrivals
-                if now - arrival.at <= WINDOW_SECONDS
-            ),
-            key=lambda arrival: arrival.at,
-        )
+        recent = [
+            arrival
+            for arrival in self._arrivals
+            if now - arrival.at <= WINDOW_SECONDS
+        ]
         if len(recent) < 2:
             return ArrivalRate()
         span = max(now - recent[0].at, MIN_SPAN_SECONDS)
--- a/src/agaterudder/jobs/inbox.py
+++ b/src/agaterudder/jobs/inbox.py
@@ -1,5 +1,6 @@
 """Loads the jobs and cancellations that callers stored for a pool."""
 
+import dataclasses
 import typing as t
 
 from agaterudder import exceptions
@@ -39,6 +40,20 @@
         return found.rows, found.version
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _StoredJob:
+    """A job with its stored progress.
+
+    :ivar version: version of the job's row.
+    :ivar progress_version: version of the progress row, 0 without one.
+    """
+
+    job: model.Job
+    version: int
+    progress: model.Progress
+    progress_version: int
+
+
 class Inbox:
     """Watches the stored jobs of a pool.
 
@@ -107,23 +122,24 @@
         recovering: bool,
     ) -> None:
         now = clock.now()
-        for row in rows:
-            if row.key.endswith(model.CANCEL_SUFFIX):
-                continue
-            self._load_job(row, store_clock, progress, recovering, now)
+        found = [
+            stored
+            for row in rows
+            if not row.key.endswith(model.CANCEL_SUFFIX)
+            and (stored := self._decode(row, progress)) is not None
+        ]
+        # The limit of a team's rate of submissions follows their times.
+        for stored in sorted(found, key=lambda item: item.job.accepted_at):
+            self._load_job(stored, store_clock, recovering, now)
         for row in rows:
             if row.key.endswith(model.CANCEL_SUFFIX):
                 self._load_cancellation(row, store_clock)
         self._reports.write()
 
-    def _load_job(
-        self,
-        row: ports.Row,
-        store_clock: float,
-        progress: dict[str, ports.Row],
-        recovering: bool,
-        now: float,
-    ) -> None:
+    def _decode(
+        self, row: ports.Row, progress: dict[str, ports.Row]
+    ) -> _StoredJob | None:
+        """Return a stored job, None when it can't be decoded."""
         try:
             job = model.decode(row.value, model.Job)
             stored = progress.get(row.key)
@@ -134,15 +150,31 @@
             )
         except exceptions.Undecodable as error:
             self._reports.row_skipped(row, error)
-            return
-        age = min(max(store_clock - job.accepted_at, 0.0), now)
+            return None
         version = stored.version if stored is not None else 0
+        return _StoredJob(job, row.version, known, version)
+
+    def _load_job(
+        self,
+        stored: _StoredJob,
+        store_clock: float,
+        recovering: bool,
+        now: float,
+    ) -> None:
+        job = stored.job
+        age = min(max(store_clock - job.accepted_at, 0.0), now)
         state = self._context.state
         loaded_before = job.job in state.jobs
-        state.accept(job, known, version, now - age, recovering)
+        state.accept(
+            job,
+            stored.progress,
+            stored.progress_version,
+            now - age,
+            recovering,
+        )
         loaded = state.jobs.get(job.job)
         if loaded is not None and not loaded_before:
-            self._reports.job_loaded(loaded, row.version, now)
+            self._reports.job_loaded(loaded, stored.version, now)
 
     def _load_cancellation(self, row: ports.Row, store_clock: float) -> None:
         name = row.key.removesuffix(model.CANCEL_SUFFIX)
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -190,7 +190,7 @@
             created = job.create_due(wall, now)
             for step in created:
                 self.add_step(step)
-            if created and not job.over_submission_rate and not job.recovered:
+            if created and not job.over_submission_rate:
                 arrived_at = now if job.job.request.times else job.accepted_at
                 self.demand.add(self._arrival(created, arrived_at))
             if job.created >= job.job.occurrences:
--- a/tests/features/recovery.feature
+++ b/tests/features/recovery.feature
@@ -184,3 +184,29 @@
     Then 1 calls were made
     When 20 workers ask for it at the same time while it fails
     Then 2 calls were made
+
+  # Guards against a holder that took most of the jobs that it recovered for
+  # submissions beyond their team's rate, as their rows come in the order of
+  # their keys: it served them last and released its machines.
+  Scenario Outline: <count> jobs of a team are recovered, submitted every <gap> s
+    Given the rows of <count> jobs of a team of weight 2, submitted every <gap> s, in any order
+    When a new holder recovers the jobs
+    Then <beyond> of them count as beyond the rate of their team
+
+    Examples:
+      | count | gap  | beyond |
+      | 30    | 0.5  | 0      |
+      | 30    | 2.0  | 0      |
+      | 10    | 0.25 | 4      |
+
+  # Guards against a holder that released the machines of a pool at the height
+  # of its load, as it knew of no arrivals.
+  Scenario Outline: The arrivals of recovered jobs count as load, <ago> s later
+    Given the rows of 40 jobs of a team of weight 99, submitted every 0.1 s, in any order
+    When a new holder recovers the jobs <ago> s after the last of them
+    Then <jobs> jobs a second arrive
+
+    Examples: arrivals of the last 3 s count
+      | ago | jobs |
+      | 0   | 10   |
+      | 2   | 0    |
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -1,5 +1,6 @@
 """Steps for what a new holder of a pool knows of its predecessors."""
 
+import random
 import types
 import typing as t
 from unittest import mock
@@ -34,6 +35,9 @@
 
 Context = t.Any
 MAX_ATTEMPTS = 20
+# By the store's clock, and by that of the machine.
+FIRST_JOB_AT = 100.0
+RECOVERED_AT = 500.0
 GRANT = resources.Vector(4.0, 4.0, 4.0, 4.0)
 LIMIT = resources.Vector(100.0, 1e12, 1e12, 1e12)
 
@@ -618,3 +622,50 @@
 @behave.then("{count:d} calls were made")
 def step_calls(context: Context, count: int) -> None:
     assert context.machines.list.call_count == count
+
+
+@behave.given(
+    "the rows of {count:d} jobs of a team of weight {weight:d}, submitted "
+    "every {gap:g} s, in any order"
+)
+def step_job_rows(
+    context: Context, count: int, weight: int, gap: float
+) -> None:
+    context.store = memory_store.MemoryStore()
+    context.store.clock = FIRST_JOB_AT + gap * (count - 1)
+    times = [FIRST_JOB_AT + gap * number for number in range(count)]
+    random.Random(count).shuffle(times)
+    for number, at in enumerate(times):
+        job = job_builders.job(job=f"{number:016x}", accepted_at=at)
+        put = ports.Put(
+            model.jobs_table(job_builders.POOL), job.job, model.encode(job)
+        )
+        context.store.transact(job_builders.POOL, [], [put])
+    team = operatorconfig.Team("tally", weight=float(weight))
+    context.configuration = job_builders.configuration(teams=[team])
+
+
+@behave.when("a new holder recovers the jobs")
+@behave.when("a new holder recovers the jobs {ago:g} s after the last of them")
+def step_recover_jobs(context: Context, ago: float = 0.0) -> None:
+    context.store.clock += ago
+    context.state = job_builders.state(configured=context.configuration)
+    with mock.patch.object(clock, "now", lambda: RECOVERED_AT):
+        inbox.Inbox(
+            job_builders.context(context.state, context.store)
+        ).recover()
+
+
+@behave.then("{count:d} of them count as beyond the rate of their team")
+def step_beyond_rate(context: Context, count: int) -> None:
+    jobs = context.state.jobs.values()
+    found = sum(1 for job in jobs if job.over_submission_rate)
+    assert found == count, found
+
+
+@behave.then("{count:d} jobs a second arrive")
+def step_arrival_rate(context: Context, count: int) -> None:
+    rate = context.state.demand.rate(RECOVERED_AT)
+    # Each job has two tasks of one core.
+    found = rate.peak_size.cores / 2
+    assert abs(found - count) < 0.5, found
