Registrations: only processes that hold pools follow the workers

Cause: every process read every change of every worker, each move of a machine twice. Moves grow with the fleet and so do processes, so that the bytes read from the store grew with the square of the fleet.

Change: a process follows the workers from when it acquires a pool until it has none. A new holder recovers once they were read after that; changes of the meantime are read then, or the whole table when the history is lost.

Measured: worker_watch.feature, through the store's stand-in: a process without pools reads no entry.

--- a/src/agaterudder/jobs/clustercache.py
+++ b/src/agaterudder/jobs/clustercache.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import math
 import typing as t
 
 from agaterudder import codes
@@ -13,10 +14,8 @@
 
 CONFIGURATION_WAIT_SECONDS = 0.8
 WORKERS_WAIT_SECONDS = 2.0
-# Registrations change all the time: changes are read in batches, and only a
-# process that holds pools needs them soon.
+# Registrations change all the time: changes are read in batches.
 WORKERS_BATCH_SECONDS = 0.15
-WORKERS_IDLE_BATCH_SECONDS = 1.5
 # Fraction of the bound on withdrawn keys for which a confirmed configuration
 # may be used to check keys.
 KEY_AGE_FRACTION = 0.5
@@ -35,6 +34,9 @@
 class ClusterCache:
     """Configuration, taken-out data centres, waves and workers.
 
+    The workers are followed only while some pool needs them: each process
+    that follows them reads every change of every worker.
+
     :param key_bound: a withdrawn key must stop working within this many
         seconds.
     """
@@ -49,6 +51,8 @@
         "_max_key_age",
         "_subscribers",
         "_past_pools",
+        "_followers",
+        "_following_since",
     )
 
     def __init__(
@@ -64,6 +68,8 @@
         self._max_key_age = key_bound * KEY_AGE_FRACTION
         self._subscribers: list[t.Callable[[], None]] = []
         self._past_pools: dict[str, list[str]] = {}
+        self._followers = 0
+        self._following_since = math.inf
         self.operators: watcher.Watcher[ports.OperatorChange] = (
             watcher.Watcher(
                 "configuration",
@@ -80,13 +86,10 @@
                 self._reset_workers,
                 self._apply_worker_changes,
                 WORKERS_WAIT_SECONDS,
-                lambda: (
-                    WORKERS_BATCH_SECONDS
-                    if self._subscribers
-                    else WORKERS_IDLE_BATCH_SECONDS
-                ),
+                lambda: WORKERS_BATCH_SECONDS,
             )
         )
+        self.registrations.pause()
 
     @property
     def subscribers(self) -> tuple[t.Callable[[], None], ...]:
@@ -101,6 +104,25 @@
         """Remove a callback."""
         self._subscribers.remove(subscriber)
 
+    def follow_workers(self, now: float) -> None:
+        """Follow the workers for one more pool."""
+        self._followers += 1
+        if self._followers == 1:
+            self._following_since = now
+            self.registrations.resume()
+
+    def unfollow_workers(self) -> None:
+        """Follow the workers for one pool less."""
+        self._followers -= 1
+        if not self._followers:
+            self._following_since = math.inf
+            self.registrations.pause()
+
+    @property
+    def workers_known(self) -> bool:
+        """Whether the workers were read since they are followed."""
+        return self.registrations.confirmed_at >= self._following_since
+
     def past_pools(self, queue: operatorconfig.Queue) -> list[str]:
         """Return the other pools that a queue had, as far as is known.
 
--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -184,6 +184,8 @@
 
     def _recover(self) -> bool:
         """Read what earlier holders stored; return whether it succeeded."""
+        if not self._cluster.workers_known:
+            return False
         try:
             if not self._limits.load(self._context.store):
                 LOG.info(
--- a/src/agaterudder/jobs/service.py
+++ b/src/agaterudder/jobs/service.py
@@ -122,10 +122,7 @@
 
     def _pools(self) -> list[str]:
         configuration = self.cluster.configuration
-        if (
-            configuration is None
-            or not self.cluster.registrations.confirmed_at
-        ):
+        if configuration is None:
             return []
         return sorted(configuration.pools)
 
@@ -142,10 +139,12 @@
             self.metrics,
         )
         self.holders[lease.pool] = found
+        self.cluster.follow_workers(clock.now())
         found.start()
 
     def _stop_holder(self, lease: leases.Lease, reason: str) -> None:
         found = self.holders.get(lease.pool)
         if found is not None and found.lease is lease:
             del self.holders[lease.pool]
+            self.cluster.unfollow_workers()
             found.stop()
--- a/src/agaterudder/jobs/watcher.py
+++ b/src/agaterudder/jobs/watcher.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import gevent
+import gevent.event
 
 from agaterudder import exceptions
 from agaterudder.jobs import clock
@@ -55,6 +56,7 @@
         "_snapshot_needed",
         "_unavailable",
         "_faults",
+        "_resumed",
         "confirmed_at",
     )
 
@@ -77,6 +79,8 @@
         self._snapshot_needed = False
         self._unavailable = False
         self._faults = 0
+        self._resumed = gevent.event.Event()
+        self._resumed.set()
         self.confirmed_at = 0.0
 
     @property
@@ -92,9 +96,18 @@
         self._version = version
         self.confirmed_at = confirmed_at
 
+    def pause(self) -> None:
+        """Read no more changes, after the call that is under way."""
+        self._resumed.clear()
+
+    def resume(self) -> None:
+        """Read changes again, at first those since the pause."""
+        self._resumed.set()
+
     def run(self) -> None:
         """Watch until killed."""
         while True:
+            self._resumed.wait()
             succeeded = self._poll_once()
             pause = self._batch_seconds()
             if not succeeded or self._faults:
