Odd entries: a worker keeps its address for its life

Cause: an entry that another writer overwrote with the address of some other worker had the holder ask there. The worker that answers there refuses orders to another name, by which the first counted as ended: its runs were started elsewhere while it ran on.

Change: an address changes only with the incarnation; any other is left unused and logged once.

Measured: odd_entries.feature: the link was opened to the other address, now it stays.

--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -4,6 +4,7 @@
 new one, so that the next holder knows where tasks may run.
 """
 
+import dataclasses
 import logging
 import typing as t
 
@@ -56,6 +57,7 @@
         "_persisted",
         "_persisted_version",
         "_terminated_incarnations",
+        "_unused_addresses",
     )
 
     def __init__(
@@ -77,6 +79,7 @@
         self._persisted: dict[str, KnownWorker] = {}
         self._persisted_version = 0
         self._terminated_incarnations: dict[str, int] = {}
+        self._unused_addresses: dict[str, str] = {}
 
     def recover(self) -> None:
         """Load the workers that earlier holders used.
@@ -192,6 +195,7 @@
     def _update_worker(
         self, worker: fleet.WorkerState, registration: ports.WorkerRegistration
     ) -> None:
+        registration = self._with_address_of_life(worker, registration)
         if registration.address != worker.registration.address:
             worker.link.close()
             worker.link = self._connect(registration)
@@ -222,6 +226,36 @@
         _apply_drain_state(worker, registration)
         self.wake(worker)
 
+    def _with_address_of_life(
+        self,
+        worker: fleet.WorkerState,
+        registration: ports.WorkerRegistration,
+    ) -> ports.WorkerRegistration:
+        """Return a registration whose address is that of the worker's life.
+
+        A worker keeps its address as long as it lives. An entry that says
+        otherwise is another writer's, and the worker that answers there would
+        make this one count as ended while it runs on.
+        """
+        known = worker.registration
+        same_life = registration.incarnation in (0, known.incarnation)
+        if not (known.incarnation and same_life):
+            return registration
+        if registration.address == known.address:
+            return registration
+        if self._unused_addresses.get(worker.name) != registration.address:
+            self._unused_addresses[worker.name] = registration.address
+            LOG.warning(
+                "worker names another address in the same life; not used",
+                extra={
+                    "worker": worker.name,
+                    "before": known.address,
+                    "address": registration.address,
+                    "life_start": known.incarnation,
+                },
+            )
+        return dataclasses.replace(registration, address=known.address)
+
     def remove_worker(self, worker: fleet.WorkerState) -> None:
         """Remove a worker that has ended and runs nothing."""
         if worker.terminated:
@@ -235,6 +269,7 @@
             now,
         )
         self._context.state.workers.pop(worker.name, None)
+        self._unused_addresses.pop(worker.name, None)
         self._loops.pop(worker.name, None)
         self._context.persist_needed.set()
         self._context.plan_needed.set()
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -76,6 +76,19 @@
     When the entry of the worker can be read again
     Then it gets new tasks
 
+  # Guards against a worker that counted as ended, so that its runs were started
+  # elsewhere, as its entry named the address of another one.
+  Scenario Outline: The entry of a worker names another address, <when>
+    Given a pool that follows a table of one worker, which runs 2 tasks
+    When its entry names another address, in incarnation <incarnation>
+    Then it is asked at the <asked> address
+
+    Examples: an address stays for the life of a worker
+      | when                      | incarnation | asked |
+      | in the same life          | 1           | same  |
+      | in a later life           | 2           | new   |
+      | without saying which life | 0           | same  |
+
   Scenario: A row of the operators turns bad
     Given the rows of the operators have a configuration of version 3 and wave 4
     When both rows become "nested lists" and data centre "north" is taken out
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -260,6 +260,23 @@
     assert len(_started(context)) == 1
 
 
+@behave.when("its entry names another address, in incarnation {incarnation:d}")
+def step_other_address(context: Context, incarnation: int) -> None:
+    (worker,) = context.state.workers.values()
+    context.first_link = worker.link
+    entry = _entry(
+        service=job_builders.POOL, born=incarnation, address="10.128.0.77:8080"
+    )
+    context.stub.put("w1", entry)
+    _follow(context)
+
+
+@behave.then("it is asked at the {place} address")
+def step_asked_at(context: Context, place: str) -> None:
+    (worker,) = context.state.workers.values()
+    assert (worker.link is context.first_link) == (place == "same")
+
+
 @behave.given(
     "the rows of the operators have a configuration of version 3 and wave 4"
 )
--- a/tests/pool_fakes.py
+++ b/tests/pool_fakes.py
@@ -41,6 +41,9 @@
             return self.answers.pop(0)
         return job_builders.listing()
 
+    def close(self) -> None:
+        """Do nothing."""
+
 
 class FakeHolder:
     """A holder of a pool whose store and machine list the test controls.
