Odd entries: ask less and less often while another worker answers

Cause: an entry with the address of another worker had its holder poll there some seven times a second for as long as the entry stood.

Change: the pause doubles up to 5 s; a change of the entry ends it.

--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -33,6 +33,9 @@
 STORE_TIMEOUT_SECONDS = 0.5
 IDLE_INTERVAL_SECONDS = 5.0
 UNREGISTERED_GRACE_SECONDS = 2.0
+# Longest pause of polls that another worker answers.
+MAX_REPLACEMENT_PAUSE_SECONDS = 5.0
+MAX_DOUBLINGS = 10
 # Why a run counts as ended whose worker has not answered for long enough.
 SILENT = "silent beyond order and lease"
 
@@ -77,6 +80,7 @@
         "_wake",
         "_greenlet",
         "_store_slow",
+        "_replacements",
     )
 
     def __init__(
@@ -91,6 +95,7 @@
         self._wake = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
         self._store_slow = False
+        self._replacements = 0
 
     def start(self) -> None:
         """Start the loop."""
@@ -207,6 +212,7 @@
         now = clock.now()
         match answer:
             case ports.Listing():
+                self._replacements = 0
                 self._record_discarded(answer, incarnation, acknowledged_end)
                 self._apply_listing(answer, sent_at, now)
             case ports.Rejected(reason=ports.REJECTED_FENCED):
@@ -330,7 +336,8 @@
         worker.registered = False
         worker.unregistered_at = worker.unregistered_at or now
         self._holder.request_planning()
-        gevent.sleep(RETRY_SECONDS)
+        self._wake.wait(replacement_pause(self._replacements))
+        self._replacements += 1
 
     def _handle_no_answer(
         self, answer: ports.Rejected | ports.NoAnswer, now: float
@@ -377,3 +384,12 @@
             state.remove_run(run, now, SILENT)
         self._holder.request_planning()
         gevent.sleep(RETRY_SECONDS)
+
+
+def replacement_pause(replacements: int) -> float:
+    """Return the seconds before a worker is asked again.
+
+    :param replacements: how often in a row another worker answered before.
+    """
+    pause: float = RETRY_SECONDS * 2 ** min(replacements, MAX_DOUBLINGS)
+    return min(pause, MAX_REPLACEMENT_PAUSE_SECONDS)
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -89,6 +89,13 @@
       | in a later life           | 2           | new   |
       | without saying which life | 0           | same  |
 
+  # Guards against seven polls a second for as long as the entry stands.
+  Scenario: An entry names the address of another worker
+    Given a worker loop whose worker has listed 0 ends
+    When another worker answers each of its polls for 30 seconds
+    Then it was polled 15 times at most
+    And it is polled at once when its entry changes
+
   Scenario: A row of the operators turns bad
     Given the rows of the operators have a configuration of version 3 and wave 4
     When both rows become "nested lists" and data centre "north" is taken out
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import behave
+import gevent
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 sys.path.append(str(ROOT / "platform"))
@@ -26,6 +27,7 @@
 from agaterudder.jobs import ports  # noqa: E402
 from agaterudder.jobs import teamlimits  # noqa: E402
 from agaterudder.jobs import watcher  # noqa: E402
+from agaterudder.jobs import workerloop  # noqa: E402
 from agaterudder.jobs import workerregistry  # noqa: E402
 from agaterudder import resources  # noqa: E402
 from agaterudder_platform import gateway  # noqa: E402
@@ -277,6 +279,38 @@
     assert (worker.link is context.first_link) == (place == "same")
 
 
+@behave.when(
+    "another worker answers each of its polls for {seconds:d} seconds"
+)
+def step_other_answers(context: Context, seconds: int) -> None:
+    context.polls = 0
+    context.waited = 0.0
+    other = ports.Rejected(ports.REJECTED_OTHER_INCARNATION)
+
+    def wait(pause: float) -> None:
+        context.waited += pause
+
+    with mock.patch.object(context.loop, "_wake", mock.Mock(wait=wait)):
+        while context.waited < seconds:
+            context.loop._worker.link = pool_fakes.FakeLink([other])
+            context.loop._poll()
+            context.polls += 1
+
+
+@behave.then("it was polled {count:d} times at most")
+def step_polled_at_most(context: Context, count: int) -> None:
+    assert context.polls <= count, context.polls
+
+
+@behave.then("it is polled at once when its entry changes")
+def step_woken(context: Context) -> None:
+    other = ports.Rejected(ports.REJECTED_OTHER_INCARNATION)
+    context.loop._worker.link = pool_fakes.FakeLink([other])
+    context.loop.wake()
+    with gevent.Timeout(workerloop.RETRY_SECONDS):
+        context.loop._poll()
+
+
 @behave.given(
     "the rows of the operators have a configuration of version 3 and wave 4"
 )
