--- a/src/agaterudder/jobs/operatorconfig.py
+++ b/src/agaterudder/jobs/operatorconfig.py
@@ -131,9 +131,3 @@
     def team_for(self, key: str) -> Team | None:
         """Return the team that owns a key, None for an unknown key."""
         return self._by_key.get(key)
-
-    def working_pools(self) -> list[str]:
-        """Return the names of the pools that run tasks, sorted."""
-        return sorted(
-            name for name, pool in self.pools.items() if not pool.standby
-        )
--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -12,6 +12,7 @@
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 from agaterudder.jobs import runstarts
+from agaterudder.jobs import tickets
 from agaterudder.jobs import workerends
 from agaterudder.jobs import workerregistry
 
@@ -211,9 +212,9 @@
             gevent.sleep(POLICY_RETRY_SECONDS)
             return
         valid = answer.valid_seconds or queue.policy.ticket_seconds
-        step.tickets = runs.joined_tickets(
+        step.tickets = tickets.joined(
             step.tickets,
-            runs.Tickets(
+            tickets.Tickets(
                 set(order.workers) - set(answer.by_worker),
                 answer.by_worker,
                 asked_at + valid,
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -6,6 +6,7 @@
 
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
+from agaterudder.jobs import tickets
 from agaterudder import resources
 
 MAX_RUNS_PER_TASK = 2
@@ -338,7 +339,7 @@
         self.step = step
         self.done = 0
         self.ready_at = 0.0
-        self.tickets: Tickets | None = None
+        self.tickets: tickets.Tickets | None = None
         self.policy_request_pending = False
         self.durations: list[tuple[str, float]] = []
         self.tasks = [
@@ -410,43 +411,6 @@
         return not limit or self.count_on_worker(worker) < limit
 
 
-class Tickets:
-    """Permits of the placement policy for a step.
-
-    :ivar refused: workers that the policy does not allow, which stays so.
-    :ivar by_worker: ticket for each worker that the policy allows.
-    :ivar until: when the tickets expire.
-    """
-
-    __slots__ = ("refused", "by_worker", "until")
-
-    def __init__(
-        self, refused: set[str], by_worker: dict[str, str], until: float
-    ) -> None:
-        self.refused = refused
-        self.by_worker = by_worker
-        self.until = until
-
-
-def joined_tickets(
-    known: Tickets | None, found: Tickets, now: float
-) -> Tickets:
-    """Return what two answers of the policy about a step say together.
-
-    :param known: the earlier answer, None without one.
-    """
-    if known is None:
-        return found
-    refused = known.refused | found.refused
-    if known.until <= now:
-        return Tickets(refused, found.by_worker, found.until)
-    return Tickets(
-        refused,
-        known.by_worker | found.by_worker,
-        min(known.until, found.until),
-    )
-
-
 class JobRun:
     """A job that has not ended.
 
--- a/tests/features/steps/job_trace_steps.py
+++ b/tests/features/steps/job_trace_steps.py
@@ -25,6 +25,7 @@
 from agaterudder.jobs import scaling
 from agaterudder.jobs import service as services
 from agaterudder.jobs import stallreports
+from agaterudder.jobs import tickets
 from agaterudder.jobs import workerloop
 from agaterudder import resources
 from tests import job_builders
@@ -217,7 +218,7 @@
 def step_policy_elsewhere(context: Context, worker: str) -> None:
     _set_policy(context)
     step = _only_task(context).step
-    step.tickets = runs.Tickets(set(), {worker: "yes"}, context.now + 60.0)
+    step.tickets = tickets.Tickets(set(), {worker: "yes"}, context.now + 60.0)
 
 
 @behave.given("its last start was invalid")
