Planner: a limit of tasks per worker does not use up room

Cause: the list of workers that can take one more task of a step shrinks also by the step's limit per worker.

Change: only a step without such a limit marks its need.

The pause of a watch is a number, as both its users pass one.

--- a/src/agaterudder/jobs/clustercache.py
+++ b/src/agaterudder/jobs/clustercache.py
@@ -86,7 +86,7 @@
                 self._reset_workers,
                 self._apply_worker_changes,
                 WORKERS_WAIT_SECONDS,
-                lambda: WORKERS_BATCH_SECONDS,
+                WORKERS_BATCH_SECONDS,
             )
         )
         self.registrations.pause()
--- a/src/agaterudder/jobs/watcher.py
+++ b/src/agaterudder/jobs/watcher.py
@@ -40,7 +40,7 @@
     :param on_snapshot: called with each snapshot.
     :param on_changes: called with changes, in order.
     :param wait_seconds: longest wait for a change in one call.
-    :param batch_seconds: returns how long to gather changes after a call.
+    :param batch_seconds: how long to gather changes after a call.
     :ivar confirmed_at: when the last successful call was sent, by
         :func:`clock.now`; 0 before the first.
     """
@@ -67,7 +67,7 @@
         on_snapshot: t.Callable[[tuple[_Change, ...]], None],
         on_changes: t.Callable[[tuple[_Change, ...]], None],
         wait_seconds: float,
-        batch_seconds: t.Callable[[], float] = lambda: 0.0,
+        batch_seconds: float = 0.0,
     ) -> None:
         self._name = name
         self._source = source
@@ -109,7 +109,7 @@
         while True:
             self._resumed.wait()
             succeeded = self._poll_once()
-            pause = self._batch_seconds()
+            pause = self._batch_seconds
             if not succeeded or self._faults:
                 pause = max(retry_pause(self._faults), pause)
             gevent.sleep(pause)
--- a/src/agaterudder/jobs/workerchoice.py
+++ b/src/agaterudder/jobs/workerchoice.py
@@ -128,7 +128,8 @@
                 or need.fits_in(self._free.of(worker))
                 and step.within_worker_limit(worker.name)
             ]
-            if not fitting and len(candidates) == len(self._usable):
+            limited = step.step.max_per_worker > 0
+            if not (fitting or limited) and self._complete(candidates):
                 self._free.mark_unplaceable(need)
         self._last = _Fitting(step, candidates, fitting, len(changed))
         return fitting
@@ -141,7 +142,7 @@
     ) -> list[fleet.WorkerState]:
         """Return the workers that can take one more task of a step."""
         with_room = self._free.fitting(need, workers)
-        if not with_room and len(workers) == len(self._usable):
+        if not with_room and self._complete(workers):
             self._free.mark_unplaceable(need)
         return [
             worker
@@ -149,6 +150,10 @@
             if step.within_worker_limit(worker.name)
         ]
 
+    def _complete(self, workers: t.Sequence[fleet.WorkerState]) -> bool:
+        """Return whether these are all workers of the round."""
+        return len(workers) == len(self._usable)
+
     def hold_room(
         self,
         step: runs.StepRun,
--- a/tests/features/pool.feature
+++ b/tests/features/pool.feature
@@ -251,6 +251,15 @@
       | 0.3   | 0     |
       | 0.5   | 1     |
 
+  # Guards against room that counts as used up for the rest of a round, as a
+  # step may not have more tasks on a worker.
+  Scenario: A step meets its limit of tasks per worker beside free room
+    Given a pool with 2 workers
+    And a job of 3 long-running tasks with at most 1 per worker
+    And 2 jobs of 1 tasks of 1 cores
+    When the pool is planned
+    Then 4 starts are ordered
+
   Scenario: Long-running tasks are packed on few workers
     Given a pool with 4 workers
     And a job of 4 long-running tasks, of which 1 may be unavailable
