Autoscaling: machines for what the load varies by

Cause: a pool ordered machines for its mean load.

Change: square-root staffing: the root of the load times the size of a job is added, from a load of one worker on.

--- a/src/agaterudder/jobs/demand.py
+++ b/src/agaterudder/jobs/demand.py
@@ -31,10 +31,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ArrivalRate:
-    """Arrivals each second: work, and total size of the tasks."""
+    """Arrivals each second: work, total size of the tasks, and jobs."""
 
     work: resources.Vector = resources.ZERO
     peak_size: resources.Vector = resources.ZERO
+    jobs: float = 0.0
 
 
 class Demand:
@@ -72,5 +73,7 @@
             arrival.peak_size for arrival in recent[1:]
         )
         return ArrivalRate(
-            work.scaled(1.0 / span), peak_size.scaled(1.0 / span)
+            work.scaled(1.0 / span),
+            peak_size.scaled(1.0 / span),
+            (len(recent) - 1) / span,
         )
--- a/src/agaterudder/jobs/load.py
+++ b/src/agaterudder/jobs/load.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 
+from agaterudder.jobs import demand
 from agaterudder.jobs import fleet
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import runs
@@ -19,6 +20,8 @@
 # A task that fits on no worker waits this long before a machine is ordered for
 # it, so that a worker that joins or restarts is seen first.
 FIT_WAIT_SECONDS = 0.5
+# In workers. The smallest pool has room for what a smaller load varies by.
+MIN_VARYING_LOAD = 1.0
 DEFAULT_WORKER_SIZE = resources.Vector(16.0, 32_000.0, 8.0)
 
 
@@ -26,7 +29,8 @@
 class Load:
     """Load and capacity of a pool.
 
-    :ivar offered: work that arrives each second, in workers.
+    :ivar offered: work that arrives each second, in workers, with what it
+        exceeds its mean by now and then.
     :ivar waiting: work of the waiting tasks, in worker-seconds.
     :ivar capacity: workers for tasks that are not long-running, joining
         workers included.
@@ -86,13 +90,31 @@
     usable = busy + wanted + rate.peak_size.scaled(join_seconds)
     # A suspect uses a whole worker, however small it is.
     apart = len(state.suspects.waiting(now)) * suspects.ALONE_SECONDS
+    mean = rate.work.elementwise_min(usable).dominant_share(size)
     return Load(
-        rate.work.elementwise_min(usable).dominant_share(size),
+        mean + variation(mean, rate, size),
         work.dominant_share(size) + apart,
         len(workers) + joining - long_running.dominant_share(size),
     )
 
 
+def variation(
+    mean: float, rate: demand.ArrivalRate, size: resources.Vector
+) -> float:
+    """Return by how many workers the load exceeds its mean now and then.
+
+    Jobs arrive independently, and the tasks of one at once: the deviation of
+    the load grows with its square root (square-root staffing).
+
+    :param mean: mean load, in workers.
+    :param size: size of a worker.
+    """
+    if mean < MIN_VARYING_LOAD:
+        return 0.0
+    job_size = rate.peak_size.scaled(1.0 / rate.jobs).dominant_share(size)
+    return math.sqrt(mean * job_size)
+
+
 class _Waiting:
     """Waiting tasks of one team: their sizes and their work.
 
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -9,7 +9,9 @@
 import behave
 
 from agaterudder.jobs import clock
+from agaterudder.jobs import demand
 from agaterudder.jobs import fleet
+from agaterudder.jobs import load
 from agaterudder.jobs import machines
 from agaterudder.jobs import maintenance
 from agaterudder.jobs import model
@@ -670,3 +672,19 @@
     progress = wavepacing.Progress(left, room, 3, 1, True)
     found = wavepacing.to_start(context.needed, progress)
     assert found == wanted, found
+
+
+@behave.given("workers of {cores:d} cores")
+def step_worker_size(context: Context, cores: int) -> None:
+    context.worker_size = resources.Vector(float(cores), 1e6)
+
+
+@behave.then("the load is {mean:g} workers, and {more:g} more now and then")
+def step_varying_load(context: Context, mean: float, more: float) -> None:
+    row = context.active_outline
+    jobs = float(row["jobs"])
+    size = resources.Vector(float(row["cores"]) * jobs)
+    rate = demand.ArrivalRate(size, size, jobs)
+    assert rate.work.dominant_share(context.worker_size) == mean
+    found = load.variation(mean, rate, context.worker_size)
+    assert abs(found - more) < 0.05, found
