--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -11,6 +11,7 @@
 
 import argparse  # noqa: E402
 import json  # noqa: E402
+import math  # noqa: E402
 import pathlib  # noqa: E402
 import time  # noqa: E402
 
@@ -22,6 +23,7 @@
 HOLD_MAX_MS = 6000
 STOP_SECONDS = 0.1
 STARTUP_SECONDS = 0.7
+GANG_TIMEOUT_SECONDS = 3.0
 RESTORE_SECONDS = 0.6
 CHECKPOINT_SECONDS = 2.0
 ENDS_PER_LISTING = 500
@@ -41,6 +43,10 @@
         self.before = int(checkpoint[:8], 16) / 1000 if checkpoint else 0.0
         self.works_from = now + (RESTORE_SECONDS if checkpoint else 0.0)
         self.stopping = False
+        # A member of a gang works from when all members are present.
+        self.gang_size = int(words.get("gang", 0))
+        if self.gang_size:
+            self.works_from = math.inf
 
     def worked(self, now):
         return self.before + max(now - self.works_from, 0.0)
@@ -101,6 +107,36 @@
                    n=self.count)
         found, self.new_end = self.new_end, gevent.event.Event()
         found.set()
+        if run.gang_size:
+            self.ask_gang(run, how)
+
+    def ask_gang(self, run, ended=""):
+        """Tell the other members of this one; return what is known of them."""
+        host, port = self.options.platform.split(":")
+        client = geventhttpclient.HTTPClient(host, int(port))
+        body = {"gang": run.task.rpartition(".")[0], "run": run.number,
+                "task": run.task, "size": run.gang_size, "ended": ended}
+        try:
+            return json.loads(client.request(
+                "POST", "/harness/gang", body=json.dumps(body).encode()
+            ).read())
+        finally:
+            client.close()
+
+    def follow_gang(self, run):
+        """Have a member begin with the others, and end when one ends."""
+        alone_at = time.monotonic() + GANG_TIMEOUT_SECONDS
+        while (run.task, run.number) in self.runs:
+            known = self.ask_gang(run)
+            if known["ended"]:
+                how = known["ended"]
+                self.end(run, "done" if how == "done" else "broken")
+            elif known["began"] and run.works_from == math.inf:
+                pause = RESTORE_SECONDS if run.before else 0.0
+                run.works_from = time.monotonic() + pause
+            elif not known["began"] and time.monotonic() > alone_at:
+                self.end(run, "alone")
+            gevent.sleep(0.05)
 
     def tick(self):
         while True:
@@ -146,6 +182,8 @@
         self.write("start", task=task, run=number,
                    token=call["fencing_token"],
                    checkpoint=call.get("checkpoint", ""))
+        if run.gang_size:
+            gevent.spawn(self.follow_gang, run)
         return 200, {"clock_ms": self.clock_ms()}
 
     def stop(self, call):
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -27,6 +27,7 @@
 TRANSACTION_SECONDS = 0.006
 HISTORY_SECONDS = 20.0
 SILENT_BEATS = 3
+GANG_SILENCE_SECONDS = 1.0
 READ_ONLY_TABLES = ("op", "servers")
 
 
@@ -44,6 +45,7 @@
         self.silence = SILENT_BEATS * heartbeat_seconds
         self.machines = {}
         self.refused = collections.Counter()
+        self.gangs = {}
 
     def now_ms(self):
         return int((time.monotonic() - self.started_at) * 1000)
@@ -190,6 +192,8 @@
                 self.commit([("op", "", call["key"], value)], [])
             case "/harness/machine":
                 self.machines.setdefault(call["machine"], {}).update(call)
+            case "/harness/gang":
+                return 200, self.gang(call)
             case "/harness/rows":
                 return 200, {
                     "rows": [row for row in self.rows.values()
@@ -198,6 +202,24 @@
                 }
         return 200, {"ver": self.version, "now_ms": self.now_ms()}
 
+    def gang(self, call):
+        """Tell a member of a gang's run of the others.
+
+        The members are present until one of them has ended, or is silent.
+        """
+        now = time.monotonic()
+        gang = self.gangs.setdefault(
+            (call["gang"], call["run"]),
+            {"seen": {}, "began": None, "ended": ""})
+        gang["seen"][call["task"]] = now
+        if call["ended"] or any(
+                now - at > GANG_SILENCE_SECONDS
+                for at in gang["seen"].values()):
+            gang["ended"] = gang["ended"] or call["ended"] or "silent"
+        if gang["began"] is None and len(gang["seen"]) == call["size"]:
+            gang["began"] = now
+        return {"ended": gang["ended"], "began": gang["began"] is not None}
+
     def expire(self):
         """Remove the entries of silent minions."""
         while True:
