--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -228,6 +228,7 @@
             f"internal_ports = [{internal},{internal}]\nseeds = []\n"
             'bootstrap = true\ndiscovery = "platform"\nentry = "vip"\n'
             f'heartbeat_ms = {HEARTBEAT_MS}\norders = "call"\n'
+            f'advice = "127.0.0.1:{self.platform_port}"\n'
             "[zones]\n" + "".join(f'{z} = "r"\n' for z in ZONES)
             + "[listen_addrs]\n"
             f'frontend = "127.0.0.1:{frontend}"\n'
--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -175,6 +175,10 @@
             return self.reject("old")
         if call["deadline_ms"] < self.clock_ms():
             return self.reject("late")
+        if "ticket" in call["spec"].split() and not self.permitted(call):
+            self.write("no ticket", task=task, run=number,
+                       ticket=call.get("ticket", ""))
+            return self.reject("ticket")
         self.extend(call["deadline_ms"])
         now = time.monotonic()
         run = Run(task, number, call["spec"], call.get("checkpoint", ""), now)
@@ -186,6 +190,14 @@
             gevent.spawn(self.follow_gang, run)
         return 200, {"clock_ms": self.clock_ms()}
 
+    def permitted(self, call):
+        """Return whether a start carries a ticket that is valid here."""
+        expires, worker, step = (call.get("ticket", "") + "//").split("/")[:3]
+        return (
+            worker == self.id and step == call["task"].rpartition(".")[0]
+            and time.time() * 1000 < int(expires or 0)
+        )
+
     def stop(self, call):
         task, number = call["task"], call["run"]
         if self.fenced(call):
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -28,6 +28,9 @@
 HISTORY_SECONDS = 20.0
 SILENT_BEATS = 3
 GANG_SILENCE_SECONDS = 1.0
+DECIDE_SECONDS = 0.1
+EACH_SECONDS = 0.01
+TICKET_SECONDS = 3.0
 READ_ONLY_TABLES = ("op", "servers")
 
 
@@ -46,6 +49,7 @@
         self.machines = {}
         self.refused = collections.Counter()
         self.gangs = {}
+        self.allowed = []
 
     def now_ms(self):
         return int((time.monotonic() - self.started_at) * 1000)
@@ -192,6 +196,8 @@
                 self.commit([("op", "", call["key"], value)], [])
             case "/harness/machine":
                 self.machines.setdefault(call["machine"], {}).update(call)
+            case "/harness/advice":
+                self.allowed = call["workers"]
             case "/harness/gang":
                 return 200, self.gang(call)
             case "/harness/rows":
@@ -202,6 +208,17 @@
                 }
         return 200, {"ver": self.version, "now_ms": self.now_ms()}
 
+    def advise(self, body):
+        """Handle ``POST /advise``: permit starts on some of the minions."""
+        call = json.loads(body)
+        workers = call["workers"]
+        gevent.sleep(DECIDE_SECONDS + EACH_SECONDS * len(workers))
+        expires = int((time.time() + TICKET_SECONDS) * 1000)
+        return 200, {
+            "granted": [[worker, f"{expires}/{worker}/{call['step']}"]
+                        for worker in workers if worker in self.allowed],
+            "valid_ms": int(TICKET_SECONDS * 1000)}
+
     def gang(self, call):
         """Tell a member of a gang's run of the others.
 
@@ -243,6 +260,8 @@
             status, answer = self.feed(query)
         elif path == "/rows-parts":
             status, answer = self.parts(query)
+        elif path == "/advise":
+            status, answer = self.advise(body)
         elif path == "/machines":
             rows = [{k: v for k, v in m.items() if k != "token"}
                     for m in self.machines.values()]
