--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -131,6 +131,7 @@
         self.started_at = time.time()
         self.lives = 0
         self.closing = False
+        self.closed = False
 
     # Record
 
@@ -171,12 +172,14 @@
 
     # Processes
 
-    def spawn(self, name, command, environment, output=None):
-        log = open(self.path / f"{name}.log", "ab") if output is None else output
-        self.processes[name] = subprocess.Popen(
-            command, cwd=ROOT, env=environment, stdout=log,
-            stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
-        log.close()
+    def spawn(self, name, command, environment):
+        with self.lock:
+            if self.closed:
+                raise CouldNotRun("the deployment is closed")
+            with open(self.path / f"{name}.log", "ab") as log:
+                self.processes[name] = subprocess.Popen(
+                    command, cwd=ROOT, env=environment, stdout=log,
+                    stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
 
     @staticmethod
     def environment(**extra):
@@ -281,6 +284,8 @@
 
     def close(self):
         """End all processes that were started."""
+        with self.lock:
+            self.closed = True
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
@@ -372,6 +377,8 @@
         deployment.note(f"could not run: {error}")
         result = COULD_NOT_RUN
     finally:
-        deployment.write_record()
-        deployment.close()
+        try:
+            deployment.write_record()
+        finally:
+            deployment.close()
     sys.exit(result)
