LOST: a job of many steps no longer stops the holder of its pool

Cause: `steporder._laxity` asked for two critical paths per ready step, and each of them looked at each pair of steps: a planning round took time in the third power of the steps. It gives way to nothing, so the lease lapsed, and the next holder did the same.

Change: the critical paths of an occurrence are computed once a round, in one pass over its steps and dependencies.

--- a/src/agaterudder/jobs/estimates.py
+++ b/src/agaterudder/jobs/estimates.py
@@ -38,21 +38,22 @@
         while len(self._factors) > MAX_KINDS:
             self._factors.popitem(last=False)
 
-    def critical_path_seconds(self, step: runs.StepRun) -> float:
-        """Return the critical path from a step to the end of its job."""
-        job = step.job
+    def critical_paths(self, job: runs.JobRun, occurrence: int) -> list[float]:
+        """Return the critical path from each step to the end of its job.
+
+        Takes time in proportion to the steps and their dependencies.
+
+        :returns: seconds by the number of the step.
+        """
         steps = job.job.request.steps
-        longest: dict[int, float] = {}
-        for number in range(len(steps) - 1, step.number - 1, -1):
-            followers = (
-                longest.get(later, 0.0)
-                for later in range(number + 1, len(steps))
-                if number in steps[later].after
-            )
-            own = job.steps.get(f"{step.occurrence}.{number}")
-            seconds = self.seconds(own) if own is not None else 0.0
-            longest[number] = seconds + max(followers, default=0.0)
-        return longest[step.number]
+        longest = [0.0] * len(steps)
+        for number in range(len(steps) - 1, -1, -1):
+            own = job.steps.get(f"{occurrence}.{number}")
+            # So far, it holds the longest path among the followers.
+            longest[number] += self.seconds(own) if own is not None else 0.0
+            for earlier in steps[number].after:
+                longest[earlier] = max(longest[earlier], longest[number])
+        return longest
 
 
 def _kind(step: runs.StepRun) -> tuple[str, str]:
--- a/src/agaterudder/jobs/steporder.py
+++ b/src/agaterudder/jobs/steporder.py
@@ -14,6 +14,7 @@
 import math
 import typing as t
 
+from agaterudder.jobs import estimates
 from agaterudder.jobs import fleet
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import pool as pools
@@ -40,13 +41,36 @@
         if step.ready_at and step.job.ending is None
     ]
     shares = _shares(state, usable)
-    return sorted(waiting, key=lambda step: _rank(state, step, shares, now))
+    paths = _CriticalPaths(state.estimates)
+    return sorted(
+        waiting, key=lambda step: _rank(state, step, shares, paths, now)
+    )
+
+
+class _CriticalPaths:
+    """Critical paths of the jobs of one round, each computed once."""
+
+    __slots__ = ("_estimates", "_known")
+
+    def __init__(self, found: estimates.Estimates) -> None:
+        self._estimates = found
+        self._known: dict[tuple[runs.JobRun, int], list[float]] = {}
+
+    def seconds(self, step: runs.StepRun) -> tuple[float, float]:
+        """Return the critical paths of a job, and from a step on."""
+        key = (step.job, step.occurrence)
+        found = self._known.get(key)
+        if found is None:
+            found = self._estimates.critical_paths(*key)
+            self._known[key] = found
+        return found[0], found[step.number]
 
 
 def _rank(
     state: pools.Pool,
     step: runs.StepRun,
     shares: t.Mapping[str, float],
+    paths: _CriticalPaths,
     now: float,
 ) -> tuple[int, bool, bool, bool, bool, float, float]:
     queue = state.queue_of(step)
@@ -61,7 +85,7 @@
             step.ready_at,
         )
     job = step.job
-    laxity = _laxity(state, step, queue, now)
+    laxity = _laxity(step, queue, paths, now)
     overdue = laxity < (0.0 if job.started else MIN_START_LAXITY_SECONDS)
     over_share = shares.get(job.job.team, 0.0) > 1.0
     return (
@@ -76,9 +100,9 @@
 
 
 def _laxity(
-    state: pools.Pool,
     step: runs.StepRun,
     queue: operatorconfig.Queue,
+    paths: _CriticalPaths,
     now: float,
 ) -> float:
     """Return the seconds to spare before the objective is missed.
@@ -86,10 +110,8 @@
     The objective is the time within which the occurrence is to be
     completed.
     """
-    estimates = state.estimates
     first = step.job.steps[f"{step.occurrence}.0"]
-    total = estimates.critical_path_seconds(first)
-    remaining = estimates.critical_path_seconds(step)
+    total, remaining = paths.seconds(step)
     objective = queue.stretch * total + queue.target_seconds
     started_at = max(step.job.accepted_at, first.ready_at)
     return started_at + objective - now - remaining
--- /dev/null
+++ b/tests/features/large_jobs.feature
@@ -0,0 +1,32 @@
+Feature: A large job stops no holder of its pool
+  A holder plans without a pause. A round that lasts as long as the lease of
+  its pool costs it the pool, and the next holder stands still as well.
+
+  # Guards against a job of many steps that stops each holder in turn, so that
+  # no task of its pool starts any more.
+  Scenario Outline: A round with <jobs> jobs of <steps> steps
+    Given a pool of 6 workers with 16 cores
+    And <jobs> large jobs of <steps> steps, each after <after> of the steps before
+    When the pool is planned 3 times
+    Then each round took less than the pool's lease
+    And tasks were started in the first round
+    And a round looked at no estimate more than once
+
+    Examples: jobs
+      | jobs | steps | after |
+      | 1    | 700   | 0     |
+      | 41   | 150   | 0     |
+      | 1    | 300   | 128   |
+
+  # Guards against an order of steps that ignores what depends on them.
+  Scenario: The critical path of each step
+    Given a pool of 1 workers with 16 cores
+    And a large job of these steps
+      | seconds | after |
+      | 1       |       |
+      | 2       | 0     |
+      | 5       | 0     |
+      | 4       | 1     |
+      | 1       | 2, 3  |
+      | 9       |       |
+    Then the critical paths of its steps are "8, 7, 6, 5, 1, 9" seconds
