LOST: a job of many occurrences no longer stops the holder of its pool

Each finished step also looked at all steps of all occurrences, and each end at all finished ones.

Change: further occurrences of a job wait while 1,000 of its steps are unfinished; a finished step looks at its followers only; a job keeps its unfinished steps.

--- a/src/agaterudder/jobs/runends.py
+++ b/src/agaterudder/jobs/runends.py
@@ -97,8 +97,7 @@
     state.journal.mark(job)
     if step.finished:
         state.ready.pop(step.name, None)
-        for other_step in job.steps.values():
-            job.check_ready(other_step, now)
+        job.step_finished(step, now)
     state.check_finished(job)
 
 
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -10,6 +10,9 @@
 from agaterudder import resources
 
 MAX_RUNS_PER_TASK = 2
+# Limit of the unfinished steps of a job from which on its further occurrences
+# are not created yet: each planning round looks at all of them.
+MAX_UNFINISHED_STEPS = 1_000
 
 START_FIRST = "first"
 START_RESTART = "restart"
@@ -426,6 +429,7 @@
     :ivar ending_stored: whether its end is stored; nothing more is written
         for it.
     :ivar stopped_at: when a run of it last ended, 0 before.
+    :ivar unfinished: created steps that are not finished, by key.
     """
 
     __slots__ = (
@@ -434,6 +438,7 @@
         "progress",
         "row_version",
         "steps",
+        "unfinished",
         "created",
         "recovered",
         "started",
@@ -453,6 +458,7 @@
         self.progress = model.Progress()
         self.row_version = 0
         self.steps: dict[str, StepRun] = {}
+        self.unfinished: dict[str, StepRun] = {}
         self.created = 0
         self.recovered = recovered
         self.started = False
@@ -484,10 +490,14 @@
         return now - self.accepted_at
 
     def create_due(self, wall: float, now: float) -> list[StepRun]:
-        """Create the steps of the occurrences that are due."""
+        """Create the steps of the occurrences that are due.
+
+        While many steps are unfinished, further occurrences wait.
+        """
         created: list[StepRun] = []
         while (
             self.created < self.job.occurrences
+            and len(self.unfinished) < MAX_UNFINISHED_STEPS
             and self.due_at(self.created) <= wall
         ):
             created.extend(self._create(self.created, now))
@@ -513,6 +523,8 @@
         for step in found:
             self.steps[step.key] = step
             self._restore(step)
+            if not step.finished:
+                self.unfinished[step.key] = step
         for step in found:
             self.check_ready(step, now)
         return found
@@ -548,12 +560,18 @@
             return True
         return False
 
+    def step_finished(self, step: StepRun, now: float) -> None:
+        """Mark the steps ready that waited only for a step."""
+        self.unfinished.pop(step.key, None)
+        for number, later in enumerate(self.job.request.steps):
+            if step.number in later.after:
+                follower = self.steps[f"{step.occurrence}.{number}"]
+                self.check_ready(follower, now)
+
     @property
     def finished(self) -> bool:
         """Whether every occurrence is done."""
-        return self.created >= self.job.occurrences and all(
-            step.finished for step in self.steps.values()
-        )
+        return self.created >= self.job.occurrences and not self.unfinished
 
     def task(self, name: str) -> Task | None:
         """Return a task by its name, None when the job has no such task."""
--- a/tests/features/large_jobs.feature
+++ b/tests/features/large_jobs.feature
@@ -30,3 +30,21 @@
       | 1       | 2, 3  |
       | 9       |       |
     Then the critical paths of its steps are "8, 7, 6, 5, 1, 9" seconds
+
+  # Guards against a job of many occurrences that are all due at once, and that
+  # stops each holder in turn.
+  Scenario: A job of 200,000 occurrences is due
+    Given a pool of 6 workers with 16 cores
+    And a large job of 200000 occurrences that are all due
+    When its occurrences are created within the pool's lease
+    And the pool is planned 3 times
+    Then each round took less than the pool's lease
+    And tasks were started in the first round
+
+  # Guards against occurrences that wait for ever, or are left out.
+  Scenario: Occurrences that waited are created as others end
+    Given a pool of 6 workers with 16 cores
+    And a large job of 2500 occurrences that are all due
+    When all its tasks end again and again
+    Then 2500 occurrences of it have ended
+    And the large job is complete
