TWICE: a submission finds its job in every pool that its queue has had

Cause: a job lies with the pool that its queue had when it was submitted. Which other pools to look at each process guessed from the two latest versions of the configuration, by the route's name. A version without the route, a version that was skipped, another name, or a process that started later made it forget. A submission that took effect late, after the move, was not seen by any process.

Change: the pools that each queue (host and prefix) has had are recorded in the store, in the order of the configurations, before jobs are accepted there (`queuepools`). A submission to a queue that has moved first stores an end `moved` in its earlier pools under the condition "absent": it finds the job, or keeps a late write out. A process that does not know of the move answers 504 when it meets such an end, and asks again whether the queue is its pool's.

Tests: nine scenarios, eight of which failed on with two jobs or a wrong answer; "The pool of a queue can't be recorded" guards the new record. In "A submission that finds its job says so" the expected versions are 2 instead of 1, as the record is the store's first write.

--- a/src/agaterudder/jobs/clustercache.py
+++ b/src/agaterudder/jobs/clustercache.py
@@ -50,7 +50,6 @@
         "registrations",
         "_max_key_age",
         "_subscribers",
-        "_past_pools",
         "_followers",
         "_following_since",
     )
@@ -67,7 +66,6 @@
         self.workers: dict[str, ports.WorkerRegistration] = {}
         self._max_key_age = key_bound * KEY_AGE_FRACTION
         self._subscribers: list[t.Callable[[], None]] = []
-        self._past_pools: dict[str, list[str]] = {}
         self._followers = 0
         self._following_since = math.inf
         self.operators: watcher.Watcher[ports.OperatorChange] = (
@@ -123,14 +121,6 @@
         """Whether the workers were read since they are followed."""
         return self.registrations.confirmed_at >= self._following_since
 
-    def past_pools(self, queue: operatorconfig.Queue) -> list[str]:
-        """Return the other pools that a queue had, as far as is known.
-
-        A process knows of the moves since it started.
-        """
-        past = self._past_pools.get(queue.name, ())
-        return [pool for pool in dict.fromkeys(past) if pool != queue.pool]
-
     def fresh(self, now: float) -> bool:
         """Return whether the configuration is recent enough to check keys."""
         return (
@@ -205,28 +195,9 @@
             },
         )
         if known is not None:
-            self._note_moved_queues(known, configuration)
+            _report_moved_queues(known, configuration)
         self.configuration = configuration
 
-    def _note_moved_queues(
-        self,
-        before: operatorconfig.Configuration,
-        after: operatorconfig.Configuration,
-    ) -> None:
-        for name, queue in before.queues.items():
-            moved = after.queues.get(name)
-            if moved is not None and moved.pool != queue.pool:
-                past = self._past_pools.setdefault(name, [])
-                past.append(queue.pool)
-                LOG.info(
-                    "queue moved to another pool",
-                    extra={
-                        "queue": name,
-                        "before": queue.pool,
-                        "pool": moved.pool,
-                    },
-                )
-
     def _reset_workers(self, changes: tuple[ports.WorkerChange, ...]) -> None:
         self.workers = {}
         self._apply_worker_changes(changes)
@@ -244,3 +215,20 @@
     def _notify_subscribers(self) -> None:
         for subscriber in list(self._subscribers):
             subscriber()
+
+
+def _report_moved_queues(
+    before: operatorconfig.Configuration,
+    after: operatorconfig.Configuration,
+) -> None:
+    for name, queue in before.queues.items():
+        moved = after.queues.get(name)
+        if moved is not None and moved.pool != queue.pool:
+            LOG.info(
+                "queue moved to another pool",
+                extra={
+                    "queue": name,
+                    "before": queue.pool,
+                    "pool": moved.pool,
+                },
+            )
--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -14,6 +14,7 @@
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
+from agaterudder.jobs import queuepools
 from agaterudder import metrics
 
 LOG = logging.getLogger(__name__)
@@ -88,17 +89,26 @@
     :param store_clock: returns an upper bound of the store's clock.
     """
 
-    __slots__ = ("_store", "_cluster", "_store_clock", "_metrics", "_reports")
+    __slots__ = (
+        "_store",
+        "_cluster",
+        "_queue_pools",
+        "_store_clock",
+        "_metrics",
+        "_reports",
+    )
 
     def __init__(
         self,
         store: ports.Store,
         cluster: clustercache.ClusterCache,
+        queue_pools: queuepools.QueuePools,
         store_clock: t.Callable[[], float],
         metrics_registry: metrics.Metrics,
     ) -> None:
         self._store = store
         self._cluster = cluster
+        self._queue_pools = queue_pools
         self._store_clock = store_clock
         self._metrics = metrics_registry
         self._reports = callreports.CallReports(cluster, metrics_registry)
@@ -164,21 +174,48 @@
     ) -> Accepted | codes.Refused:
         """Store a job unless another pool of its queue has it.
 
-        The queue may have moved between a submission and its repetition.
+        The queue may have moved between a submission and its repetition, and
+        another process may not know of the move yet.
         """
-        try:
-            for pool in self._cluster.past_pools(call.queue):
-                if self._state_in_pool(pool, call) is not None:
-                    return Accepted()
-        except exceptions.CallFailed as error:
-            return codes.Refused(codes.Result.STORE_AWAY, str(error))
+        configuration = self._cluster.configuration
+        assert configuration is not None
+        earlier = self._queue_pools.earlier(
+            call.queue, configuration.version, _answer_by(call)
+        )
+        if isinstance(earlier, codes.Refused):
+            return earlier
+        for pool in earlier:
+            found = self._keep_out(call, pool)
+            if found is not None:
+                return found
         return self._store_job(call, team, request)
 
+    def _keep_out(
+        self, call: Call, pool: str
+    ) -> Accepted | codes.Refused | None:
+        """Keep a job out of an earlier pool of its queue.
+
+        :returns: None when it does not lie there, and never will.
+        """
+        call.usage.pools.append(pool)
+        moved = model.Ended(model.STATE_MOVED, self._store_clock())
+        outcome = self._write(
+            call,
+            pool,
+            _absent(pool, call.job),
+            [ports.Put(model.ENDED_TABLE, call.job, model.encode(moved))],
+        )
+        match outcome:
+            case ports.Conflicted(rows=rows):
+                return None if _moved_row(rows) is not None else Accepted()
+            case codes.Refused():
+                return outcome
+        return None
+
     def _store_job(
         self, call: Call, team: str, request: model.Request
     ) -> Accepted | codes.Refused:
         pool = call.queue.pool
-        table = model.jobs_table(pool)
         job = model.Job(
             call.job,
             call.queue.name,
@@ -187,12 +224,50 @@
             request,
             call.queue.max_attempts,
         )
-        preconditions = [
-            ports.Precondition(table, call.job, 0),
-            ports.Precondition(model.ENDED_TABLE, call.job, 0),
-        ]
-        puts = [ports.Put(table, call.job, model.encode(job))]
-        return self._write(call, pool, preconditions, puts)
+        put = ports.Put(model.jobs_table(pool), call.job, model.encode(job))
+        outcome = self._write(call, pool, _absent(pool, call.job), [put])
+        match outcome:
+            case ports.Conflicted(rows=rows):
+                moved = _moved_row(rows)
+                if moved is not None:
+                    return self._bring_back(call, moved, put)
+            case codes.Refused():
+                return outcome
+        return Accepted()
+
+    def _bring_back(
+        self, call: Call, moved: ports.Row, put: ports.Put
+    ) -> Accepted | codes.Refused:
+        """Store a job that was kept out of a pool which its queue has again.
+
+        Another process may have kept it out as the queue has left the pool,
+        without the knowledge of this one.
+        """
+        configuration = self._cluster.configuration
+        if configuration is None or not self._queue_pools.record():
+            return codes.Refused(
+                codes.Result.CHANGE_UNKNOWN, "the queue has moved"
+            )
+        earlier = self._queue_pools.earlier(
+            call.queue, configuration.version, clock.now()
+        )
+        if isinstance(earlier, codes.Refused):
+            return codes.Refused(codes.Result.CHANGE_UNKNOWN, earlier.reason)
+        for pool in earlier:
+            found = self._keep_out(call, pool)
+            if found is not None:
+                return found
+        outcome = self._write(
+            call,
+            call.queue.pool,
+            [
+                ports.Precondition(put.table, call.job, 0),
+                ports.Precondition(moved.table, call.job, moved.version),
+            ],
+            [put],
+            [ports.Delete(moved.table, call.job)],
+        )
+        return outcome if isinstance(outcome, codes.Refused) else Accepted()
 
     def _write(
         self,
@@ -200,16 +275,16 @@
         pool: str,
         preconditions: t.Sequence[ports.Precondition],
         puts: t.Sequence[ports.Put],
-    ) -> Accepted | codes.Refused:
+        deletes: t.Sequence[ports.Delete] = (),
+    ) -> ports.Outcome:
         """Write rows; repeat this while it is unknown whether they are stored.
 
-        The preconditions are such that a conflict means that the call has
-        nothing left to do.
+        A conflict may be with a row that an earlier attempt stored.
         """
         may_be_stored = False
         while True:
             sent_at = clock.now()
-            left = call.deadline - RESPONSE_MARGIN_SECONDS - sent_at
+            left = _answer_by(call) - sent_at
             if left < MIN_CALL_SECONDS:
                 break
             call.usage.store_calls += 1
@@ -217,12 +292,13 @@
                 pool,
                 preconditions,
                 puts,
+                deletes,
                 timeout=min(WRITE_TIMEOUT_SECONDS, left),
             )
             call.usage.record_write(outcome)
             match outcome:
                 case ports.Committed() | ports.Conflicted():
-                    return Accepted()
+                    return outcome
                 case codes.Refused(code=codes.Result.CHANGE_UNKNOWN):
                     may_be_stored = True
                     _pause_before_repeat(sent_at)
@@ -282,13 +358,15 @@
         if ended is None:
             return None
         found = model.decode(ended.value, model.Ended)
+        if found.state == model.STATE_MOVED:
+            return None
         if found.state != model.STATE_FAILED:
             return JobState(found.state)
         return JobState(found.state, found.code, found.reason)
 
     def _read(self, table: str, pool: str, call: Call) -> ports.Row | None:
         """Read a row of the job; retry after a failure if time is left."""
-        until = call.deadline - RESPONSE_MARGIN_SECONDS
+        until = _answer_by(call)
         began_at = clock.now()
         while True:
             asked_at = clock.now()
@@ -342,7 +420,8 @@
             row = self._read(model.jobs_table(pool), pool, call)
             if row is not None:
                 return self._store_cancel(call, pool, row)
-            if self._read(model.ENDED_TABLE, pool, call) is not None:
+            ended = self._read(model.ENDED_TABLE, pool, call)
+            if ended is not None and _moved_row([ended]) is None:
                 return Accepted()
         return codes.Refused(codes.Result.NOT_FOUND, "no such job")
 
@@ -351,12 +430,13 @@
     ) -> Accepted | codes.Refused:
         table = model.jobs_table(pool)
         # A conflict means that the job ended in the meantime.
-        return self._write(
+        outcome = self._write(
             call,
             pool,
             [ports.Precondition(table, call.job, row.version)],
             [ports.Put(table, call.job + model.CANCEL_SUFFIX, b"")],
         )
+        return outcome if isinstance(outcome, codes.Refused) else Accepted()
 
     def pending(self, call: Call) -> QueueState | codes.Refused:
         """Return how many jobs of a queue are pending."""
@@ -422,10 +502,42 @@
         """
         configuration = self._cluster.configuration
         others = sorted(configuration.pools) if configuration else []
-        past = self._cluster.past_pools(queue)
+        past = self._queue_pools.known(queue)
         return list(dict.fromkeys([queue.pool, *past, *others]))
 
 
+def _answer_by(call: Call) -> float:
+    """Return until when a call may use the store, by :func:`clock.now`."""
+    return call.deadline - RESPONSE_MARGIN_SECONDS
+
+
+def _absent(pool: str, job: str) -> list[ports.Precondition]:
+    """Return the conditions that a pool has no row of a job."""
+    return [
+        ports.Precondition(model.jobs_table(pool), job, 0),
+        ports.Precondition(model.ENDED_TABLE, job, 0),
+    ]
+
+
+def _moved_row(rows: t.Iterable[ports.Row]) -> ports.Row | None:
+    """Return the row by which a job is kept out of a pool, if any."""
+    return next((row for row in rows if _says_moved(row)), None)
+
+
+def _says_moved(row: ports.Row) -> bool:
+    if row.table != model.ENDED_TABLE or not row.version:
+        return False
+    try:
+        state = model.decode(row.value, model.Ended).state
+    except exceptions.Undecodable as error:
+        LOG.warning(
+            "end of a job can't be decoded",
+            extra={"job": row.key, "why": error},
+        )
+        return False
+    return state == model.STATE_MOVED
+
+
 def _pause_before_repeat(sent_at: float) -> None:
     """Wait as long as a call may not be repeated after it was sent."""
     next_at = sent_at + MIN_REPEAT_INTERVAL_SECONDS
--- a/src/agaterudder/jobs/model.py
+++ b/src/agaterudder/jobs/model.py
@@ -90,6 +90,9 @@
 STATE_COMPLETED = "completed"
 STATE_FAILED = "failed"
 STATE_CANCELLED = "cancelled"
+# The job does not lie here: its queue has moved to another pool. The row keeps
+# a late submission from being stored here all the same.
+STATE_MOVED = "moved"
 
 
 class Progress(msgspec.Struct, array_like=True):
@@ -117,7 +120,7 @@
 class Ended(msgspec.Struct, frozen=True, array_like=True):
     """The end of a job.
 
-    :ivar state: completed, failed or cancelled.
+    :ivar state: completed, failed, cancelled or moved.
     :ivar ended_at: seconds of the store's clock.
     :ivar code: number of the result, see :mod:`agaterudder.codes`.
     """
@@ -153,6 +156,26 @@
     counts: dict[str, int]
 
 
+class UsedPool(msgspec.Struct, frozen=True, array_like=True):
+    """A pool that a queue has.
+
+    :ivar since: version of the configuration with which it was recorded.
+    """
+
+    pool: str
+    since: int
+
+
+class QueuePools(msgspec.Struct, frozen=True, array_like=True):
+    """Pools that a queue has had, the latest last.
+
+    :ivar address: host and path prefix of the queue.
+    """
+
+    address: str
+    pools: list[UsedPool]
+
+
 _Stored = t.TypeVar("_Stored")
 
 
@@ -182,6 +205,8 @@
 HOLDERS_TABLE = "holders"
 LEASES_TABLE = "leases"
 PENDING_TABLE = "pending"
+QUEUE_POOLS_TABLE = "queuepools"
+QUEUE_POOLS_PARTITION = "queuepools"
 HOLDER_KEY = "holder"
 LEASE_KEY = "lease"
 PENDING_KEY = "pending"
--- a/src/agaterudder/jobs/service.py
+++ b/src/agaterudder/jobs/service.py
@@ -15,6 +15,7 @@
 from agaterudder.jobs import leases
 from agaterudder.jobs import machines
 from agaterudder.jobs import ports
+from agaterudder.jobs import queuepools
 from agaterudder import metrics
 from agaterudder import utils
 
@@ -74,9 +75,12 @@
             self._start_holder,
             self._stop_holder,
         )
+        self._queue_pools = queuepools.QueuePools(self._store)
+        self.cluster.subscribe(self._record_queues)
         self.job_api = jobapi.JobApi(
             self._store,
             self.cluster,
+            self._queue_pools,
             self.lease_manager.store_clock,
             self.metrics,
         )
@@ -105,6 +109,9 @@
                 what="watch of the registrations",
             ),
             greenlets.spawn(self.lease_manager.run, what="claims of leases"),
+            greenlets.spawn(
+                self._queue_pools.run, what="record of the queues' pools"
+            ),
         ]
 
     def ready(self) -> bool:
@@ -120,6 +127,9 @@
         """Stop the background loops."""
         gevent.killall(self._loops, block=False)
 
+    def _record_queues(self) -> None:
+        self._queue_pools.configure(self.cluster.configuration)
+
     def _pools(self) -> list[str]:
         configuration = self.cluster.configuration
         if configuration is None:
--- a/tests/features/job_api.feature
+++ b/tests/features/job_api.feature
@@ -73,6 +73,85 @@
     Then the answers are "Accepted, Accepted"
     And the store has 1 job in all pools
 
+  # Guards against a job that ran twice, as operators had removed its queue and
+  # added it again with another pool, before its submission was repeated.
+  Scenario Outline: A submission is repeated after its queue was <change>
+    When job 1 is submitted
+    And operators remove the route of the queue
+    And operators add the queue as "<name>" with pool "other"
+    And job 1 is submitted again to <process>
+    Then the answers are "Accepted, Accepted"
+    And the store has 1 job in all pools
+    And the state of job 1 is "queued"
+
+    Examples:
+      | change                              | name   | process             |
+      | removed and added                   | checks | the process         |
+      | removed and added, at a new process | checks | a new process       |
+      | added under another name            | audits | the process         |
+
+  # Guards against a job that ran twice, as its queue moved away and back
+  # between two versions that a process has seen.
+  Scenario: A process has missed that its queue was in another pool
+    Given another process with the same configuration
+    When operators move the queue to pool "other"
+    And job 1 is submitted
+    And operators move the queue back, as seen by the other process alone
+    And job 1 is submitted to the other process
+    Then the answers are "Accepted, Accepted"
+    And the store has 1 job in all pools
+
+  # Guards against a job that ran twice, as its first submission took effect
+  # after the queue had moved and the caller had repeated it.
+  Scenario: A submission takes effect late, after its queue has moved
+    When the store's next answers are "late,refused"
+    And job 1 is submitted
+    And operators move the queue to pool "other"
+    And job 1 is submitted
+    And late calls to the store take effect
+    Then the answers are "CHANGE_UNKNOWN, Accepted"
+    And the store has 1 job in all pools
+    And the state of job 1 is "queued"
+    When job 1 is cancelled
+    Then the store has the cancellation of job 1 in pool "other"
+
+  # Guards against a job that is accepted twice, or said to be accepted and
+  # stored nowhere, by a process that does not know of a move yet.
+  Scenario Outline: A process that does not know that its queue has moved
+    Given another process with the same configuration
+    When operators move the queue to pool "other"
+    And the store's next answers are "<answers>"
+    And job 1 is submitted
+    And job 1 is submitted to the other process
+    Then the answers are "<outcomes>"
+    And the store has <jobs> job in all pools
+
+    Examples:
+      | answers    | outcomes                   | jobs |
+      | ok,ok      | Accepted, CHANGE_UNKNOWN   | 1    |
+      | ok,refused | STORE_AWAY, CHANGE_UNKNOWN | 0    |
+
+  # Guards against a job that can't be submitted any more once its queue is back
+  # in the pool that it was kept out of.
+  Scenario: A queue moves back to a pool that a job was kept out of
+    When operators move the queue to pool "other"
+    And the store's next answers are "ok,refused"
+    And job 1 is submitted
+    And operators move the queue back
+    And job 1 is submitted
+    Then the answers are "STORE_AWAY, Accepted"
+    And the store has 1 job in all pools
+    And the state of job 1 is "queued"
+
+  # Guards against jobs that are accepted where no other process looks for
+  # them: the queue's pool is recorded before.
+  Scenario: The pool of a queue can't be recorded
+    When the store's next answers are "refused"
+    And operators move the queue to pool "other"
+    And job 1 is submitted
+    Then the answers are "STALE"
+    And the store has 0 job in all pools
+
   # Guards against a job that seems lost, as its pool is a standby pool now.
   Scenario: A job is looked up whose pool operators made a standby pool
     When job 1 is submitted
@@ -196,7 +275,7 @@
     Then a line "job submission handled" says
       | field       | value    |
       | outcome     | Accepted |
-      | version     | 1        |
+      | version     | 2        |
       | found       | None     |
       | store_calls | 1        |
     When job 1 is submitted
@@ -204,7 +283,7 @@
       | field       | value        |
       | outcome     | Accepted     |
       | version     | None         |
-      | found       | jobs.count:1 |
+      | found       | jobs.count:2 |
 
   Scenario: A submission that is refused for its key has a line
     Given the log is recorded
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -187,8 +187,10 @@
     context.store.read = read
 
 
-def _move_queue(context: Context, standby: bool) -> None:
-    known = context.cluster.configuration
+def _with_queues(
+    context: Context, *queues: operatorconfig.Queue, standby: bool = False
+) -> operatorconfig.Configuration:
+    """Return the next configuration, with two pools."""
     context.version += 1
     pools = {
         job_builders.POOL: operatorconfig.Pool(
@@ -196,11 +198,90 @@
         ),
         OTHER_POOL: operatorconfig.Pool(OTHER_POOL),
     }
+    known = context.cluster.configuration
+    return operatorconfig.Configuration(
+        context.version,
+        {queue.name: queue for queue in queues},
+        pools,
+        known.teams,
+        10_000,
+    )
+
+
+def _apply(api: jobapi.JobApi, found: operatorconfig.Configuration) -> None:
+    api._cluster._apply_operator_changes((ports.ConfigurationSet(found),))
+
+
+def _move_queue(context: Context, standby: bool) -> None:
     queue = job_builders.queue(pool=OTHER_POOL)
-    moved = operatorconfig.Configuration(
-        context.version, {queue.name: queue}, pools, known.teams, 10_000
+    moved = _with_queues(context, queue, standby=standby)
+    _apply(context.job_api, moved)
+
+
+@behave.given("another process with the same configuration")
+def step_same_configuration(context: Context) -> None:
+    context.other_api = job_builders.job_api(
+        context.store, context.cluster.configuration
+    )
+
+
+@behave.when("operators remove the route of the queue")
+def step_queue_removed(context: Context) -> None:
+    _apply(context.job_api, _with_queues(context))
+
+
+@behave.when('operators add the queue as "{name}" with pool "{pool}"')
+def step_queue_added(context: Context, name: str, pool: str) -> None:
+    queue = job_builders.queue(name=name, pool=pool)
+    _apply(context.job_api, _with_queues(context, queue))
+
+
+@behave.when("operators move the queue back")
+def step_queue_moves_back(context: Context) -> None:
+    _apply(context.job_api, _with_queues(context, job_builders.queue()))
+
+
+@behave.when(
+    "operators move the queue back, as seen by the other process alone"
+)
+def step_queue_back_elsewhere(context: Context) -> None:
+    _apply(context.other_api, _with_queues(context, job_builders.queue()))
+
+
+def _submit_at(context: Context, number: int, api: jobapi.JobApi) -> None:
+    (queue,) = api._cluster.configuration.queues.values()
+    call = jobapi.Call(
+        queue,
+        f"{number:016x}",
+        context.key,
+        context.now + DEADLINE_SECONDS,
     )
-    context.cluster._apply_operator_changes((ports.ConfigurationSet(moved),))
+    context.answers.append(api.submit(call, job_builders.job().request))
+
+
+@behave.when("job {number:d} is submitted to the other process")
+def step_submit_elsewhere(context: Context, number: int) -> None:
+    _submit_at(context, number, context.other_api)
+
+
+@behave.when("job {number:d} is submitted again to {process} process")
+def step_submit_at(context: Context, number: int, process: str) -> None:
+    api = context.job_api
+    if process == "a new":
+        api = job_builders.job_api(
+            context.store, context.cluster.configuration
+        )
+    _submit_at(context, number, api)
+
+
+@behave.then(
+    'the store has the cancellation of job {number:d} in pool "{pool}"'
+)
+def step_cancellation_in_pool(
+    context: Context, number: int, pool: str
+) -> None:
+    key = f"{number:016x}{model.CANCEL_SUFFIX}"
+    assert context.store.read(model.jobs_table(pool), pool, key) is not None
 
 
 @behave.when('operators move the queue to pool "other"')
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -14,6 +14,7 @@
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import pool
 from agaterudder.jobs import ports
+from agaterudder.jobs import queuepools
 from agaterudder.jobs import teamlimits
 from agaterudder import metrics
 from agaterudder import resources
@@ -189,17 +190,28 @@
     configured: operatorconfig.Configuration,
     metrics_registry: metrics.Metrics | None = None,
 ) -> jobapi.JobApi:
-    """Return the job API of a VM whose configuration was just confirmed."""
+    """Return the job API of a VM whose configuration was just confirmed.
+
+    The pools of its queues are recorded with each configuration, at once.
+    """
     cluster = clustercache.ClusterCache(
         t.cast(ports.Operators, None),
         t.cast(ports.WorkerList, None),
         KEY_BOUND_SECONDS,
     )
+    queue_pools = queuepools.QueuePools(store)
+
+    def record() -> None:
+        queue_pools.configure(cluster.configuration)
+        queue_pools.record()
+
+    cluster.subscribe(record)
     cluster._apply_operator_changes((ports.ConfigurationSet(configured),))
     cluster.operators.confirmed_at = clock.now()
     return jobapi.JobApi(
         store,
         cluster,
+        queue_pools,
         lambda: store.clock,
         metrics_registry or metrics.Metrics(),
     )
