LOST: the jobs of a removed queue keep their placement policy

Cause: `Pool.queue_of` made up a queue of default values: no policy, the highest priority, an objective of its own. `orderexecutor` and `stalls` looked the queue up by themselves.

Change: a job's row keeps what its queue promised when it was accepted, in force once the queue is not configured.

--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -223,6 +223,7 @@
             self._store_clock(),
             request,
             call.queue.max_attempts,
+            _terms(call.queue),
         )
         put = ports.Put(model.jobs_table(pool), call.job, model.encode(job))
         outcome = self._write(call, pool, _absent(pool, call.job), [put])
@@ -511,6 +512,20 @@
     return call.deadline - RESPONSE_MARGIN_SECONDS
 
 
+def _terms(queue: operatorconfig.Queue) -> model.QueueTerms:
+    """Return what a queue promises its jobs."""
+    times = None
+    if queue.policy is not None:
+        times = (
+            queue.policy.base_seconds,
+            queue.policy.per_worker_seconds,
+            queue.policy.ticket_seconds,
+        )
+    return model.QueueTerms(
+        queue.priority, queue.stretch, queue.target_seconds, times
+    )
+
+
 def _absent(pool: str, job: str) -> list[ports.Precondition]:
     """Return the conditions that a pool has no row of a job."""
     return [
--- a/src/agaterudder/jobs/model.py
+++ b/src/agaterudder/jobs/model.py
@@ -64,12 +64,28 @@
     interval: float = 0.0
 
 
+class QueueTerms(msgspec.Struct, frozen=True, array_like=True):
+    """What a queue promised its jobs; see :class:`operatorconfig.Queue`.
+
+    :ivar policy: fixed part of the response time of its placement policy, part
+        for each named worker, and validity of a ticket, in seconds; None
+        without a policy.
+    """
+
+    priority: int = 0
+    stretch: float = 1.0
+    target_seconds: float = 0.0
+    policy: tuple[float, float, float] | None = None
+
+
 class Job(msgspec.Struct, frozen=True, array_like=True):
     """An accepted job.
 
     :ivar accepted_at: when it was accepted, seconds of the store's clock.
     :ivar max_attempts: how many runs of a task its queue allowed to fail when
         it was accepted; 0 in rows of releases that did not store it.
+    :ivar terms: what its queue promised when it was accepted, in force once
+        operators have removed the queue.
     """
 
     job: str
@@ -78,6 +94,7 @@
     accepted_at: float
     request: Request
     max_attempts: int = 0
+    terms: QueueTerms = QueueTerms()
 
     @property
     def occurrences(self) -> int:
--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -184,9 +184,9 @@
 
     def _request_tickets(self, order: orders.RequestTickets) -> None:
         step = order.step
-        queue = self._context.state.queues.get(step.job.job.queue)
+        queue = self._context.state.queue_of(step)
         try:
-            if self._policy is None or queue is None or queue.policy is None:
+            if self._policy is None or queue.policy is None:
                 LOG.warning(
                     "placement policy not configured",
                     extra={"step": step.name},
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -266,10 +266,14 @@
         return max(known, 1)
 
     def queue_of(self, step: runs.StepRun) -> operatorconfig.Queue:
-        """Return the queue of a step, one of default values if unknown."""
-        name = step.job.job.queue
-        known = self.queues.get(name)
-        return known or operatorconfig.Queue(name, "", "", self.name)
+        """Return the queue of a step.
+
+        The jobs of a queue that operators removed keep what it promised when
+        they were accepted.
+        """
+        job = step.job.job
+        known = self.queues.get(job.queue)
+        return known or _removed_queue(job, self.name)
 
     # Workers
 
@@ -357,3 +361,20 @@
         elif run in self.orphaned_runs:
             self.orphaned_runs.remove(run)
         self.limits.release(run.team, run.limit_key)
+
+
+def _removed_queue(job: model.Job, pool: str) -> operatorconfig.Queue:
+    """Return the queue of a job as it was when the job was accepted."""
+    terms = job.terms
+    policy = terms.policy
+    return operatorconfig.Queue(
+        job.queue,
+        "",
+        "",
+        pool,
+        terms.priority,
+        max(job.max_attempts, 1),
+        terms.stretch,
+        terms.target_seconds,
+        policy=operatorconfig.PolicyTimes(*policy) if policy else None,
+    )
--- a/src/agaterudder/jobs/stalls.py
+++ b/src/agaterudder/jobs/stalls.py
@@ -204,8 +204,7 @@
     now: float,
 ) -> list[fleet.WorkerState] | Reason:
     """Return the workers that the placement policy allows."""
-    queue = state.queues.get(step.job.job.queue)
-    if queue is None or queue.policy is None:
+    if state.queue_of(step).policy is None:
         return usable
     tickets = step.tickets
     if tickets is None or tickets.until <= now:
--- a/tests/features/steps/placement_policy_steps.py
+++ b/tests/features/steps/placement_policy_steps.py
@@ -6,14 +6,19 @@
 import behave
 
 from agaterudder.jobs import clock
+from agaterudder.jobs import jobapi
+from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import orderexecutor
 from agaterudder.jobs import orders
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from tests import job_builders
+from tests import memory_store
 
 Context = t.Any
+JOB = "00000000000000aa"
+DEADLINE_SECONDS = 3.0
 
 
 class _Policy:
@@ -80,3 +85,56 @@
 @behave.then('a task runs on worker "{name}"')
 def step_some_run_on(context: Context, name: str) -> None:
     assert context.state.workers[name].runs
+
+
+@behave.given(
+    "its queue has priority {priority:d}, stretch {stretch:g} "
+    "and a target of {seconds:g} s"
+)
+def step_terms(
+    context: Context, priority: int, stretch: float, seconds: float
+) -> None:
+    queue = job_builders.queue(
+        priority=priority, stretch=stretch, target_seconds=seconds
+    )
+    context.state.queues = {queue.name: queue}
+
+
+@behave.given("a job of that queue is accepted")
+def step_accepted(context: Context) -> None:
+    (queue,) = context.state.queues.values()
+    context.store = memory_store.MemoryStore()
+    api = job_builders.job_api(
+        context.store, job_builders.configuration(queues=(queue,))
+    )
+    request = job_builders.job(job_builders.step(count=1)).request
+    call = jobapi.Call(queue, JOB, "key-1", clock.now() + DEADLINE_SECONDS)
+    answer = api.submit(call, request)
+    assert isinstance(answer, jobapi.Accepted), answer
+
+
+@behave.when("{reader} reads the job")
+def step_read(context: Context, reader: str) -> None:
+    table = model.jobs_table(job_builders.POOL)
+    row = context.store.read(table, job_builders.POOL, JOB)
+    context.state.accept(
+        model.decode(row.value, model.Job),
+        model.Progress(),
+        0,
+        context.now,
+        recovered=reader == "a new process",
+    )
+    context.state.create_due(0.0, context.now)
+
+
+@behave.then(
+    "the queue of the job has priority {priority:d}, stretch {stretch:g} "
+    "and a target of {seconds:g} s"
+)
+def step_keeps_terms(
+    context: Context, priority: int, stretch: float, seconds: float
+) -> None:
+    (step,) = context.state.ready.values()
+    found = context.state.queue_of(step)
+    kept = (found.priority, found.stretch, found.target_seconds)
+    assert kept == (priority, stretch, seconds), found
