LOST: starts that never arrived give no job up

Cause: at a crash of a worker every run that the holder had placed there counted as a crash under its task, also a start that the worker never had, and a long-running task that had been available. Two were enough.

Change: a start that no worker confirmed makes its task a suspect, no more; the worker of a suspect is asked right before the start; crashes under runs that had lasted count apart, and decide only from five on and if most crashes of the pool are under the task; a task that was available or ran for 3 s has them forgotten. The line of a suspect says how long its run was listed, and its progress.

Tests: nine scenarios.

--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -2,7 +2,10 @@
 
 A crash ends all runs of a worker, and one of them may have caused it. A task
 that had just started is suspected at once, any other when it happens again.
-A suspect starts apart from all others, so that the next crash tells.
+A suspect starts apart from all others, so that the next crash tells. A start
+that the worker never confirmed may have been sent to one that had crashed
+before: it makes its task a suspect, and says no more. The worker of a suspect
+is asked right before the start.
 """
 
 import logging
@@ -26,6 +29,10 @@
 # crashes; one that was alone, at fewer.
 MAX_CRASHES_ALONE = 2
 MAX_CRASHES_APART = 3
+# The same with crashes under runs that had not just started.
+MAX_CRASHES_LATE = 5
+# Progress of a long-running task that is available.
+AVAILABLE_PERCENT = 100
 LINES_PER_SECOND = 20
 
 _lines = linelimit.LineLimit(LINES_PER_SECOND)
@@ -46,13 +53,21 @@
 def _runs_crashed(
     state: pools.Pool, found: t.Iterable[runs.Run], now: float
 ) -> None:
+    state.suspects.crashes_seen += 1
     recorded = [run for run in found if _record(state, run, now)]
     for run in recorded:
         _judge(state, run, now)
 
 
+def _confirmed(run: runs.Run) -> bool:
+    """Return whether its worker had a run, or was alive to get its start."""
+    return run.state is runs.RunState.RUNNING or run.probed
+
+
 def _just_started(run: runs.Run, now: float) -> bool:
     """Return whether a run was started just before its worker crashed."""
+    if run.listed_at - run.sent_at > SUSPECT_AGE_SECONDS:
+        return False
     first_sign = run.worker.unanswered_since or now
     return run.sent_at > first_sign - SUSPECT_AGE_SECONDS
 
@@ -63,16 +78,27 @@
     if task is None or task.done or task.step.job.ending is not None:
         return False
     progress = task.step.job.progress
-    numbers = progress.crashes.setdefault(task.progress_key, [])
-    if run.number in numbers:
+    key = task.progress_key
+    if any(
+        run.number in known.get(key, ()) for known in progress.crash_records
+    ):
         return False
-    numbers.append(run.number)
-    _remove(progress.attempts, task.progress_key, run.number)
+    just_started = _just_started(run, now)
+    if not _confirmed(run):
+        known = progress.lost_starts
+    elif just_started:
+        known = progress.crashes
+    else:
+        known = progress.late_crashes
+    known.setdefault(key, []).append(run.number)
+    _remove(progress.attempts, key, run.number)
     life = (run.worker.name, run.worker.incarnation)
-    if not _just_started(run, now):
+    if not just_started:
         state.suspects.add_victim(life, task, run.number)
     else:
         state.suspects.add_crash(life, task, run.number)
+    if known is not progress.lost_starts:
+        state.suspects.count(task)
     state.journal.mark(task.step.job)
     return True
 
@@ -84,18 +110,32 @@
         return
     just_started = _just_started(run, now)
     found = suspects.evidence(task)
-    if not found.crashes:
+    if not found.total - found.unresolved:
         # The cause of the crash is found.
         return
-    if run.apart and _proven(run, found):
+    if run.apart and _proven(state, run, found):
         give_up(state, task, found, run)
     elif just_started or found.total >= suspects.SUSPECT_CRASHES_LATE:
         state.suspects.add(task, just_started)
         _report_suspect(state, run, task, found, now)
 
 
-def _proven(run: runs.Run, found: suspects.Evidence) -> bool:
-    """Return whether the crash of its worker shows that a run caused it."""
+def _proven(
+    state: pools.Pool, run: runs.Run, found: suspects.Evidence
+) -> bool:
+    """Return whether the crash of its worker shows that a run caused it.
+
+    A run that had lasted for a while may have met a crash of another cause,
+    unless most crashes of the pool are under its task.
+    """
+    if not _confirmed(run):
+        return False
+    if (
+        run.task is not None
+        and found.crashes + found.late_crashes >= MAX_CRASHES_LATE
+        and state.suspects.mostly_under(run.task)
+    ):
+        return True
     company = [
         other
         for other in run.worker.runs.values()
@@ -127,10 +167,14 @@
             "worker": run.worker.name,
             "state": run.state.value,
             "age": round(now - run.sent_at, 3),
+            "listed": round(max(run.listed_at - run.sent_at, 0.0), 3),
+            "progress": run.progress,
             "beside": len(run.worker.runs) - 1,
             "apart": run.apart,
             "crashes": found.crashes,
             "unresolved": found.unresolved,
+            "lost_starts": found.lost_starts,
+            "late_crashes": found.late_crashes,
         },
     )
 
@@ -159,6 +203,8 @@
             "task": task.name,
             "crashes": progress.crashes.get(task.progress_key, []),
             "attempts": progress.attempts.get(task.progress_key, []),
+            "lost_starts": progress.lost_starts.get(task.progress_key, []),
+            "late_crashes": progress.late_crashes.get(task.progress_key, []),
             "worker": run.worker.name if run is not None else "",
             "beside": len(run.worker.runs) - 1 if run is not None else 0,
         },
@@ -183,9 +229,7 @@
 
 def _clear(state: pools.Pool, task: runs.Task, number: int) -> None:
     """Remove a crash from a task, as another one caused it."""
-    job = task.step.job
-    if _remove(job.progress.crashes, task.progress_key, number):
-        state.journal.mark(job)
+    _remove_crash(state, task, number)
     if not suspects.evidence(task).total:
         _end_suspicion(state, task)
 
@@ -258,7 +302,15 @@
 def run_listed(state: pools.Pool, run: runs.Run, now: float) -> None:
     """Apply that a worker lists a run as running."""
     task = run.task
-    if task is None or not run.attempt:
+    if task is None:
+        return
+    progress = task.step.job.progress
+    if now - run.running_since >= suspects.REPEATED_ALONE_SECONDS:
+        _forget(state, task, progress.crash_records)
+    elif task.step.step.long_running and run.progress >= AVAILABLE_PERCENT:
+        # Its start does not crash its worker.
+        _forget(state, task, (progress.crashes, progress.lost_starts))
+    if not run.attempt:
         return
     found = suspects.evidence(task)
     if now - run.running_since < found.alone_seconds:
@@ -282,9 +334,7 @@
     """
     if outcome in (ports.END_BROKEN, ports.END_ALONE):
         return
-    progress = task.step.job.progress
-    if _remove(progress.crashes, task.progress_key, number):
-        state.journal.mark(task.step.job)
+    _remove_crash(state, task, number)
     _settle(state, task, number)
     found = suspects.evidence(task)
     if task in state.suspects and found.total < suspects.REPEATED_CRASHES:
@@ -311,6 +361,28 @@
     run.apart = True
 
 
+def _remove_crash(state: pools.Pool, task: runs.Task, number: int) -> None:
+    progress = task.step.job.progress
+    for known in progress.crash_records:
+        if _remove(known, task.progress_key, number):
+            state.journal.mark(task.step.job)
+
+
+def _forget(
+    state: pools.Pool,
+    task: runs.Task,
+    records: t.Iterable[t.MutableMapping[str, list[int]]],
+) -> None:
+    """Forget crashes under a task that has done better since."""
+    if not all(member.runs for member in task.unit):
+        return
+    for known in records:
+        if known.pop(task.progress_key, None) is not None:
+            state.journal.mark(task.step.job)
+    if not suspects.evidence(task).late_crashes:
+        state.suspects.forget_share(task)
+
+
 def _settle(state: pools.Pool, task: runs.Task, number: int) -> None:
     job = task.step.job
     if _remove(job.progress.attempts, task.progress_key, number):
--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -19,6 +19,7 @@
 LOG = logging.getLogger(__name__)
 
 ORDER_TIMEOUT_SECONDS = 0.8
+PROBE_TIMEOUT_SECONDS = 0.3
 MAX_CONCURRENT_ORDERS = 256
 POLICY_RETRY_SECONDS = 0.1
 # The policy service answers one question at a time, so that a question may
@@ -69,14 +70,17 @@
 
     def _start_run(self, order: orders.Start) -> None:
         run = order.run
+        obstacle = self._probe(run) if run.apart else ""
         if (run.task_name, run.number) not in run.worker.runs:
             # Its worker has ended meanwhile.
             return
         if not self._context.holds_lease() or run.task is None:
+            obstacle = "pool lease not held"
+        if obstacle or run.task is None:
             runstarts.rejected(
                 self._context.state,
                 run,
-                f"{runstarts.NOT_SENT}pool lease not held",
+                f"{runstarts.NOT_SENT}{obstacle}",
                 clock.now(),
             )
             return
@@ -125,6 +129,22 @@
                 runstarts.unanswered(self._context.state, run, reason, now)
                 self._registry.wake(run.worker)
 
+    def _probe(self, run: runs.Run) -> str:
+        """Make sure that the worker of a suspect has not crashed before.
+
+        :returns: why the suspect is not started, empty if the worker answers.
+        """
+        if not self._context.holds_lease():
+            return "pool lease not held"
+        answer = run.worker.link.renew(
+            self._context.lease.epoch, 0, None, 0.0, PROBE_TIMEOUT_SECONDS
+        )
+        run.probed = isinstance(answer, ports.Listing)
+        if run.probed:
+            return ""
+        self._registry.wake(run.worker)
+        return f"its worker did not answer a probe: {answer}"
+
     def _stop_run(self, run: runs.Run) -> None:
         if not self._context.holds_lease():
             return
--- a/src/agaterudder/jobs/runends.py
+++ b/src/agaterudder/jobs/runends.py
@@ -90,8 +90,9 @@
             step.done += 1
             job.progress.done.setdefault(step.key, []).append(member.index)
             job.progress.checkpoints.pop(f"{step.key}.{member.index}", None)
-            job.progress.crashes.pop(member.progress_key, None)
             job.progress.attempts.pop(member.progress_key, None)
+            for known in job.progress.crash_records:
+                known.pop(member.progress_key, None)
         for other in member.runs:
             other.require_stop("the task is done")
     state.journal.mark(job)
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import itertools
 import typing as t
 
 from agaterudder.jobs import model
@@ -104,6 +105,7 @@
         not known yet.
     :ivar apart: whether it is the run of a suspect, beside which nothing else
         starts.
+    :ivar probed: whether its worker answered right before it was started.
     :ivar progress: per cent of its work that is done; 100 for a
         long-running task that is available.
     :ivar listed_at: when its progress was last listed.
@@ -135,6 +137,7 @@
         "loss_reported",
         "attempt",
         "apart",
+        "probed",
         "size",
         "size_known",
         "task_name",
@@ -171,6 +174,7 @@
         self.loss_reported = False
         self.attempt = False
         self.apart = False
+        self.probed = False
         self.size = size
         self.size_known = True
 
@@ -539,8 +543,11 @@
             task.checkpoint = self.progress.checkpoints.get(key, "")
             numbers = (
                 *self.progress.failures.get(task.progress_key, ()),
-                *self.progress.crashes.get(task.progress_key, ()),
                 *self.progress.attempts.get(task.progress_key, ()),
+                *itertools.chain.from_iterable(
+                    known.get(task.progress_key, ())
+                    for known in self.progress.crash_records
+                ),
             )
             task.last_run = max(numbers, default=0)
 
--- a/src/agaterudder/jobs/suspects.py
+++ b/src/agaterudder/jobs/suspects.py
@@ -1,9 +1,10 @@
 """Tasks that are suspected of crashing their workers.
 
 The stored progress of a job has, for each task (or for each gang as a whole),
-the runs under which a worker crashed, and the attempts: runs that were stored
-before their start and whose outcome is not known yet. An attempt that has no
-run any more had an outcome that no holder learnt; it may have been a crash.
+the runs under which a worker crashed, those whose worker crashed and never
+said that it had them, and the attempts: runs that were stored before their
+start and whose outcome is not known yet. An attempt that has no run any more
+had an outcome that no holder learnt; it may have been a crash.
 """
 
 import dataclasses
@@ -39,22 +40,36 @@
 class Evidence:
     """What is known against a task.
 
-    :ivar crashes: number of the runs under which a worker crashed.
+    :ivar crashes: number of the runs under which a worker crashed when they
+        had just started.
     :ivar unresolved: number of the attempts without a run or an outcome.
+    :ivar lost_starts: number of the runs that a worker which crashed may never
+        have had.
+    :ivar late_crashes: number of the runs under which a worker crashed later.
     """
 
     crashes: int
     unresolved: int
+    lost_starts: int = 0
+    late_crashes: int = 0
 
     @property
     def total(self) -> int:
         """Number of the starts that may have crashed a worker."""
-        return self.crashes + self.unresolved
+        return (
+            self.crashes
+            + self.unresolved
+            + self.lost_starts
+            + self.late_crashes
+        )
 
     @property
     def exhausted(self) -> bool:
         """Whether no further start is allowed."""
-        return self.total >= MAX_EVIDENCE and self.unresolved >= MAX_UNRESOLVED
+        return (
+            self.crashes + self.unresolved >= MAX_EVIDENCE
+            and self.unresolved >= MAX_UNRESOLVED
+        )
 
     @property
     def alone_seconds(self) -> float:
@@ -75,19 +90,35 @@
     return Evidence(
         len(progress.crashes.get(key, ())),
         sum(1 for number in attempts if number not in open_numbers),
+        len(progress.lost_starts.get(key, ())),
+        len(progress.late_crashes.get(key, ())),
     )
 
 
+@dataclasses.dataclass(slots=True)
+class _Share:
+    """Crashes under one task among all that the holder has seen.
+
+    :ivar before: how many it had seen before the first under the task.
+    """
+
+    before: int
+    own: int = 0
+
+
 class Suspects:
     """Tasks of a pool that start apart from all others.
 
     A gang is suspected as a whole, under its first task.
 
     :ivar prepared_mark: the journal mark of the last prepared attempt.
+    :ivar crashes_seen: crashes of workers that this holder has seen.
     """
 
     __slots__ = (
         "prepared_mark",
+        "crashes_seen",
+        "_shares",
         "_tasks",
         "_just_started",
         "_crashes",
@@ -96,6 +127,8 @@
 
     def __init__(self) -> None:
         self.prepared_mark = 0
+        self.crashes_seen = 0
+        self._shares: dict[str, _Share] = {}
         self._tasks: dict[str, runs.Task] = {}
         self._just_started: set[str] = set()
         self._crashes: dict[Life, dict[str, tuple[runs.Task, int]]] = {}
@@ -116,6 +149,27 @@
         if just_started:
             self._just_started.add(task.unit_name)
 
+    def count(self, task: "runs.Task") -> None:
+        """Count the latest crash as one under a task."""
+        share = self._shares.get(task.unit_name)
+        if share is None:
+            share = _Share(self.crashes_seen - 1)
+            self._shares[task.unit_name] = share
+            if len(self._shares) > MAX_CRASHES_KEPT:
+                del self._shares[next(iter(self._shares))]
+        share.own += 1
+
+    def mostly_under(self, task: "runs.Task") -> bool:
+        """Return whether most crashes were under a task, from its first."""
+        share = self._shares.get(task.unit_name)
+        if share is None:
+            return False
+        return share.own * 2 > self.crashes_seen - share.before
+
+    def forget_share(self, task: "runs.Task") -> None:
+        """Count the crashes under a task from none again."""
+        self._shares.pop(task.unit_name, None)
+
     def discard(self, task: "runs.Task") -> None:
         """End the suspicion of a task."""
         self._tasks.pop(task.unit_name, None)
@@ -176,7 +230,7 @@
     def restore(self, step: "runs.StepRun") -> None:
         """Suspect the tasks against which enough is stored."""
         progress = step.job.progress
-        if not progress.crashes and not progress.attempts:
+        if not (progress.attempts or any(progress.crash_records)):
             return
         for task in step.tasks:
             total = evidence(task).total
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -372,6 +372,8 @@
             workerends.lost(
                 state, worker, reason, now, evidence, ended, crashed
             )
+        elif crashed:
+            state.suspects.crashes_seen += 1
         expired = [
             run
             for run in worker.runs.values()
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -29,6 +29,10 @@
 AFTER_START = "after a start of a culprit"
 AFTER_STORE = "after its crash is stored"
 MAX_FORCED_TAKE_OVERS = 12
+# What happens at a start: its worker has crashed before, and the answer is
+# missed; or the worker crashes for another cause, after it has answered.
+LOST = "lost"
+CRASH = "crash"
 # A random play, and the quiet time at its end.
 RANDOM_SECONDS = 12.0
 QUIET_SECONDS = 60.0
@@ -72,6 +76,7 @@
         some seconds after it crashed.
     :ivar deadly: tasks that crash their worker, with the seconds after their
         start.
+    :ivar fates: what happens at the next starts of a task, in order.
     :ivar begun: the runs that began.
     :ivar crashed: the tasks that ran on each worker that crashed.
     :ivar answers_lost: whether the answer to a deadly start is lost.
@@ -88,6 +93,7 @@
         self.store = memory_store.MemoryStore()
         self.processes: dict[str, Process] = {}
         self.deadly: dict[str, float] = {}
+        self.fates: dict[str, list[str]] = {}
         self.begun: list[Begun] = []
         self.crashed: list[tuple[str, ...]] = []
         self.jobs: dict[str, model.Job] = {}
@@ -310,6 +316,18 @@
             return
         if run.apart:
             self.suspect_starts[run.number] = self._stored(run)
+        fates = self.fates.get(run.task_name)
+        fate = fates.pop(0) if fates else ""
+        if fate == LOST:
+            self.crash(process)
+            if run.apart:
+                runstarts.rejected(
+                    self.state, run, "not sent: no answer", self.now
+                )
+            else:
+                runstarts.unanswered(self.state, run, "time-out", self.now)
+            return
+        run.probed = run.apart
         beside = tuple(task for task, _ in process.running)
         self.begun.append(
             Begun(run.task_name, run.number, process.name, self.epoch, beside)
@@ -325,6 +343,8 @@
                 )
                 return
         runstarts.accepted(self.state, run, self.now)
+        if fate == CRASH:
+            self.crash(process)
 
     def _stored(self, run: runs.Run) -> bool:
         """Return whether the attempt of a run is stored."""
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -106,6 +106,51 @@
       | 1     | 1.0     |
       | 3     | 4.0     |
 
+  # Guards against a job that is given up, as starts that its crashed worker
+  # never had counted as crashes under it.
+  Scenario Outline: The starts of a task meet workers that crash: <fates>
+    Given a simulated pool of 6 workers
+    And a simulated job "culprit" of 1 tasks of 1 core that last 0.5 seconds
+    And the next starts of its task are <fates>
+    When 30 simulated seconds pass
+    Then job "culprit" is stored as completed
+
+    Examples: fates
+      | fates           |
+      | lost,lost       |
+      | lost,crash      |
+      | crash,lost      |
+      | lost,crash,lost |
+
+  # Guards against a suspect that is sent to a worker which has crashed before,
+  # as nothing was heard of it for some seconds.
+  Scenario Outline: A suspect is started when its worker <answers> a probe
+    Given a simulated pool of 1 workers
+    And a simulated job "culprit" of 1 tasks of 1 core that last 9 seconds
+    When its task is a suspect, and its worker <answers> a probe
+    Then <starts> starts reach the worker
+    And 0 crashes of job "culprit" are counted
+
+    Examples: answers
+      | answers         | starts |
+      | answers         | 1      |
+      | does not answer | 0      |
+
+  # Guards against a long-running job that is given up, and its tasks stopped,
+  # as workers crash under it now and then for other causes.
+  Scenario Outline: Workers crash under a long-running task after <seconds> s
+    Given a simulated pool of 4 workers
+    And a simulated job "lasting" of 4 long-running tasks, 1 per worker
+    When the workers of a task of job "lasting" crash after <seconds> s
+    Then every task of job "lasting" runs
+    And 0 crashes of job "lasting" are counted
+
+    Examples: seconds
+      | seconds             |
+      | 10, 10, 10, 1, 1    |
+      | 4, 4, 4, 4, 4, 4, 4 |
+      | 10, 1, 1, 1         |
+
   # Guards against crashes that are counted where a worker ended by order, or
   # was only silent.
   Scenario Outline: A worker that <event> has not crashed
