LOST: the progress of a large job fits its row

Cause: a new holder stored an attempt for each task that had room at once, and the row of the job's progress exceeded what the store takes. The refusal was taken for an unclear answer, and the batch was repeated for ever before everything else of the pool.

Change: 200 attempts of a job at a time; a row that is too large goes without its checkpoints; if that does not do, its job alone fails, with a code; a job that can't be recorded to its end is refused at once (413). The size of a row is read from the settings.

--- a/src/agaterudder/codes.py
+++ b/src/agaterudder/codes.py
@@ -92,7 +92,7 @@
         400, _NOT_RUN, False, "Correct the field that is named."
     ),
     Result.TOO_LARGE: Description(
-        413, _NOT_RUN, False, "Send a smaller body or header."
+        413, _NOT_RUN, False, "Send a smaller body, header or job."
     ),
     Result.UNKNOWN_TEAM: Description(
         404, _NOT_RUN, False, "Name a team of the assurance file."
--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -18,6 +18,7 @@
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import storedprogress
 from agaterudder.jobs import suspects
 
 LOG = logging.getLogger(__name__)
@@ -257,9 +258,10 @@
 ) -> list[int] | None:
     """Return the run numbers of tasks that start together.
 
-    Some tasks start only once the attempt is stored.
+    Some tasks start only once the attempt is stored, and only so many of a
+    job at a time.
 
-    :returns: None while an attempt is being stored.
+    :returns: None while an attempt is being stored, or can't be yet.
     """
     firsts = {task.unit_name: task.unit[0] for task in tasks}
     numbers: dict[str, int] = {}
@@ -267,7 +269,10 @@
         if not _stored_before_start(state, first):
             numbers[name] = state.next_run()
             continue
-        if first.prepared is None:
+        left = storedprogress.attempts_left(
+            first.step.job.progress, state.first_run
+        )
+        if first.prepared is None and left > 0:
             prepare(state, first)
         if (
             first.prepared is not None
--- a/src/agaterudder/jobs/deployment.py
+++ b/src/agaterudder/jobs/deployment.py
@@ -31,6 +31,7 @@
     :ivar status: how long an ended job can be looked up.
     :ivar pending_age: longest delay until a job appears in the pending
         count of its queue.
+    :ivar row_bytes: largest value of a row of the store, in bytes.
     """
 
     holder_lease: float = 3.0
@@ -52,6 +53,7 @@
     grace: float = 6.0
     status: float = 120.0
     pending_age: float = 3.0
+    row_bytes: int = 65_536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -15,6 +15,7 @@
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
 from agaterudder.jobs import queuepools
+from agaterudder.jobs import storedprogress
 from agaterudder import metrics
 
 LOG = logging.getLogger(__name__)
@@ -87,6 +88,7 @@
     """Answers the calls of clients from the store.
 
     :param store_clock: returns an upper bound of the store's clock.
+    :param row_bytes: largest value of a row of the store.
     """
 
     __slots__ = (
@@ -95,6 +97,7 @@
         "_queue_pools",
         "_store_clock",
         "_metrics",
+        "_row_bytes",
         "_reports",
     )
 
@@ -105,12 +108,14 @@
         queue_pools: queuepools.QueuePools,
         store_clock: t.Callable[[], float],
         metrics_registry: metrics.Metrics,
+        row_bytes: int,
     ) -> None:
         self._store = store
         self._cluster = cluster
         self._queue_pools = queue_pools
         self._store_clock = store_clock
         self._metrics = metrics_registry
+        self._row_bytes = row_bytes
         self._reports = callreports.CallReports(cluster, metrics_registry)
 
     def queue(
@@ -177,6 +182,13 @@
         The queue may have moved between a submission and its repetition, and
         another process may not know of the move yet.
         """
+        job = self._job(call, team, request)
+        if len(model.encode(job)) > self._row_bytes or not (
+            storedprogress.fits(request, self._row_bytes)
+        ):
+            return codes.Refused(
+                codes.Result.TOO_LARGE, "the job exceeds a row of the store"
+            )
         configuration = self._cluster.configuration
         assert configuration is not None
         earlier = self._queue_pools.earlier(
@@ -188,7 +200,18 @@
             found = self._keep_out(call, pool)
             if found is not None:
                 return found
-        return self._store_job(call, team, request)
+        return self._store_job(call, job)
+
+    def _job(self, call: Call, team: str, request: model.Request) -> model.Job:
+        return model.Job(
+            call.job,
+            call.queue.name,
+            team,
+            self._store_clock(),
+            request,
+            call.queue.max_attempts,
+            _terms(call.queue),
+        )
 
     def _keep_out(
         self, call: Call, pool: str
@@ -213,18 +236,9 @@
         return None
 
     def _store_job(
-        self, call: Call, team: str, request: model.Request
+        self, call: Call, job: model.Job
     ) -> Accepted | codes.Refused:
         pool = call.queue.pool
-        job = model.Job(
-            call.job,
-            call.queue.name,
-            team,
-            self._store_clock(),
-            request,
-            call.queue.max_attempts,
-            _terms(call.queue),
-        )
         put = ports.Put(model.jobs_table(pool), call.job, model.encode(job))
         outcome = self._write(call, pool, _absent(pool, call.job), [put])
         match outcome:
--- a/src/agaterudder/jobs/journal.py
+++ b/src/agaterudder/jobs/journal.py
@@ -12,6 +12,7 @@
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import storedprogress
 
 # The store accepts 100 entries in a transaction; a job needs at most 5.
 MAX_JOBS_PER_BATCH = 18
@@ -23,6 +24,7 @@
 
     :ivar marks: its jobs, each with its oldest mark that is not stored.
     :ivar upto: all marks up to this one are stored once it commits.
+    :ivar oversized: jobs whose progress exceeds a row, which is not written.
     """
 
     marks: dict[runs.JobRun, int]
@@ -30,6 +32,7 @@
     puts: tuple[ports.Put, ...]
     deletes: tuple[ports.Delete, ...]
     upto: int
+    oversized: tuple[runs.JobRun, ...] = ()
 
     @property
     def jobs(self) -> tuple[runs.JobRun, ...]:
@@ -43,13 +46,15 @@
     Each change of a job's progress is a mark, numbered in sequence. A job
     keeps its oldest mark that is not stored.
 
+    :param row_bytes: largest value of a row of the store.
     :ivar marked: number of the last mark.
     :ivar stored: all marks up to this one are stored.
     """
 
-    __slots__ = ("marked", "stored", "_dirty", "_orphans")
+    __slots__ = ("marked", "stored", "_row_bytes", "_dirty", "_orphans")
 
-    def __init__(self) -> None:
+    def __init__(self, row_bytes: int) -> None:
+        self._row_bytes = row_bytes
         self.marked = 0
         self.stored = 0
         self._dirty: dict[runs.JobRun, int] = {}
@@ -84,10 +89,24 @@
         preconditions = [epoch]
         puts: list[ports.Put] = []
         deletes: list[ports.Delete] = list(orphans)
+        oversized = []
         for job in jobs:
-            _add_job(pool, job, clock, preconditions, puts, deletes)
+            content = None
+            if job.ending is None:
+                content = storedprogress.encode(
+                    job.job.job, job.progress, self._row_bytes
+                )
+                if content is None:
+                    oversized.append(job)
+                    continue
+            _add_job(pool, job, content, clock, preconditions, puts, deletes)
         return Batch(
-            jobs, tuple(preconditions), tuple(puts), tuple(deletes), upto
+            jobs,
+            tuple(preconditions),
+            tuple(puts),
+            tuple(deletes),
+            upto,
+            tuple(oversized),
         )
 
     def committed(self, batch: Batch, version: int) -> list[runs.JobRun]:
@@ -131,6 +150,7 @@
 def _add_job(
     pool: str,
     job: runs.JobRun,
+    progress: bytes | None,
     clock: float,
     preconditions: list[ports.Precondition],
     puts: list[ports.Put],
@@ -141,8 +161,7 @@
         ports.Precondition(model.PROGRESS_TABLE, key, job.row_version)
     )
     if job.ending is None:
-        content = model.encode(job.progress)
-        puts.append(ports.Put(model.PROGRESS_TABLE, key, content))
+        puts.append(ports.Put(model.PROGRESS_TABLE, key, progress or b""))
         return
     ending = msgspec.structs.replace(job.ending, ended_at=clock)
     puts.append(ports.Put(model.ENDED_TABLE, key, model.encode(ending)))
--- a/src/agaterudder/jobs/journalwriter.py
+++ b/src/agaterudder/jobs/journalwriter.py
@@ -65,6 +65,14 @@
             self._context.epoch_precondition,
             self._context.store_clock(),
         )
+        for job in batch.oversized:
+            self._context.state.finish_job(
+                job,
+                model.STATE_FAILED,
+                "its progress exceeds a row of the store",
+                0.0,
+                codes.Result.TOO_LARGE,
+            )
         outcome = self._context.store.transact(
             self._context.pool, batch.preconditions, batch.puts, batch.deletes
         )
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -131,6 +131,9 @@
             if not self._grant_covers(step, [task], tasks):
                 return
             numbers = crashes.stored_numbers(self._state, [task])
+            if numbers is None and not task.unit[0].prepared:
+                # Enough attempts of its job are being stored.
+                return
             if numbers is None:
                 self._free.hold(worker, self._state.reserved_size(step))
                 continue
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -106,7 +106,7 @@
         self.workers: dict[str, fleet.WorkerState] = {}
         self.ready: dict[str, runs.StepRun] = {}
         self.awaiting_occurrences: dict[str, runs.JobRun] = {}
-        self.journal = journal.Journal()
+        self.journal = journal.Journal(bounds.row_bytes)
         self.limits = limits
         self.estimates = estimates.Estimates()
         self.queues: dict[str, operatorconfig.Queue] = {}
--- a/src/agaterudder/jobs/service.py
+++ b/src/agaterudder/jobs/service.py
@@ -83,6 +83,7 @@
             self._queue_pools,
             self.lease_manager.store_clock,
             self.metrics,
+            settings.bounds.row_bytes,
         )
         self._machine_control = holder.MachineControl(
             adapter.operators,
--- a/tests/features/steps/journal_steps.py
+++ b/tests/features/steps/journal_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from agaterudder import codes
+from agaterudder.jobs import deployment
 from agaterudder.jobs import journal
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
@@ -45,7 +46,7 @@
     context.epoch = ports.Precondition(
         model.HOLDERS_TABLE, model.HOLDER_KEY, written.version
     )
-    context.journal = journal.Journal()
+    context.journal = journal.Journal(deployment.Bounds().row_bytes)
     context.job = _job(1)
     table = model.jobs_table(job_builders.POOL)
     put = ports.Put(table, context.job.job.job, b"job")
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -214,4 +214,5 @@
         queue_pools,
         lambda: store.clock,
         metrics_registry or metrics.Metrics(),
+        deployment.Bounds().row_bytes,
     )
