--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -65,6 +65,19 @@
     return run.state is runs.RunState.RUNNING or run.probed
 
 
+def _was_available(run: runs.Run) -> bool:
+    """Return whether a long-running task had started up.
+
+    What crashes its worker later is not its start, and to give its job up
+    would stop the other tasks, which are at work.
+    """
+    return (
+        run.task is not None
+        and run.task.step.step.long_running
+        and run.progress >= AVAILABLE_PERCENT
+    )
+
+
 def _just_started(run: runs.Run, now: float) -> bool:
     """Return whether a run was started just before its worker crashed."""
     if run.listed_at - run.sent_at > SUSPECT_AGE_SECONDS:
@@ -78,6 +91,8 @@
     task = run.task
     if task is None or task.done or task.step.job.ending is not None:
         return False
+    if _was_available(run):
+        return False
     progress = task.step.job.progress
     key = task.progress_key
     if any(
@@ -312,7 +327,7 @@
     progress = task.step.job.progress
     if now - run.running_since >= suspects.REPEATED_ALONE_SECONDS:
         _forget(state, task, progress.crash_records)
-    elif task.step.step.long_running and run.progress >= AVAILABLE_PERCENT:
+    elif _was_available(run):
         # Its start does not crash its worker.
         _forget(state, task, (progress.crashes, progress.lost_starts))
     if not run.attempt:
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -1,6 +1,7 @@
 """A pool whose workers crash under some tasks, in simulated time."""
 
 import dataclasses
+import math
 import random
 import typing as t
 
@@ -77,6 +78,8 @@
     :ivar deadly: tasks that crash their worker, with the seconds after their
         start.
     :ivar fates: what happens at the next starts of a task, in order.
+    :ivar available_after: seconds after which long-running tasks list that
+        they are available.
     :ivar begun: the runs that began.
     :ivar crashed: the tasks that ran on each worker that crashed.
     :ivar answers_lost: whether the answer to a deadly start is lost.
@@ -94,6 +97,7 @@
         self.processes: dict[str, Process] = {}
         self.deadly: dict[str, float] = {}
         self.fates: dict[str, list[str]] = {}
+        self.available_after = math.inf
         self.begun: list[Begun] = []
         self.crashed: list[tuple[str, ...]] = []
         self.jobs: dict[str, model.Job] = {}
@@ -133,8 +137,8 @@
 
     def _listing(self, process: Process) -> ports.Listing:
         running = [
-            ports.Running(task, number, "", 0)
-            for task, number in process.running
+            ports.Running(task, number, "", self._progress(task, began))
+            for (task, number), began in process.running.items()
         ]
         return job_builders.listing(
             running,
@@ -142,6 +146,12 @@
             job_builders.START_CLOCK + self.now - job_builders.START,
         )
 
+    def _progress(self, task: str, began: float) -> int:
+        """Return what a worker lists as the progress of a run."""
+        lasting = self._duration(task) > RANDOM_SECONDS
+        available = self.now - began >= self.available_after
+        return 100 if lasting and available else 0
+
     # What callers and operators do
 
     def submit(
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -151,6 +151,16 @@
       | 4, 4, 4, 4, 4, 4, 4 |
       | 10, 1, 1, 1         |
 
+  # Guards against a long-running job that is given up, and its tasks stopped
+  # while they are at work, as workers crash one after another under one.
+  Scenario: Workers crash under a long-running task that was available
+    Given a simulated pool of 4 workers
+    And a simulated job "lasting" of 4 long-running tasks, 1 per worker
+    And long-running tasks are available 0.4 s after their start
+    When the workers of a task of job "lasting" crash after 1, 1, 1, 1, 1, 1 s
+    Then every task of job "lasting" runs
+    And 0 crashes of job "lasting" are counted
+
   # Guards against crashes that are counted where a worker ended by order, or
   # was only silent.
   Scenario Outline: A worker that <event> has not crashed
--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -340,6 +340,13 @@
     assert all(task.runs for task in tasks)
 
 
+@behave.given(
+    "long-running tasks are available {seconds:g} s after their start"
+)
+def step_available(context: Context, seconds: float) -> None:
+    context.simulation.available_after = seconds
+
+
 @behave.when('the workers of a task of job "lasting" crash after {seconds} s')
 def step_lasting_crash(context: Context, seconds: str) -> None:
     simulation = context.simulation
