--- a/src/agaterudder/jobs/runends.py
+++ b/src/agaterudder/jobs/runends.py
@@ -89,7 +89,7 @@
             member.done = True
             step.done += 1
             job.progress.done.setdefault(step.key, []).append(member.index)
-            job.progress.checkpoints.pop(f"{step.key}.{member.index}", None)
+            job.progress.checkpoints.pop(member.checkpoint_key, None)
             job.progress.attempts.pop(member.progress_key, None)
             for known in job.progress.crash_records:
                 known.pop(member.progress_key, None)
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -283,6 +283,11 @@
         step = self.step
         return step.key if step.step.gang else f"{step.key}.{self.index}"
 
+    @property
+    def checkpoint_key(self) -> str:
+        """Key of its checkpoint in the stored progress, one for a gang."""
+        return f"{self.step.key}.{self.unit[0].index}"
+
     @property
     def unit_name(self) -> str:
         """Name of the task or of its gang."""
@@ -311,7 +316,7 @@
         for member in members:
             member.checkpoint = checkpoint
         progress = self.step.job.progress
-        progress.checkpoints[f"{self.step.key}.{self.index}"] = checkpoint
+        progress.checkpoints[self.checkpoint_key] = checkpoint
 
 
 class StepRun:
@@ -539,8 +544,9 @@
                 step.tasks[index].done = True
                 step.done += 1
         for task in step.tasks:
-            key = f"{step.key}.{task.index}"
-            task.checkpoint = self.progress.checkpoints.get(key, "")
+            task.checkpoint = self.progress.checkpoints.get(
+                task.checkpoint_key, ""
+            )
             numbers = (
                 *self.progress.failures.get(task.progress_key, ()),
                 *self.progress.attempts.get(task.progress_key, ()),
--- a/tests/features/recovery.feature
+++ b/tests/features/recovery.feature
@@ -210,3 +210,12 @@
       | ago | jobs |
       | 0   | 10   |
       | 2   | 0    |
+
+  # Guards against members of a gang that are started with checkpoints that
+  # differ, after a take-over.
+  Scenario: A gang whose members stopped at different checkpoints
+    Given a gang of 3 tasks of which task 1 was preempted at "aa" and 2 at "bb"
+    When another holder reads its stored progress
+    Then all members of the gang continue from the same checkpoint "bb"
+    When its members are done
+    Then it has no stored checkpoint
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -21,6 +21,7 @@
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
+from agaterudder.jobs import runends
 from agaterudder.jobs import runs
 from agaterudder.jobs import scaling
 from agaterudder.jobs import teamlimits
@@ -669,3 +670,55 @@
     # Each job has two tasks of one core.
     found = rate.peak_size.cores / 2
     assert abs(found - count) < 0.5, found
+
+
+@behave.given(
+    'a gang of 3 tasks of which task 1 was preempted at "{first}" '
+    'and 2 at "{second}"'
+)
+def step_gang_stopped(context: Context, first: str, second: str) -> None:
+    job = job_builders.job(
+        job_builders.step(count=3, gang=True, checkpointing=True)
+    )
+    context.worker = job_builders.worker()
+    context.state = job_builders.state([context.worker])
+    context.state.accept(
+        job, model.Progress(), 0, job_builders.START, recovered=False
+    )
+    context.state.create_due(0.0, job_builders.START)
+    gang = context.state.jobs[job.job].steps["0.0"].tasks
+    for number, (task, checkpoint) in enumerate(zip(gang, (first, second)), 1):
+        end = ports.Ended(number, task.name, 1, ports.END_STOPPED, checkpoint)
+        runends.apply(context.state, context.worker, end, job_builders.START)
+
+
+@behave.when("another holder reads its stored progress")
+def step_gang_taken_over(context: Context) -> None:
+    (job,) = context.state.jobs.values()
+    stored = model.decode(model.encode(job.progress), model.Progress)
+    context.state = job_builders.state([context.worker])
+    context.state.accept(
+        job.job, stored, 1, job_builders.START, recovered=True
+    )
+    context.state.create_due(0.0, job_builders.START)
+    (context.job,) = context.state.jobs.values()
+
+
+@behave.then(
+    'all members of the gang continue from the same checkpoint "{at}"'
+)
+def step_same_checkpoint(context: Context, at: str) -> None:
+    found = [task.checkpoint for task in context.job.steps["0.0"].tasks]
+    assert found == [at] * 3, found
+
+
+@behave.when("its members are done")
+def step_gang_done(context: Context) -> None:
+    name = context.job.steps["0.0"].tasks[0].name
+    end = ports.Ended(9, name, 2, ports.END_DONE, "")
+    runends.apply(context.state, context.worker, end, job_builders.START)
+
+
+@behave.then("it has no stored checkpoint")
+def step_no_checkpoint(context: Context) -> None:
+    assert not context.job.progress.checkpoints, context.job.progress
