AVAIL: the start of an available task is no attempt without an outcome

Cause: a crash under a task that was available was left out before its stored attempt was settled; four such attempts give a job up, as each may have been a crash that no holder learnt.

Change: the attempt is settled.

Result: the second row of the scenario failed before and passes.

--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -92,6 +92,7 @@
     if task is None or task.done or task.step.job.ending is not None:
         return False
     if _was_available(run):
+        _settle(state, task, run.number)
         return False
     progress = task.step.job.progress
     key = task.progress_key
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -153,14 +153,19 @@
 
   # Guards against a long-running job that is given up, and its tasks stopped
   # while they are at work, as workers crash one after another under one.
-  Scenario: Workers crash under a long-running task that was available
+  Scenario Outline: Workers crash under an available task after <seconds> s
     Given a simulated pool of 4 workers
     And a simulated job "lasting" of 4 long-running tasks, 1 per worker
-    And long-running tasks are available 0.4 s after their start
-    When the workers of a task of job "lasting" crash after 1, 1, 1, 1, 1, 1 s
+    And long-running tasks are available <start> s after their start
+    When the workers of a task of job "lasting" crash after <seconds> s
     Then every task of job "lasting" runs
     And 0 crashes of job "lasting" are counted
 
+    Examples: seconds
+      | start | seconds                      |
+      | 0.4   | 1, 1, 1, 1, 1, 1             |
+      | 0.8   | 1, 0.6, 0.6, 0.6, 1, 1, 1, 1 |
+
   # Guards against crashes that are counted where a worker ended by order, or
   # was only silent.
   Scenario Outline: A worker that <event> has not crashed
