TWICE: the record of the queues' pools keeps its latest state

Cause: two records of one process may end in the reverse order of their configurations, and the older one was kept: submissions then waited in vain. Of two queues at one address the last was recorded, while the first gets the requests: they were refused as STALE.

Change: a record is kept if neither its configuration nor the store's version is older; the first queue of an address counts.

--- a/src/agaterudder/jobs/queuepools.py
+++ b/src/agaterudder/jobs/queuepools.py
@@ -45,6 +45,7 @@
         "_store",
         "_configuration",
         "_recorded_version",
+        "_read_version",
         "_pools",
         "_needed",
         "_recorded",
@@ -54,6 +55,7 @@
         self._store = store
         self._configuration: operatorconfig.Configuration | None = None
         self._recorded_version = 0
+        self._read_version = 0
         self._pools: dict[str, list[str]] = {}
         self._needed = gevent.event.Event()
         self._recorded = gevent.event.Event()
@@ -83,7 +85,7 @@
         if configuration is None:
             return True
         try:
-            known = self._read()
+            known, read_version = self._read()
         except exceptions.CallFailed as error:
             LOG.info(
                 "pools of the queues not read; retrying",
@@ -93,16 +95,18 @@
         moved = _moved(configuration, known)
         if not self._write(configuration.version, moved, known):
             return False
-        self._pools = {
-            key: [used.pool for used in row.pools]
-            for key, (row, _) in (known | moved).items()
-        }
-        self._recorded_version = configuration.version
+        found = (configuration.version, read_version)
+        if found >= (self._recorded_version, self._read_version):
+            self._recorded_version, self._read_version = found
+            self._pools = {
+                key: [used.pool for used in row.pools]
+                for key, (row, _) in (known | moved).items()
+            }
         self._recorded.set()
         return True
 
-    def _read(self) -> dict[str, tuple[model.QueuePools, int]]:
-        """Return the rows with their versions, by key."""
+    def _read(self) -> tuple[dict[str, tuple[model.QueuePools, int]], int]:
+        """Return the rows with their versions, by key, and the store's."""
         found = {}
         scan = self._store.scan(
             model.QUEUE_POOLS_TABLE, model.QUEUE_POOLS_PARTITION
@@ -117,7 +121,7 @@
                 )
                 content = model.QueuePools("", [])
             found[row.key] = (content, row.version)
-        return found
+        return found, scan.version
 
     def _write(
         self,
@@ -188,11 +192,16 @@
 ) -> dict[str, tuple[model.QueuePools, int]]:
     """Return the rows to write, each with the version that it replaces.
 
-    A row of a later version of the configuration is left as it is.
+    A row of a later version of the configuration is left as it is. Of queues
+    at the same address, the first gets the requests.
     """
     moved = {}
+    served: set[str] = set()
     for queue in configuration.queues.values():
         key = queue_key(queue)
+        if key in served:
+            continue
+        served.add(key)
         row, version = known.get(key, (model.QueuePools("", []), 0))
         last = row.pools[-1] if row.pools else model.UsedPool("", 0)
         if last.pool == queue.pool or last.since > configuration.version:
--- a/tests/features/job_api.feature
+++ b/tests/features/job_api.feature
@@ -143,6 +143,23 @@
     And the store has 1 job in all pools
     And the state of job 1 is "queued"
 
+  # Guards against submissions that are refused for ever, as two queues take
+  # turns in the record of their address.
+  Scenario: Two queues have the same address
+    When operators add a second queue with the same address and pool "other"
+    And job 1 is submitted to the first queue
+    And operators add a second queue with the same address and pool "other"
+    And job 1 is submitted to the first queue
+    Then the answers are "Accepted, Accepted"
+    And the store has 1 job in all pools
+
+  # Guards against a process that waits for ever for a record that it has, as
+  # one of an earlier configuration ended later.
+  Scenario: The record of an earlier configuration ends last
+    When operators move the queue to pool "other" while it is being recorded
+    And job 1 is submitted
+    Then the answers are "Accepted"
+
   # Guards against jobs that are accepted where no other process looks for
   # them: the queue's pool is recorded before.
   Scenario: The pool of a queue can't be recorded
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -236,6 +236,43 @@
     _apply(context.job_api, _with_queues(context, queue))
 
 
+@behave.when(
+    'operators add a second queue with the same address and pool "{pool}"'
+)
+def step_second_queue(context: Context, pool: str) -> None:
+    queues = (job_builders.queue(), job_builders.queue(name="b", pool=pool))
+    _apply(context.job_api, _with_queues(context, *queues))
+
+
+@behave.when("job {number:d} is submitted to the first queue")
+def step_submit_first(context: Context, number: int) -> None:
+    queue = context.job_api.queue("north.example", "/checks/")
+    call = jobapi.Call(
+        queue,
+        f"{number:016x}",
+        context.key,
+        context.now + DEADLINE_SECONDS,
+    )
+    answer = context.job_api.submit(call, job_builders.job().request)
+    context.answers.append(answer)
+
+
+@behave.when(
+    'operators move the queue to pool "other" while it is being recorded'
+)
+def step_moves_meanwhile(context: Context) -> None:
+    scan = context.store.scan
+
+    def move(*arguments: t.Any) -> ports.Scan:
+        found = scan(*arguments)
+        context.store.scan = scan
+        _move_queue(context, False)
+        return t.cast(ports.Scan, found)
+
+    context.store.scan = move
+    _apply(context.job_api, _with_queues(context, job_builders.queue()))
+
+
 @behave.when("operators move the queue back")
 def step_queue_moves_back(context: Context) -> None:
     _apply(context.job_api, _with_queues(context, job_builders.queue()))
