--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -32,8 +32,6 @@
 MAX_CRASHES_APART = 3
 # The same with crashes under runs that had not just started.
 MAX_CRASHES_LATE = 5
-# Progress of a long-running task that is available.
-AVAILABLE_PERCENT = 100
 LINES_PER_SECOND = 20
 
 _lines = linelimit.LineLimit(LINES_PER_SECOND)
@@ -65,19 +63,6 @@
     return run.state is runs.RunState.RUNNING or run.probed
 
 
-def _was_available(run: runs.Run) -> bool:
-    """Return whether a long-running task had started up.
-
-    What crashes its worker later is not its start, and to give its job up
-    would stop the other tasks, which are at work.
-    """
-    return (
-        run.task is not None
-        and run.task.step.step.long_running
-        and run.progress >= AVAILABLE_PERCENT
-    )
-
-
 def _just_started(run: runs.Run, now: float) -> bool:
     """Return whether a run was started just before its worker crashed."""
     if run.listed_at - run.sent_at > SUSPECT_AGE_SECONDS:
@@ -91,7 +76,9 @@
     task = run.task
     if task is None or task.done or task.step.job.ending is not None:
         return False
-    if _was_available(run):
+    if run.started_up:
+        # What crashes its worker now is not its start, and to give its job up
+        # would stop the other tasks, which are at work.
         _settle(state, task, run.number)
         return False
     progress = task.step.job.progress
@@ -285,10 +272,9 @@
         if not _stored_before_start(state, first):
             numbers[name] = state.next_run()
             continue
-        left = storedprogress.attempts_left(
+        if first.prepared is None and storedprogress.attempts_left(
             first.step.job.progress, state.first_run
-        )
-        if first.prepared is None and left > 0:
+        ):
             prepare(state, first)
         if (
             first.prepared is not None
@@ -328,7 +314,7 @@
     progress = task.step.job.progress
     if now - run.running_since >= suspects.REPEATED_ALONE_SECONDS:
         _forget(state, task, progress.crash_records)
-    elif _was_available(run):
+    elif run.started_up:
         # Its start does not crash its worker.
         _forget(state, task, (progress.crashes, progress.lost_starts))
     if not run.attempt:
@@ -400,7 +386,7 @@
     for known in records:
         if known.pop(task.progress_key, None) is not None:
             state.journal.mark(task.step.job)
-    if not suspects.evidence(task).late_crashes:
+    if task.progress_key not in task.step.job.progress.late_crashes:
         state.suspects.forget_share(task)
 
 
--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -182,8 +182,8 @@
         The queue may have moved between a submission and its repetition, and
         another process may not know of the move yet.
         """
-        job = self._job(call, team, request)
-        if len(model.encode(job)) > self._row_bytes or not (
+        content = model.encode(self._job(call, team, request))
+        if len(content) > self._row_bytes or not (
             storedprogress.fits(request, self._row_bytes)
         ):
             return codes.Refused(
@@ -196,11 +196,8 @@
         )
         if isinstance(earlier, codes.Refused):
             return earlier
-        for pool in earlier:
-            found = self._keep_out(call, pool)
-            if found is not None:
-                return found
-        return self._store_job(call, job)
+        found = self._keep_out(call, earlier)
+        return found if found is not None else self._store_job(call, content)
 
     def _job(self, call: Call, team: str, request: model.Request) -> model.Job:
         return model.Job(
@@ -214,12 +211,21 @@
         )
 
     def _keep_out(
-        self, call: Call, pool: str
+        self, call: Call, earlier: t.Iterable[str]
     ) -> Accepted | codes.Refused | None:
-        """Keep a job out of an earlier pool of its queue.
+        """Keep a job out of the earlier pools of its queue.
 
         :returns: None when it does not lie there, and never will.
         """
+        for pool in earlier:
+            found = self._keep_out_of(call, pool)
+            if found is not None:
+                return found
+        return None
+
+    def _keep_out_of(
+        self, call: Call, pool: str
+    ) -> Accepted | codes.Refused | None:
         call.usage.pools.append(pool)
         moved = model.Ended(model.STATE_MOVED, self._store_clock())
         outcome = self._write(
@@ -236,19 +242,16 @@
         return None
 
     def _store_job(
-        self, call: Call, job: model.Job
+        self, call: Call, content: bytes
     ) -> Accepted | codes.Refused:
         pool = call.queue.pool
-        put = ports.Put(model.jobs_table(pool), call.job, model.encode(job))
+        put = ports.Put(model.jobs_table(pool), call.job, content)
         outcome = self._write(call, pool, _absent(pool, call.job), [put])
-        match outcome:
-            case ports.Conflicted(rows=rows):
-                moved = _moved_row(rows)
-                if moved is not None:
-                    return self._bring_back(call, moved, put)
-            case codes.Refused():
-                return outcome
-        return Accepted()
+        if isinstance(outcome, ports.Conflicted):
+            moved = _moved_row(outcome.rows)
+            if moved is not None:
+                return self._bring_back(call, moved, put)
+        return _accepted(outcome)
 
     def _bring_back(
         self, call: Call, moved: ports.Row, put: ports.Put
@@ -268,10 +271,9 @@
         )
         if isinstance(earlier, codes.Refused):
             return codes.Refused(codes.Result.CHANGE_UNKNOWN, earlier.reason)
-        for pool in earlier:
-            found = self._keep_out(call, pool)
-            if found is not None:
-                return found
+        found = self._keep_out(call, earlier)
+        if found is not None:
+            return found
         outcome = self._write(
             call,
             call.queue.pool,
@@ -282,7 +284,7 @@
             [put],
             [ports.Delete(moved.table, call.job)],
         )
-        return outcome if isinstance(outcome, codes.Refused) else Accepted()
+        return _accepted(outcome)
 
     def _write(
         self,
@@ -451,7 +453,7 @@
             [ports.Precondition(table, call.job, row.version)],
             [ports.Put(table, call.job + model.CANCEL_SUFFIX, b"")],
         )
-        return outcome if isinstance(outcome, codes.Refused) else Accepted()
+        return _accepted(outcome)
 
     def pending(self, call: Call) -> QueueState | codes.Refused:
         """Return how many jobs of a queue are pending."""
@@ -526,6 +528,11 @@
     return call.deadline - RESPONSE_MARGIN_SECONDS
 
 
+def _accepted(outcome: ports.Outcome) -> Accepted | codes.Refused:
+    """Return the answer to a write whose conflict leaves nothing to do."""
+    return outcome if isinstance(outcome, codes.Refused) else Accepted()
+
+
 def _terms(queue: operatorconfig.Queue) -> model.QueueTerms:
     """Return what a queue promises its jobs."""
     times = None
--- a/src/agaterudder/jobs/journal.py
+++ b/src/agaterudder/jobs/journal.py
@@ -160,8 +160,9 @@
     preconditions.append(
         ports.Precondition(model.PROGRESS_TABLE, key, job.row_version)
     )
+    if progress is not None:
+        puts.append(ports.Put(model.PROGRESS_TABLE, key, progress))
     if job.ending is None:
-        puts.append(ports.Put(model.PROGRESS_TABLE, key, progress or b""))
         return
     ending = msgspec.structs.replace(job.ending, ended_at=clock)
     puts.append(ports.Put(model.ENDED_TABLE, key, model.encode(ending)))
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -256,22 +256,19 @@
             self.finish_job(job, model.STATE_COMPLETED, "all done", 0.0)
 
     def max_attempts(self, job: model.Job) -> int:
-        """Return how many runs of a task of a job may fail.
-
-        A queue that operators removed keeps its limit for the jobs that it
-        has accepted.
-        """
-        queue = self.queues.get(job.queue)
-        known = queue.max_attempts if queue is not None else job.max_attempts
-        return max(known, 1)
+        """Return how many runs of a task of a job may fail."""
+        return max(self._queue_of_job(job).max_attempts, 1)
 
     def queue_of(self, step: runs.StepRun) -> operatorconfig.Queue:
-        """Return the queue of a step.
+        """Return the queue of a step."""
+        return self._queue_of_job(step.job.job)
+
+    def _queue_of_job(self, job: model.Job) -> operatorconfig.Queue:
+        """Return the queue of a job.
 
         The jobs of a queue that operators removed keep what it promised when
         they were accepted.
         """
-        job = step.job.job
         known = self.queues.get(job.queue)
         return known or _removed_queue(job, self.name)
 
@@ -373,7 +370,7 @@
         "",
         pool,
         terms.priority,
-        max(job.max_attempts, 1),
+        job.max_attempts,
         terms.stretch,
         terms.target_seconds,
         policy=operatorconfig.PolicyTimes(*policy) if policy else None,
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -21,6 +21,9 @@
 
 START_UNANSWERED = "start unanswered"
 
+# Progress of a long-running task that is available.
+AVAILABLE_PERCENT = 100
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prepared:
@@ -196,12 +199,24 @@
     def starting_up(self) -> bool:
         """Whether a long-running task runs but is not available yet."""
         return (
-            self.task is not None
-            and self.task.step.step.long_running
+            self._long_running
             and self.state is RunState.RUNNING
-            and self.progress < 100
+            and not self._at_work
         )
 
+    @property
+    def started_up(self) -> bool:
+        """Whether a long-running task was listed as available."""
+        return self._long_running and self._at_work
+
+    @property
+    def _long_running(self) -> bool:
+        return self.task is not None and self.task.step.step.long_running
+
+    @property
+    def _at_work(self) -> bool:
+        return self.progress >= AVAILABLE_PERCENT
+
     def unreachable(self, now: float) -> bool:
         """Return whether its state can't be learnt at the moment."""
         return self.state is RunState.UNCERTAIN or self.worker.unresponsive(
@@ -216,7 +231,7 @@
         """
         return (
             self.state is RunState.RUNNING
-            and self.progress >= 100
+            and self._at_work
             and not self.stop_reason
             and not self.worker.unresponsive(now)
             and not self.worker.draining
--- a/src/agaterudder/jobs/storedprogress.py
+++ b/src/agaterudder/jobs/storedprogress.py
@@ -70,4 +70,4 @@
         for numbers in progress.attempts.values()
         for number in numbers
     )
-    return MAX_ATTEMPTS - pending
+    return max(MAX_ATTEMPTS - pending, 0)
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -5,8 +5,6 @@
 import behave
 import msgspec
 
-from agaterudder.jobs import clock
-from agaterudder.jobs import jobapi
 from agaterudder.jobs import listings
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
@@ -17,7 +15,6 @@
 from agaterudder.jobs import scaling
 from agaterudder import resources
 from tests import job_builders
-from tests import memory_store
 
 Context = t.Any
 ROUND_SECONDS = 0.1
@@ -28,7 +25,6 @@
 LASTING_FILLER = "00000000000000dd"
 FIRST = "00000000000000aa"
 WORKER_CORES = 16
-DEADLINE_SECONDS = 3.0
 
 
 def _accept(context: Context, step: model.Step, job: str = FIRST) -> None:
@@ -230,18 +226,8 @@
 )
 def step_submitted(context: Context, count: int) -> None:
     queue = job_builders.queue(max_attempts=count)
-    store = memory_store.MemoryStore()
-    api = job_builders.job_api(
-        store, job_builders.configuration(queues=(queue,))
-    )
-    request = job_builders.job(job_builders.step(count=1)).request
-    deadline = clock.now() + DEADLINE_SECONDS
-    api.submit(jobapi.Call(queue, FIRST, "key-1", deadline), request)
-    table = model.jobs_table(job_builders.POOL)
-    row = store.read(table, job_builders.POOL, FIRST)
-    assert row is not None
     context.state.accept(
-        model.decode(row.value, model.Job),
+        job_builders.stored_job(FIRST, queue),
         model.Progress(),
         0,
         context.now,
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -36,8 +36,14 @@
     )
 
 
-def _call(context: Context, number: int) -> jobapi.Call:
-    (queue,) = context.cluster.configuration.queues.values()
+def _call(
+    context: Context,
+    number: int,
+    queue: operatorconfig.Queue | None = None,
+) -> jobapi.Call:
+    """Return a call about a queue, by default the only one."""
+    if queue is None:
+        (queue,) = context.cluster.configuration.queues.values()
     return jobapi.Call(
         queue,
         f"{number:016x}",
@@ -247,14 +253,7 @@
 @behave.when("job {number:d} is submitted to the first queue")
 def step_submit_first(context: Context, number: int) -> None:
     queue = context.job_api.queue("north.example", "/checks/")
-    call = jobapi.Call(
-        queue,
-        f"{number:016x}",
-        context.key,
-        context.now + DEADLINE_SECONDS,
-    )
-    answer = context.job_api.submit(call, job_builders.job().request)
-    context.answers.append(answer)
+    _submit_at(context, number, context.job_api, queue)
 
 
 @behave.when(
@@ -285,14 +284,15 @@
     _apply(context.other_api, _with_queues(context, job_builders.queue()))
 
 
-def _submit_at(context: Context, number: int, api: jobapi.JobApi) -> None:
-    (queue,) = api._cluster.configuration.queues.values()
-    call = jobapi.Call(
-        queue,
-        f"{number:016x}",
-        context.key,
-        context.now + DEADLINE_SECONDS,
-    )
+def _submit_at(
+    context: Context,
+    number: int,
+    api: jobapi.JobApi,
+    queue: operatorconfig.Queue | None = None,
+) -> None:
+    if queue is None:
+        (queue,) = api._cluster.configuration.queues.values()
+    call = _call(context, number, queue)
     context.answers.append(api.submit(call, job_builders.job().request))
 
 
--- a/tests/features/steps/placement_policy_steps.py
+++ b/tests/features/steps/placement_policy_steps.py
@@ -6,7 +6,6 @@
 import behave
 
 from agaterudder.jobs import clock
-from agaterudder.jobs import jobapi
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import orderexecutor
@@ -14,11 +13,9 @@
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from tests import job_builders
-from tests import memory_store
 
 Context = t.Any
 JOB = "00000000000000aa"
-DEADLINE_SECONDS = 3.0
 
 
 class _Policy:
@@ -103,22 +100,13 @@
 @behave.given("a job of that queue is accepted")
 def step_accepted(context: Context) -> None:
     (queue,) = context.state.queues.values()
-    context.store = memory_store.MemoryStore()
-    api = job_builders.job_api(
-        context.store, job_builders.configuration(queues=(queue,))
-    )
-    request = job_builders.job(job_builders.step(count=1)).request
-    call = jobapi.Call(queue, JOB, "key-1", clock.now() + DEADLINE_SECONDS)
-    answer = api.submit(call, request)
-    assert isinstance(answer, jobapi.Accepted), answer
+    context.stored_job = job_builders.stored_job(JOB, queue)
 
 
 @behave.when("{reader} reads the job")
 def step_read(context: Context, reader: str) -> None:
-    table = model.jobs_table(job_builders.POOL)
-    row = context.store.read(table, job_builders.POOL, JOB)
     context.state.accept(
-        model.decode(row.value, model.Job),
+        context.stored_job,
         model.Progress(),
         0,
         context.now,
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -27,6 +27,7 @@
 START = 10.0
 START_CLOCK = 100.0
 KEY_BOUND_SECONDS = 5.0
+DEADLINE_SECONDS = 3.0
 SIZE = resources.Vector(16.0, 32_000.0)
 
 
@@ -185,6 +186,18 @@
     )
 
 
+def stored_job(name: str, found: operatorconfig.Queue) -> model.Job:
+    """Return a job of one task as it is stored when its queue accepts it."""
+    store = memory_store.MemoryStore()
+    api = job_api(store, configuration(queues=(found,)))
+    call = jobapi.Call(found, name, "key-1", clock.now() + DEADLINE_SECONDS)
+    answer = api.submit(call, job(step(count=1)).request)
+    assert isinstance(answer, jobapi.Accepted), answer
+    row = store.read(model.jobs_table(POOL), POOL, name)
+    assert row is not None
+    return model.decode(row.value, model.Job)
+
+
 def job_api(
     store: memory_store.MemoryStore,
     configured: operatorconfig.Configuration,
