--- a/models/latestarts.py
+++ b/models/latestarts.py
@@ -10,11 +10,9 @@
 elsewhere at once. Two runs at once are not excluded altogether. Each time the
 second one is on a returned incarnation, and a listing shows it to the holder:
 
-* After a known end the late start may run there until the holder has read the
-  worker's list and the stop that it sends takes effect.
-* An answered stop holds for the incarnation that answered it, and the holder
-  forgets the start. If the worker then restarts before the longest delay is
-  over, the start may run there until the next listing shows it.
+* After a known end, or a stop that the earlier incarnation answered, the late
+  start may run there until the holder has read the worker's list and the stop
+  that it sends takes effect.
 * A lapse that the holder notices after the longest delay ends the start too.
   The worker may have restarted, unheard, and carried it out just before.
 
@@ -83,10 +81,10 @@
     :ivar end_known: whether the holder has learnt an end of the worker.
     :ivar listed: whether the known incarnation has answered a poll.
     :ivar remembered: whether the holder remembers the start of an
-        incarnation that has ended.
-    :ivar settled: whether the holder has forgotten the start, as the first
-        incarnation answered a stop of it, or as the lease lapsed and the
-        longest delay was over.
+        incarnation that has ended, or has answered a stop of it.
+    :ivar stopped: whether the first incarnation has answered a stop of it.
+    :ivar settled: whether the holder has forgotten the start, as the lease
+        lapsed and the longest delay was over.
     :ivar stopped_unasked: whether a run was stopped for want of an answer
         that no listing had lacked.
     """
@@ -106,18 +104,21 @@
     listed: bool = True
     record: Record = Record(UNCERTAIN, UNANSWERED)
     remembered: bool = False
+    stopped: bool = False
     settled: bool = False
     stopped_unasked: bool = False
 
 
 END_ENDS_STARTS = "the end of an incarnation ends its starts"
 TOLD_TO_STOP = "a returned incarnation is told to stop the earlier starts"
+STOPPED_REMEMBERED = "a start is remembered after its stop was answered"
 SILENT_KEEPS = "a silent worker keeps its starts"
 LISTED_KEPT = "a listed run is kept"
 STOP_WAITS = "the stop of an unanswered start waits for a listing"
 GUARDS = {
     END_ENDS_STARTS: "workerends.lost",
     TOLD_TO_STOP: "workerends.stop_late_starts",
+    STOPPED_REMEMBERED: "workerends.remove_run",
     SILENT_KEEPS: "workerends.lost",
     LISTED_KEPT: "listings._apply_running",
     STOP_WAITS: "stops._stop_due",
@@ -213,8 +214,13 @@
     )
     if s.runs_here:
         return s._replace(record=_listed_record(s, guards))
-    settled = s.incarnation == 1 and s.record.stop_answered
-    return s._replace(record=_unlisted_record(s), settled=s.settled or settled)
+    stopped = s.incarnation == 1 and s.record.stop_answered
+    remembered = stopped and not s.delay_over and STOPPED_REMEMBERED in guards
+    return s._replace(
+        record=_unlisted_record(s),
+        stopped=s.stopped or stopped,
+        remembered=s.remembered or remembered,
+    )
 
 
 def _listed_record(s: LateStarts, guards: frozenset[str]) -> Record:
@@ -318,7 +324,7 @@
         s.known_incarnation == 1 or not s.listed or s.record.being_stopped
     )
     may_run_twice = s.incarnation == 2 and (
-        s.settled or s.end_known and to_be_stopped
+        s.settled or (s.end_known or s.stopped) and to_be_stopped
     )
     runs_twice = s.runs_here and s.runs_elsewhere
     return (may_run_twice or not runs_twice) and not s.stopped_unasked
--- a/src/agaterudder/jobs/latestarts.py
+++ b/src/agaterudder/jobs/latestarts.py
@@ -1,8 +1,8 @@
-"""Unanswered starts of workers that have ended.
+"""Unanswered starts whose tasks may start elsewhere.
 
-An incarnation that has ended carries out nothing more, so that their tasks
-may start elsewhere. If an order can be delayed, a later incarnation under the
-same name may still carry them out: it is told to stop them first.
+Their worker has ended, or has confirmed a stop, so that it does not carry them
+out any more. If an order can be delayed, a later incarnation under the same
+name, which knows of no stop, may still do so: it is told to stop them first.
 """
 
 import typing as t
@@ -30,6 +30,12 @@
         }
         self._by_worker.setdefault(run.worker.name, []).append(run)
 
+    def expected(self, worker: str, now: float) -> bool:
+        """Return whether a worker's name may receive such a start."""
+        return any(
+            _may_arrive(run, now) for run in self._by_worker.get(worker, ())
+        )
+
     def take(self, worker: str, now: float) -> list["runs.Run"]:
         """Remove and return the starts that a worker's name may receive."""
         found = self._by_worker.pop(worker, [])
--- a/src/agaterudder/jobs/listings.py
+++ b/src/agaterudder/jobs/listings.py
@@ -116,4 +116,4 @@
     if start_expired or stopped:
         reason = "start expired" if start_expired else "stop answered"
         crashes.withdraw(state, run)
-        state.remove_run(run, now, f"not listed: {reason}")
+        workerends.remove_run(state, run, f"not listed: {reason}", now)
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -54,7 +54,7 @@
     :ivar placements: starts that are to be logged.
     :ivar acknowledged: stored ends that are not logged yet.
     :ivar recovery: recovery after the take-over by this holder.
-    :ivar late_starts: unanswered starts of workers that have ended.
+    :ivar late_starts: unanswered starts whose tasks may start elsewhere.
     :ivar suspects: tasks that are suspected of crashing their workers.
     :ivar kept_workers: workers that were kept for them in the last round.
     :ivar orphaned_runs: runs whose job has ended or is unknown; they are
--- a/src/agaterudder/jobs/poolrecovery.py
+++ b/src/agaterudder/jobs/poolrecovery.py
@@ -76,6 +76,13 @@
         if not more_ends:
             self.unconfirmed_workers.discard(worker.name)
 
+    def earlier_orders_expected(self, now: float) -> bool:
+        """Return whether orders of earlier holders may still arrive.
+
+        A worker that restarts has accepted no epoch and carries them out.
+        """
+        return now - self._acquired_at < fleet.MAX_ORDER_DELAY_SECONDS
+
     def pending(self, now: float) -> bool:
         """Return whether some runs or ends of earlier holders may be unknown.
 
--- a/src/agaterudder/jobs/workerends.py
+++ b/src/agaterudder/jobs/workerends.py
@@ -105,16 +105,27 @@
         may_arrive = now - run.sent_at < fleet.MAX_ORDER_DELAY_SECONDS
         if not running and may_arrive and not ended:
             continue
-        if not running and may_arrive:
-            state.late_starts.add(run, now)
-        state.remove_run(run, now, reason)
+        remove_run(state, run, reason, now)
+
+
+def remove_run(
+    state: pools.Pool, run: runs.Run, reason: str, now: float
+) -> None:
+    """Remove a run whose end its worker has not listed.
+
+    A start that was never confirmed may still be carried out by a later
+    incarnation of the worker.
+    """
+    if run.state is not runs.RunState.RUNNING:
+        state.late_starts.add(run, now)
+    state.remove_run(run, now, reason)
 
 
 def superseded(state: pools.Pool, run: runs.Run, now: float) -> None:
     """Remove a run whose stop reached a later incarnation of its worker."""
     if not run.worker.end_expected:
         crashes.run_crashed(state, run, now)
-    state.remove_run(run, now, "stop reached another incarnation")
+    remove_run(state, run, "stop reached another incarnation", now)
 
 
 def stop_late_starts(
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -137,19 +137,27 @@
                 self._holder.remove_worker(self._worker)
                 self._worker.link.close()
                 return
-            if self._idle():
+            if self._idle(clock.now()):
                 self._wake.wait(IDLE_INTERVAL_SECONDS)
                 if not self._holder.holds_lease():
                     continue
             self._wake.clear()
             self._poll()
 
-    def _idle(self) -> bool:
+    def _idle(self, now: float) -> bool:
+        """Return whether the worker need not be polled without a pause.
+
+        While an earlier start may still arrive, a poll that waits shows at
+        once when the worker restarts, which makes the start effective again.
+        """
         worker = self._worker
+        state = self._holder.state
         return (
             worker.fenced
             and not worker.runs
             and worker.discarded_end >= worker.last_end_number
+            and not state.late_starts.expected(worker.name, now)
+            and not state.recovery.earlier_orders_expected(now)
         )
 
     def _removable(self) -> bool:
--- a/tests/features/ended_workers.feature
+++ b/tests/features/ended_workers.feature
@@ -67,6 +67,52 @@
       | 13.0    | it is registered under its name as a new one | 0     |
       | 13.0    | it lists a new incarnation                   | 0     |
 
+  # Guards against a second run of a task, by a start that was given up in the
+  # worker's life before and reached the next one late.
+  Scenario Outline: A start was given up as <given_up>, <seconds> s before <event>
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the start gets no answer
+    And the worker <given_up>
+    And <seconds> seconds later <event>
+    And the pool is planned
+    Then <stops> late starts are stopped
+
+    Examples: told to stop it as long as an order can be delayed
+      | given_up                                  | seconds | event                                  | stops |
+      | answers a stop and lists no runs          | 3.0     | it lists a new incarnation             | 1     |
+      | answers a stop and lists no runs          | 3.0     | it is registered with a new incarnation | 1     |
+      | answers a stop and lists no runs          | 13.0    | it lists a new incarnation             | 0     |
+      | lists no runs after the start's deadline  | 3.0     | it lists a new incarnation             | 1     |
+      | answers a stop as another incarnation     | 3.0     | it lists a new incarnation             | 1     |
+
+  # Guards against a late start that the second life of a worker was told to
+  # stop, and that reached the third.
+  Scenario: A worker restarts twice while a start may arrive
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the start gets no answer
+    And the worker answers a stop and lists no runs
+    And 2.0 seconds later it lists a new incarnation
+    And the new incarnation answers a stop and lists no runs
+    And 2.0 seconds later it lists a third incarnation
+    And the pool is planned
+    Then 1 late starts are stopped
+
+  # Guards against a late start that ran in the next life of an idle worker for
+  # up to 5 s, until the worker was polled again.
+  Scenario Outline: An idle worker is polled at once while <orders> may arrive
+    Given a worker loop whose worker has listed 0 ends
+    When <orders> may arrive
+    Then the worker is polled without a pause for 12.5 seconds
+
+    Examples:
+      | orders                       |
+      | a start that was given up    |
+      | orders of the earlier holder |
+
   # Guards against a long-running task that was stopped although it ran, as the
   # answer to its start had been lost.
   Scenario Outline: An unanswered start whose run is listed, stopped <before>
--- a/tests/features/steps/ended_worker_steps.py
+++ b/tests/features/steps/ended_worker_steps.py
@@ -7,6 +7,7 @@
 import gevent
 
 from agaterudder.jobs import clock
+from agaterudder.jobs import fleet
 from agaterudder.jobs import listings
 from agaterudder.jobs import orderexecutor
 from agaterudder.jobs import orders
@@ -16,6 +17,7 @@
 from agaterudder.jobs import workerends
 from agaterudder.jobs import workerloop
 from agaterudder.jobs import workerregistry
+from agaterudder import resources
 from tests import job_builders
 from tests import memory_store
 from tests import pool_fakes
@@ -112,16 +114,54 @@
 @behave.when("{seconds:g} seconds later it lists a new incarnation")
 def step_lists_anew(context: Context, seconds: float) -> None:
     context.now += seconds
+    _list_incarnation(context, 2)
+
+
+@behave.when("{seconds:g} seconds later it lists a third incarnation")
+def step_lists_third(context: Context, seconds: float) -> None:
+    context.now += seconds
+    context.orders.clear()
+    _list_incarnation(context, 3)
+
+
+def _list_incarnation(context: Context, incarnation: int) -> None:
+    """Let the worker of the run list no runs as an incarnation."""
     context.returned = context.run.worker
     listings.apply(
         context.state,
         context.returned,
-        job_builders.listing(incarnation=2),
+        job_builders.listing(incarnation=incarnation),
         context.now,
         context.now,
     )
 
 
+@behave.when(
+    "{seconds:g} seconds later it is registered with a new incarnation"
+)
+def step_registered_incarnation(context: Context, seconds: float) -> None:
+    context.now += seconds
+    worker = context.returned = context.run.worker
+    registration = job_builders.registration(worker.name, incarnation=2)
+    with mock.patch.object(clock, "now", lambda: context.now):
+        _registry(context)._update_worker(worker, registration)
+
+
+@behave.when("the worker answers a stop as another incarnation")
+def step_stop_superseded(context: Context) -> None:
+    workerends.superseded(context.state, context.run, context.now)
+
+
+@behave.when("the new incarnation answers a stop and lists no runs")
+def step_new_stopped(context: Context) -> None:
+    (run,) = context.returned.runs.values()
+    run.stop_answered_at = context.now
+    context.now += 1.0
+    _list_incarnation(context, 2)
+    assert not context.returned.runs
+
+
+@behave.then("{count:d} late starts are stopped")
 @behave.then("{count:d} late starts are stopped")
 def step_late_starts(context: Context, count: int) -> None:
     stopped = [
@@ -172,6 +212,27 @@
             pass
 
 
+@behave.when("a start that was given up may arrive")
+def step_start_may_arrive(context: Context) -> None:
+    now = job_builders.START + 2 * fleet.MAX_ORDER_DELAY_SECONDS
+    context.sent_at = now
+    run = runs.Run(
+        f"{FIRST}.0.0.0", None, 1, context.worker, now, resources.ZERO
+    )
+    workerends.remove_run(context.state, run, "stop answered", now)
+
+
+@behave.when("orders of the earlier holder may arrive")
+def step_orders_may_arrive(context: Context) -> None:
+    context.sent_at = job_builders.START
+
+
+@behave.then("the worker is polled without a pause for {seconds:g} seconds")
+def step_no_pause(context: Context, seconds: float) -> None:
+    assert not context.loop._idle(context.sent_at + seconds - 0.1)
+    assert context.loop._idle(context.sent_at + seconds + 0.1)
+
+
 @behave.when("the loop is woken")
 def step_woken(context: Context) -> None:
     woken = iter([True])
--- a/tests/features/steps/recovery_steps.py
+++ b/tests/features/steps/recovery_steps.py
@@ -210,12 +210,12 @@
 
 @behave.then("the worker is not idle")
 def step_not_idle(context: Context) -> None:
-    assert not context.loop._idle()
+    assert not context.loop._idle(clock.now())
 
 
 @behave.then("the worker is idle")
 def step_idle(context: Context) -> None:
-    assert context.loop._idle()
+    assert context.loop._idle(clock.now())
 
 
 @behave.then("the poll asked for no wait")
