--- a/models/crashes.py
+++ b/models/crashes.py
@@ -8,6 +8,11 @@
 pool over at any moment; a former one may go on for a while without knowing
 it. An answer of the store may be lost.
 
+A holder recovers first: workers that accept its epoch carry out no start of
+former holders, and an attempt whose worker still runs was not sent, or does no
+harm any more, so that it is not counted. In the model each start ends its
+worker.
+
 A holder gives the task up at four crashes and attempts. That it does so
 earlier, after a crash of a worker on which the task was alone, is left out.
 """
@@ -33,12 +38,14 @@
     :ivar attempt: whether the next start is being stored.
     :ivar unlearnt: whether a worker crashed under a start of it that it takes
         for running.
+    :ivar recovered: whether it has read the lists of the workers.
     """
 
     epoch: int = 0
     known: int = 0
     attempt: str = NO_ATTEMPT
     unlearnt: bool = False
+    recovered: bool = False
 
 
 class Crashes(t.NamedTuple):
@@ -47,28 +54,45 @@
     :ivar present: the holder of the latest epoch.
     :ivar former: a holder that was deposed without knowing it.
     :ivar stored: crashes and attempts in the row.
+    :ivar unsent: whether one of them is an attempt that was not sent.
+    :ivar stored_by: epoch of the holder that wrote the row.
     :ivar starts: how often the task was started.
     """
 
-    present: Memory = Memory(epoch=1)
+    present: Memory = Memory(epoch=1, recovered=True)
     former: Memory = Memory()
     stored: int = 0
+    unsent: bool = False
+    stored_by: int = 0
     starts: int = 0
 
 
 ATTEMPT = "write an attempt before the start"
 WAIT = "start only once the attempt is stored"
 EPOCH = "write is conditional on the epoch"
+FENCED = "an attempt is settled once its worker accepted the epoch"
+OUTLIVED = "an attempt is settled only if its worker still runs"
 GUARDS = {
     ATTEMPT: "crashes.prepare",
     WAIT: "crashes.stored_numbers",
     EPOCH: "journalwriter.JournalWriter._write_batch",
+    FENCED: "crashes._outlived",
+    OUTLIVED: "crashes._outlived",
 }
 
 
 def _started(s: Crashes, holder: Memory) -> tuple[Crashes, Memory]:
-    return s._replace(starts=s.starts + 1), holder._replace(
-        attempt=NO_ATTEMPT, unlearnt=True
+    own_row = s.stored_by == holder.epoch
+    return s._replace(
+        starts=s.starts + 1, unsent=s.unsent and not own_row
+    ), holder._replace(attempt=NO_ATTEMPT, unlearnt=True)
+
+
+def _recovered(s: Crashes, guards: frozenset[str]) -> Crashes:
+    """Return the state after the present holder has recovered the pool."""
+    settled = s.stored if OUTLIVED not in guards else int(s.unsent)
+    return s._replace(
+        present=s.present._replace(known=s.stored - settled, recovered=True)
     )
 
 
@@ -77,6 +101,9 @@
 ) -> list[tuple[str, Crashes, Memory]]:
     """Return the steps of a holder: label, state, and its memory after."""
     found: list[tuple[str, Crashes, Memory]] = []
+    fenced = holder.epoch < s.present.epoch and s.present.recovered
+    if fenced and FENCED in guards:
+        return found
     if holder.unlearnt:
         # A start that was written before is counted already.
         counted = ATTEMPT in guards and s.starts > 1
@@ -103,7 +130,11 @@
     """Return the state after a write of the holder reached the store."""
     if holder.epoch != s.present.epoch and EPOCH in guards:
         return s
-    return s._replace(stored=holder.known)
+    return s._replace(
+        stored=holder.known,
+        unsent=holder.attempt != NO_ATTEMPT,
+        stored_by=holder.epoch,
+    )
 
 
 def _confirmed(holder: Memory) -> Memory:
@@ -121,6 +152,14 @@
     for who, holder in (("present", s.present), ("former", s.former)):
         if not holder.epoch:
             continue
+        if not holder.recovered:
+            recovered = _recovered(s, guards)
+            if who == "present":
+                enabled.append(("present: recovers", recovered))
+            else:
+                deposed = s._replace(former=Memory())
+                enabled.append(("former: learns that it is deposed", deposed))
+            continue
         for label, after, memory in _holder_steps(s, holder, guards):
             changed = after._replace(**{who: memory})
             enabled.append((f"{who}: {label}", changed))
--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -12,6 +12,7 @@
 import typing as t
 
 from agaterudder import codes
+from agaterudder.jobs import attemptworkers
 from agaterudder.jobs import fleet
 from agaterudder.jobs import linelimit
 from agaterudder.jobs import model
@@ -95,7 +96,7 @@
     else:
         known = progress.late_crashes
     known.setdefault(key, []).append(run.number)
-    _remove(progress.attempts, key, run.number)
+    _remove_attempt(progress, key, run.number)
     life = (run.worker.name, run.worker.incarnation)
     if not just_started:
         state.suspects.add_victim(life, task, run.number)
@@ -246,36 +247,112 @@
         first.prepared = None
 
 
-def prepare(state: pools.Pool, task: runs.Task) -> None:
-    """Record an attempt that is to be stored before its start."""
+def prepare(
+    state: pools.Pool,
+    task: runs.Task,
+    workers: tuple[model.WorkerLife, ...],
+) -> None:
+    """Record an attempt that is to be stored before its start.
+
+    :param workers: where it is to start. If it was prepared for others, the
+        same attempt is stored anew.
+    """
     job = task.step.job
-    number = state.next_run()
-    job.progress.attempts.setdefault(task.progress_key, []).append(number)
+    if task.prepared is None:
+        number = state.next_run()
+        job.progress.attempts.setdefault(task.progress_key, []).append(number)
+    else:
+        number = task.prepared.number
+    job.progress.attempt_workers[number] = workers
     state.journal.mark(job)
-    task.prepared = runs.Prepared(number, state.journal.marked)
+    task.prepared = runs.Prepared(number, state.journal.marked, workers)
     state.suspects.prepared_mark = state.journal.marked
 
 
+def resolve_attempts(state: pools.Pool) -> None:
+    """Settle the attempts of earlier holders that crashed no worker.
+
+    The pool has to be recovered, so that the runs and ends of earlier holders
+    are known, and workers that accepted this epoch carry out none of their
+    orders any more.
+    """
+    settled = 0
+    for job in state.jobs.values():
+        if not job.progress.attempt_workers:
+            continue
+        firsts = [
+            task
+            for step in job.steps.values()
+            for task in step.tasks
+            if task is task.unit[0]
+            and task.progress_key in job.progress.attempts
+        ]
+        for task in firsts:
+            settled += _resolve_attempts_of(state, task)
+    if settled:
+        LOG.info(
+            "attempts settled: their workers still run",
+            extra={"pool": state.name, "attempts": settled},
+        )
+
+
+def _resolve_attempts_of(state: pools.Pool, task: runs.Task) -> int:
+    """Settle the harmless attempts of a task; return their number."""
+    harmless = [
+        number
+        for number in suspects.unresolved_attempts(task)
+        if number < state.first_run and _outlived(state, task, number)
+    ]
+    for number in harmless:
+        _settle(state, task, number)
+    found = suspects.evidence(task)
+    if harmless and found.total < suspects.SUSPECT_CRASHES_RESTORED:
+        _end_suspicion(state, task)
+    return len(harmless)
+
+
+def _outlived(state: pools.Pool, task: runs.Task, number: int) -> bool:
+    """Return whether all workers that an attempt names still run."""
+    named = task.step.job.progress.attempt_workers.get(number, ())
+    return bool(named) and all(
+        life.incarnation
+        and (worker := state.workers.get(life.worker)) is not None
+        and worker.fenced
+        and worker.incarnation == life.incarnation
+        for life in named
+    )
+
+
 def stored_numbers(
-    state: pools.Pool, tasks: t.Sequence[runs.Task]
+    state: pools.Pool,
+    tasks: t.Sequence[runs.Task],
+    workers: t.Sequence[runs.Worker],
 ) -> list[int] | None:
     """Return the run numbers of tasks that start together.
 
     Some tasks start only once the attempt is stored, and only so many of a
     job at a time.
 
+    :param workers: where each of the tasks is to start.
     :returns: None while an attempt is being stored, or can't be yet.
     """
     firsts = {task.unit_name: task.unit[0] for task in tasks}
+    lives: dict[str, dict[model.WorkerLife, None]] = {}
+    for task, worker in zip(tasks, workers):
+        found = lives.setdefault(task.unit_name, {})
+        found[attemptworkers.life(worker)] = None
     numbers: dict[str, int] = {}
     for name, first in firsts.items():
         if not _stored_before_start(state, first):
             numbers[name] = state.next_run()
             continue
-        if first.prepared is None and storedprogress.attempts_left(
-            first.step.job.progress, state.first_run
+        if not _prepared_for(first, lives[name]) and (
+            first.prepared is not None
+            or storedprogress.attempts_left(
+                first.step.job.progress, state.first_run
+            )
         ):
-            prepare(state, first)
+            prepare(state, first, tuple(lives[name]))
         if (
             first.prepared is not None
             and first.prepared.mark <= state.journal.stored
@@ -288,6 +365,15 @@
     return [numbers[task.unit_name] for task in tasks]
 
 
+def _prepared_for(
+    task: runs.Task, lives: t.Collection[model.WorkerLife]
+) -> bool:
+    """Return whether the prepared attempt of a task names its workers."""
+    return task.prepared is not None and all(
+        life in task.prepared.workers for life in lives
+    )
+
+
 def _stored_before_start(state: pools.Pool, task: runs.Task) -> bool:
     """Return whether the next start of a task is stored before.
 
@@ -392,10 +478,24 @@
 
 def _settle(state: pools.Pool, task: runs.Task, number: int) -> None:
     job = task.step.job
-    if _remove(job.progress.attempts, task.progress_key, number):
+    if _remove_attempt(job.progress, task.progress_key, number):
         state.journal.mark(job)
 
 
+def forget_done(progress: model.Progress, key: str) -> None:
+    """Forget the attempts and crashes of a task that is done."""
+    for number in progress.attempts.pop(key, ()):
+        progress.attempt_workers.pop(number, None)
+    for known in progress.crash_records:
+        known.pop(key, None)
+
+
+def _remove_attempt(progress: model.Progress, key: str, number: int) -> bool:
+    """Remove an attempt; return whether it was there."""
+    progress.attempt_workers.pop(number, None)
+    return _remove(progress.attempts, key, number)
+
+
 def _remove(
     stored: t.MutableMapping[str, list[int]], key: str, number: int
 ) -> bool:
--- a/src/agaterudder/jobs/holder.py
+++ b/src/agaterudder/jobs/holder.py
@@ -12,6 +12,7 @@
 from agaterudder.jobs import clock
 from agaterudder.jobs import clustercache
 from agaterudder.jobs import context as contexts
+from agaterudder.jobs import crashes
 from agaterudder.jobs import deployment
 from agaterudder.jobs import fleet
 from agaterudder.jobs import inbox
@@ -348,6 +349,7 @@
         if self._recovery_pending and not self.state.recovery.pending(now):
             self._recovery_pending = False
             self._limits.release_reservations()
+            crashes.resolve_attempts(self.state)
             self.state.recovery.finish(now)
         self.state.create_due(wallclock.now(), now)
         self.state.sizes_confirmed_at = (
--- a/src/agaterudder/jobs/model.py
+++ b/src/agaterudder/jobs/model.py
@@ -112,6 +112,16 @@
 STATE_MOVED = "moved"
 
 
+class WorkerLife(msgspec.Struct, frozen=True, array_like=True):
+    """One incarnation of a worker.
+
+    :ivar incarnation: its start, Unix milliseconds; 0 when not known.
+    """
+
+    worker: str
+    incarnation: int
+
+
 class Progress(msgspec.Struct, array_like=True):
     """Durable progress of a job that has not ended.
 
@@ -129,6 +139,8 @@
         and never said that it has them: it may have crashed before.
     :ivar late_crashes: numbers of the runs, by the same keys, under which a
         worker crashed later.
+    :ivar attempt_workers: workers on which the attempts were to start, by
+        number; rows of earlier releases lack them.
     """
 
     done: dict[str, list[int]] = {}
@@ -138,6 +150,7 @@
     attempts: dict[str, list[int]] = {}
     lost_starts: dict[str, list[int]] = {}
     late_crashes: dict[str, list[int]] = {}
+    attempt_workers: dict[int, tuple[WorkerLife, ...]] = {}
 
     @property
     def crash_records(self) -> tuple[dict[str, list[int]], ...]:
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from agaterudder.jobs import attemptworkers
 from agaterudder.jobs import crashes
 from agaterudder.jobs import fleet
 from agaterudder.jobs import freecapacity
@@ -117,7 +118,9 @@
         for task in tasks:
             if self._starts >= MAX_STARTS_PER_ROUND:
                 return
-            worker = self._choice.choose(step, task, candidates)
+            worker = self._prepared_worker(
+                step, task, candidates
+            ) or self._choice.choose(step, task, candidates)
             if worker is None:
                 self._make_room(step, task, candidates)
                 if step.step.long_running:
@@ -130,7 +133,7 @@
                 return
             if not self._grant_covers(step, [task], tasks):
                 return
-            numbers = crashes.stored_numbers(self._state, [task])
+            numbers = crashes.stored_numbers(self._state, [task], [worker])
             if numbers is None and not task.unit[0].prepared:
                 # Enough attempts of its job are being stored.
                 return
@@ -155,17 +158,12 @@
             candidates = self._candidates(step, workers)
             if candidates is None:
                 return
-            chosen = groupchoice.choose(
-                self._state,
-                step,
-                unit,
-                candidates,
-                freecapacity.FreeCapacity(candidates),
-                self._now,
+            chosen = self._choose_together(
+                step, unit, candidates, freecapacity.FreeCapacity(candidates)
             )
             if chosen is None or not self._grant_covers(step, unit, unit):
                 continue
-            numbers = crashes.stored_numbers(self._state, unit)
+            numbers = crashes.stored_numbers(self._state, unit, chosen)
             for task, worker, number in zip(unit, chosen, numbers or ()):
                 self._start(task, worker, number).apart = True
 
@@ -249,17 +247,53 @@
         gang = step.step.gang
         if gang and len(tasks) < len(step.tasks):
             return
-        chosen = groupchoice.choose(
-            self._state, step, tasks, candidates, self._free, self._now
-        )
+        chosen = self._choose_together(step, tasks, candidates, self._free)
         if chosen is None:
             return
         if not self._grant_covers(step, tasks, tasks):
             return
-        numbers = crashes.stored_numbers(self._state, tasks)
+        numbers = crashes.stored_numbers(self._state, tasks, chosen)
         for task, worker, number in zip(tasks, chosen, numbers or ()):
             self._start(task, worker, number)
 
+    def _prepared_worker(
+        self,
+        step: runs.StepRun,
+        task: runs.Task,
+        candidates: list[fleet.WorkerState],
+    ) -> fleet.WorkerState | None:
+        """Return the worker of a prepared attempt that can still take it."""
+        need = self._state.reserved_size(step)
+        return next(
+            (
+                worker
+                for worker in attemptworkers.named([task], candidates)
+                if need.fits_in(self._free.of(worker))
+                and step.within_worker_limit(worker.name)
+            ),
+            None,
+        )
+
+    def _choose_together(
+        self,
+        step: runs.StepRun,
+        tasks: list[runs.Task],
+        candidates: list[fleet.WorkerState],
+        free: freecapacity.FreeCapacity,
+    ) -> list[fleet.WorkerState] | None:
+        """Return a worker for each of the tasks, None unless all have one.
+
+        Those of their prepared attempts come first.
+        """
+        again = attemptworkers.named(tasks, candidates)
+        for workers in [again, candidates] if again else [candidates]:
+            chosen = groupchoice.choose(
+                self._state, step, tasks, workers, free, self._now
+            )
+            if chosen is not None:
+                return attemptworkers.matched(tasks, chosen)
+        return None
+
     def _start(
         self, task: runs.Task, worker: fleet.WorkerState, number: int
     ) -> runs.Run:
--- a/src/agaterudder/jobs/runends.py
+++ b/src/agaterudder/jobs/runends.py
@@ -90,9 +90,7 @@
             step.done += 1
             job.progress.done.setdefault(step.key, []).append(member.index)
             job.progress.checkpoints.pop(member.checkpoint_key, None)
-            job.progress.attempts.pop(member.progress_key, None)
-            for known in job.progress.crash_records:
-                known.pop(member.progress_key, None)
+            crashes.forget_done(job.progress, member.progress_key)
         for other in member.runs:
             other.require_stop("the task is done")
     state.journal.mark(job)
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -30,10 +30,12 @@
     """A run that starts once its attempt is stored.
 
     :ivar mark: the journal mark up to which it is stored.
+    :ivar workers: where it may start, as it is stored.
     """
 
     number: int
     mark: int
+    workers: tuple[model.WorkerLife, ...]
 
 
 class RunState(enum.Enum):
--- a/src/agaterudder/jobs/storedprogress.py
+++ b/src/agaterudder/jobs/storedprogress.py
@@ -40,11 +40,16 @@
 def encode(job: str, progress: model.Progress, row_bytes: int) -> bytes | None:
     """Encode the progress of a job for its row.
 
+    Without the workers of its attempts, each of them may have been a crash.
     Without the checkpoints, tasks that are interrupted begin anew.
 
-    :returns: None when it is too large even without its checkpoints.
+    :returns: None when it is too large even without both.
     """
     content = model.encode(progress)
+    if len(content) <= row_bytes:
+        return content
+    progress = msgspec.structs.replace(progress, attempt_workers={})
+    content = model.encode(progress)
     if len(content) <= row_bytes:
         return content
     LOG.warning(
--- a/src/agaterudder/jobs/suspects.py
+++ b/src/agaterudder/jobs/suspects.py
@@ -4,7 +4,8 @@
 the runs under which a worker crashed, those whose worker crashed and never
 said that it had them, and the attempts: runs that were stored before their
 start and whose outcome is not known yet. An attempt that has no run any more
-had an outcome that no holder learnt; it may have been a crash.
+had an outcome that no holder learnt. It may have been a crash, unless the
+workers on which it was to start still run.
 """
 
 import dataclasses
@@ -82,19 +83,24 @@
     """Return what is known against a task."""
     progress = task.step.job.progress
     key = task.progress_key
-    open_numbers = {run.number for member in task.unit for run in member.runs}
-    prepared = task.unit[0].prepared
-    if prepared is not None:
-        open_numbers.add(prepared.number)
-    attempts = progress.attempts.get(key, ())
     return Evidence(
         len(progress.crashes.get(key, ())),
-        sum(1 for number in attempts if number not in open_numbers),
+        len(unresolved_attempts(task)),
         len(progress.lost_starts.get(key, ())),
         len(progress.late_crashes.get(key, ())),
     )
 
 
+def unresolved_attempts(task: "runs.Task") -> list[int]:
+    """Return the attempts of a task that have no run and no outcome."""
+    attempts = task.step.job.progress.attempts.get(task.progress_key, ())
+    open_numbers = {run.number for member in task.unit for run in member.runs}
+    prepared = task.unit[0].prepared
+    if prepared is not None:
+        open_numbers.add(prepared.number)
+    return [number for number in attempts if number not in open_numbers]
+
+
 @dataclasses.dataclass(slots=True)
 class _Share:
     """Crashes under one task among all that the holder has seen.
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -5,6 +5,7 @@
 import random
 import typing as t
 
+from agaterudder.jobs import crashes
 from agaterudder.jobs import fleet
 from agaterudder.jobs import journalwriter
 from agaterudder.jobs import listings
@@ -28,6 +29,7 @@
 # Moments of a take-over.
 NEVER = "never"
 AFTER_START = "after a start of a culprit"
+BEFORE_START = "before an attempt is sent that is stored"
 AFTER_STORE = "after its crash is stored"
 MAX_FORCED_TAKE_OVERS = 12
 # What happens at a start: its worker has crashed before, and the answer is
@@ -47,12 +49,15 @@
 class Process:
     """The process of a worker, as it really is.
 
+    :ivar answers: whether its polls are answered.
     :ivar running: when each run began, by task and number.
     """
 
     name: str
     rack: str
     alive: bool = True
+    answers: bool = True
+    incarnation: int = 1
     running: dict[tuple[str, int], float] = dataclasses.field(
         default_factory=dict
     )
@@ -131,7 +136,10 @@
         self._adopt(process)
 
     def _adopt(self, process: Process) -> None:
-        worker = job_builders.worker(process.name, rack=process.rack)
+        worker = job_builders.worker(
+            process.name, rack=process.rack, incarnation=process.incarnation
+        )
+        worker.fenced = process.answers
         worker.record_poll(self._listing(process), self.now, self.now)
         self.state.adopt_worker(worker)
 
@@ -144,6 +152,7 @@
             running,
             process.ended,
             job_builders.START_CLOCK + self.now - job_builders.START,
+            process.incarnation,
         )
 
     def _progress(self, task: str, began: float) -> int:
@@ -190,6 +199,7 @@
             if process.alive:
                 self._adopt(process)
         self.poll()
+        crashes.resolve_attempts(self.state)
 
     # What happens in the pool
 
@@ -206,6 +216,8 @@
         self.progress()
         self.poll()
         self.write()
+        if self.take_over_at == BEFORE_START and self._attempt_stored():
+            self._forced_take_over()
         if self.take_over_at == AFTER_STORE and self._unhandled:
             self._forced_take_over()
         self.plan()
@@ -214,6 +226,16 @@
             self._forced_take_over()
         self._check_company()
 
+    def _attempt_stored(self) -> bool:
+        """Return whether a stored attempt is about to be sent."""
+        return any(
+            task.prepared is not None
+            and task.prepared.mark <= self.state.journal.stored
+            for job in self.state.jobs.values()
+            for step in job.steps.values()
+            for task in step.tasks
+        )
+
     def _forced_take_over(self) -> None:
         if self.take_overs < MAX_FORCED_TAKE_OVERS:
             self.take_overs += 1
@@ -281,10 +303,10 @@
         """Poll every worker."""
         for worker in list(self.state.workers.values()):
             process = self.processes[worker.name]
-            if process.alive:
+            if process.alive and process.answers:
                 listing = self._listing(process)
                 listings.apply(self.state, worker, listing, self.now, self.now)
-            else:
+            elif not process.alive:
                 self._poll_dead(worker)
 
     def _poll_dead(self, worker: fleet.WorkerState) -> None:
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -225,6 +225,73 @@
       | at once after             |
       | when the crash is stored  |
 
+  # Guards against a job that is given up without a crash, as holders ended
+  # before they sent the attempts that they had stored.
+  Scenario Outline: The pool is taken over before each attempt of <job> is sent
+    Given a simulated pool of 6 workers
+    And <job> that has begun
+    And the answers of the store are <answers>
+    And the pool is taken over before each attempt is sent
+    When 60 simulated seconds pass
+    Then the pool was taken over 12 times
+    And job "culprit" is stored as completed
+
+    Examples: jobs
+      | job                             | answers             |
+      | a simulated job of single tasks | ok                  |
+      | a simulated job of single tasks | lost,ok,lost,refused,lost |
+      | a simulated gang                | ok                  |
+
+  # Guards against a crash that counts as none, as the attempt before it is taken
+  # for one that was never sent, and against the opposite.
+  Scenario Outline: A holder finds an attempt whose worker <fate>
+    Given a simulated pool of 1 workers
+    And a simulated job "culprit" of 2 tasks of 1 core that last 9 seconds
+    When an attempt of its first task is stored and its holder ends
+    And the worker of its attempt <fate>
+    And the pool is recovered by another holder
+    Then <count> attempts of job "culprit" may have crashed a worker
+
+    Examples: fates
+      | fate                               | count |
+      | still runs                         | 0     |
+      | has restarted under its name       | 1     |
+      | is gone                            | 1     |
+      | has not answered the new holder    | 1     |
+      | is not named by an earlier release | 1     |
+
+  # Guards against an attempt that is judged by a worker on which it did not
+  # start.
+  Scenario: The worker of a stored attempt has no room any more
+    Given a simulated pool of 2 workers
+    And a simulated job "culprit" of 1 tasks of 1 core that last 9 seconds
+    When an attempt of its first task is stored
+    And the worker that it names accepts no tasks
+    And the pool is planned until the task starts
+    Then its run started on the worker that the stored attempt names
+
+  # Guards against a start that waits again and again for its attempt to be
+  # stored, as another worker became the better choice meanwhile.
+  Scenario Outline: <job> starts where its attempts were stored
+    Given a simulated pool of 6 workers
+    And <job> that has begun
+    And another holder has taken the pool over
+    When attempts of its <count> tasks are stored
+    And the load of <which> workers grows
+    Then the tasks start at once where their attempts were stored
+
+    Examples: jobs
+      | job                                  | count | which     |
+      | a simulated job of single tasks      | 2     | the other |
+      | a simulated job of tasks on one rack | 3     | these     |
+      | a simulated gang                     | 1     | these     |
+
+  # Guards against progress that exceeds a row for the workers of attempts.
+  Scenario: The workers of attempts are left out of progress that is too large
+    When the progress of a job with 200 attempts is stored in 4000 bytes
+    Then its attempts are stored without their workers
+    And its checkpoints are stored
+
   # Guards against a start whose attempt a later holder does not know.
   Scenario Outline: Attempts are stored before their start: <answers>
     Given a simulated pool of 6 workers
