--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -236,11 +236,26 @@
         )
         match outcome:
             case ports.Conflicted(rows=rows):
-                return None if _moved_row(rows) is not None else Accepted()
+                return self._found_in_earlier(call, pool, rows)
             case codes.Refused():
                 return outcome
         return None
 
+    def _found_in_earlier(
+        self, call: Call, pool: str, rows: t.Iterable[ports.Row]
+    ) -> Accepted | codes.Refused | None:
+        """Return the answer to a submission that an earlier pool has rows of.
+
+        :returns: None when the job was only kept out of it.
+        """
+        found = _keeping_out(rows)
+        match found:
+            case _KeepingOut(state=model.STATE_MOVED):
+                return None
+            case _KeepingOut(row=row):
+                return self._store_withdrawn(call, pool, row)
+        return Accepted()
+
     def _store_job(
         self, call: Call, content: bytes
     ) -> Accepted | codes.Refused:
@@ -248,9 +263,26 @@
         put = ports.Put(model.jobs_table(pool), call.job, content)
         outcome = self._write(call, pool, _absent(pool, call.job), [put])
         if isinstance(outcome, ports.Conflicted):
-            moved = _moved_row(outcome.rows)
-            if moved is not None:
-                return self._bring_back(call, moved, put)
+            match _keeping_out(outcome.rows):
+                case _KeepingOut(state=model.STATE_MOVED, row=row):
+                    return self._bring_back(call, row, put)
+                case _KeepingOut(row=row):
+                    return self._store_withdrawn(call, pool, row)
+        return _accepted(outcome)
+
+    def _store_withdrawn(
+        self, call: Call, pool: str, withdrawn: ports.Row
+    ) -> Accepted | codes.Refused:
+        """Store a job that was cancelled before as one that is cancelled."""
+        ended = model.Ended(
+            model.STATE_CANCELLED, self._store_clock(), "before it was stored"
+        )
+        outcome = self._write(
+            call,
+            pool,
+            [ports.Precondition(withdrawn.table, call.job, withdrawn.version)],
+            [ports.Put(withdrawn.table, call.job, model.encode(ended))],
+        )
         return _accepted(outcome)
 
     def _bring_back(
@@ -375,7 +407,7 @@
         if ended is None:
             return None
         found = model.decode(ended.value, model.Ended)
-        if found.state == model.STATE_MOVED:
+        if found.keeps_out:
             return None
         if found.state != model.STATE_FAILED:
             return JobState(found.state)
@@ -438,10 +470,69 @@
             if row is not None:
                 return self._store_cancel(call, pool, row)
             ended = self._read(model.ENDED_TABLE, pool, call)
-            if ended is not None and _moved_row([ended]) is None:
+            if ended is not None and _keeping_out([ended]) is None:
                 return Accepted()
+        return self._withdraw(call)
+
+    def _withdraw(self, call: Call) -> Accepted | codes.Refused:
+        """Cancel a job that no pool has.
+
+        Its submission may have got no answer from the store, and may be
+        stored late.
+        """
+        configuration = self._cluster.configuration
+        assert configuration is not None
+        earlier = self._queue_pools.earlier(
+            call.queue, configuration.version, _answer_by(call)
+        )
+        if isinstance(earlier, codes.Refused):
+            return earlier
+        for pool in (call.queue.pool, *earlier):
+            found = self._withdraw_from(call, pool, _absent(pool, call.job))
+            if found is not None:
+                return found
         return codes.Refused(codes.Result.NOT_FOUND, "no such job")
 
+    def _withdraw_from(
+        self,
+        call: Call,
+        pool: str,
+        preconditions: t.Sequence[ports.Precondition],
+    ) -> Accepted | codes.Refused | None:
+        """Make sure that a pool never stores a job.
+
+        :returns: None when it does not, and never will.
+        """
+        withdrawn = model.Ended(model.STATE_WITHDRAWN, self._store_clock())
+        outcome = self._write(
+            call,
+            pool,
+            preconditions,
+            [ports.Put(model.ENDED_TABLE, call.job, model.encode(withdrawn))],
+        )
+        match outcome:
+            case codes.Refused():
+                return outcome
+            case ports.Committed():
+                return None
+        match _keeping_out(outcome.rows):
+            case _KeepingOut(state=model.STATE_WITHDRAWN):
+                return None
+            case _KeepingOut(row=row):
+                moved = [
+                    ports.Precondition(model.jobs_table(pool), call.job, 0),
+                    ports.Precondition(row.table, call.job, row.version),
+                ]
+                return self._withdraw_from(call, pool, moved)
+        stored = [
+            row
+            for row in outcome.rows
+            if row.table == model.jobs_table(pool) and row.version
+        ]
+        if stored:
+            return self._store_cancel(call, pool, stored[0])
+        return Accepted()
+
     def _store_cancel(
         self, call: Call, pool: str, row: ports.Row
     ) -> Accepted | codes.Refused:
@@ -555,23 +646,41 @@
     ]
 
 
-def _moved_row(rows: t.Iterable[ports.Row]) -> ports.Row | None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _KeepingOut:
+    """A row by which a job is kept out of a pool, with its decoded state."""
+
+    row: ports.Row
+    state: str
+
+
+def _keeping_out(rows: t.Iterable[ports.Row]) -> _KeepingOut | None:
     """Return the row by which a job is kept out of a pool, if any."""
-    return next((row for row in rows if _says_moved(row)), None)
+    ended = (
+        (row, _decoded_end(row))
+        for row in rows
+        if row.table == model.ENDED_TABLE and row.version
+    )
+    return next(
+        (
+            _KeepingOut(row, found.state)
+            for row, found in ended
+            if found is not None and found.keeps_out
+        ),
+        None,
+    )
 
 
-def _says_moved(row: ports.Row) -> bool:
-    if row.table != model.ENDED_TABLE or not row.version:
-        return False
+def _decoded_end(row: ports.Row) -> model.Ended | None:
+    """Return the end of a job, None when it can't be decoded."""
     try:
-        state = model.decode(row.value, model.Ended).state
+        return model.decode(row.value, model.Ended)
     except exceptions.Undecodable as error:
         LOG.warning(
             "end of a job can't be decoded",
             extra={"job": row.key, "why": error},
         )
-        return False
-    return state == model.STATE_MOVED
+        return None
 
 
 def _pause_before_repeat(sent_at: float) -> None:
--- a/src/agaterudder/jobs/model.py
+++ b/src/agaterudder/jobs/model.py
@@ -110,6 +110,9 @@
 # The job does not lie here: its queue has moved to another pool. The row keeps
 # a late submission from being stored here all the same.
 STATE_MOVED = "moved"
+# The job was cancelled before it was stored. The row keeps a late submission
+# from being stored all the same.
+STATE_WITHDRAWN = "withdrawn"
 
 
 class WorkerLife(msgspec.Struct, frozen=True, array_like=True):
@@ -161,7 +164,7 @@
 class Ended(msgspec.Struct, frozen=True, array_like=True):
     """The end of a job.
 
-    :ivar state: completed, failed, cancelled or moved.
+    :ivar state: completed, failed, cancelled, moved or withdrawn.
     :ivar ended_at: seconds of the store's clock.
     :ivar code: number of the result, see :mod:`agaterudder.codes`.
     """
@@ -171,6 +174,11 @@
     reason: str = ""
     code: int = 0
 
+    @property
+    def keeps_out(self) -> bool:
+        """Whether the job was not stored here, and must not be."""
+        return self.state in (STATE_MOVED, STATE_WITHDRAWN)
+
 
 class Holder(msgspec.Struct, frozen=True, array_like=True):
     """Row of a pool's holder; its version is the epoch."""
--- a/tests/features/job_api.feature
+++ b/tests/features/job_api.feature
@@ -221,6 +221,77 @@
     And the state of job 1 is read
     Then the answers are "NOT_FOUND, NOT_FOUND"
 
+  # Guards against a job that runs after its cancellation was answered, as its
+  # submission, whose outcome was unknown, was stored later.
+  Scenario Outline: A submission takes effect late, after its cancellation
+    When the store's next answers are "late,refused"
+    And job 1 is submitted
+    And <event>
+    And job 1 is cancelled
+    And job 1 is cancelled
+    And late calls to the store take effect
+    Then the answers are "CHANGE_UNKNOWN, NOT_FOUND, NOT_FOUND"
+    And the store has 0 job in all pools
+    And the state of job 1 is not found
+
+    Examples:
+      | event                                            |
+      | nothing happens                                  |
+      | operators move the queue to pool "other"         |
+
+  # Guards against a job that runs, or seems lost, as its submission came after
+  # its cancellation was answered.
+  Scenario Outline: A job is cancelled, <event>, and it is submitted
+    When job 1 is cancelled
+    And <event>
+    And job 1 is submitted
+    Then the answers are "NOT_FOUND, Accepted"
+    And the store has 0 job in all pools
+    And the state of job 1 is "cancelled"
+
+    Examples:
+      | event                                            |
+      | nothing happens                                  |
+      | operators move the queue to pool "other"         |
+
+  # Guards against a job that runs though its cancellation was answered, as it
+  # had been kept out of the pool that its queue has again.
+  Scenario: A job is cancelled that was kept out of its pool
+    When operators move the queue to pool "other"
+    And the store's next answers are "ok,refused"
+    And job 1 is submitted
+    And operators move the queue back
+    And job 1 is cancelled
+    And job 1 is submitted
+    Then the answers are "STORE_AWAY, NOT_FOUND, Accepted"
+    And the store has 0 job in all pools
+    And the state of job 1 is "cancelled"
+
+  # Guards against a cancellation that is acknowledged though the late
+  # submission may still be stored.
+  Scenario Outline: No pool has a cancelled job, and the store's answers are <faults>
+    When the store's next answers are "<faults>"
+    And job 1 is cancelled
+    Then the answers are "<answer>"
+
+    Examples:
+      | faults       | answer         |
+      | refused      | STORE_AWAY     |
+      | late,refused | CHANGE_UNKNOWN |
+      | lost         | NOT_FOUND      |
+
+  # Guards against a job that is said not to exist, as it was stored while its
+  # cancellation looked for it.
+  Scenario Outline: A job <happens> while its cancellation looks for it
+    When job 1 <happens> while it is looked for and cancelled
+    Then the answers are "Accepted, Accepted"
+    And the state of job 1 is "<state>"
+
+    Examples:
+      | happens             | state     |
+      | is stored           | queued    |
+      | is stored and ends  | completed |
+
   Scenario: A job is cancelled
     When job 1 is submitted
     And job 1 is cancelled
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -425,6 +425,28 @@
     assert answer == jobapi.JobState(state), answer
 
 
+@behave.then("the state of job {number:d} is not found")
+def step_not_found(context: Context, number: int) -> None:
+    answer = context.job_api.state(_call(context, number))
+    assert isinstance(answer, codes.Refused), answer
+    assert answer.code is codes.Result.NOT_FOUND, answer
+
+
+@behave.when("job {number:d} {happens} while it is looked for and cancelled")
+def step_cancel_races(context: Context, number: int, happens: str) -> None:
+    transact = context.store.transact
+
+    def race(*arguments: t.Any, **named: t.Any) -> ports.Outcome:
+        context.store.transact = transact
+        step_submit(context, number)
+        if happens == "is stored and ends":
+            step_ends(context, number, model.STATE_COMPLETED)
+        return t.cast(ports.Outcome, transact(*arguments, **named))
+
+    context.store.transact = race
+    step_cancel(context, number)
+
+
 @behave.then("{count:d} job is pending")
 def step_pending(context: Context, count: int) -> None:
     answer = context.job_api.pending(_call(context, 0))
