--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -13,6 +13,7 @@
 from agaterudder.jobs import clustercache
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
+from agaterudder.jobs import pendingcounts
 from agaterudder.jobs import ports
 from agaterudder.jobs import queuepools
 from agaterudder.jobs import storedprogress
@@ -33,7 +34,6 @@
 # soon; after this time it counts as away.
 REJECTED_READ_SECONDS = 0.5
 REJECTED_READ_PAUSE_SECONDS = 0.2
-MAX_PENDING_AGE_SECONDS = 1.9
 RETRY_AFTER_SECONDS = 1
 
 
@@ -99,6 +99,7 @@
         "_metrics",
         "_row_bytes",
         "_reports",
+        "_pending_counts",
     )
 
     def __init__(
@@ -117,6 +118,9 @@
         self._metrics = metrics_registry
         self._row_bytes = row_bytes
         self._reports = callreports.CallReports(cluster, metrics_registry)
+        self._pending_counts = pendingcounts.PendingCounts(
+            store, queue_pools, store_clock
+        )
 
     def queue(
         self, host: str, path: str
@@ -557,41 +561,17 @@
         refusal = self._authentication_error(call)
         if refusal is not None:
             return refusal
+        if not self._queue_pools.read:
+            return codes.Refused(
+                codes.Result.STALE, "the pools of the queues are not read yet"
+            )
         try:
-            return QueueState(self._count_pending(call))
+            return QueueState(
+                self._pending_counts.count(call.queue, call.usage)
+            )
         except (exceptions.CallFailed, exceptions.Undecodable) as error:
             return codes.Refused(codes.Result.STORE_AWAY, str(error))
 
-    def _count_pending(self, call: Call) -> int:
-        pool = call.queue.pool
-        call.usage.pools.append(pool)
-        call.usage.store_calls += 1
-        row = self._store.read(
-            model.PENDING_TABLE,
-            model.pending_partition(pool),
-            model.PENDING_KEY,
-            READ_TIMEOUT_SECONDS,
-        )
-        if row is not None:
-            found = model.decode(row.value, model.Pending)
-            if (
-                self._store_clock() - found.written_at
-                < MAX_PENDING_AGE_SECONDS
-            ):
-                return found.counts.get(call.queue.name, 0)
-        call.usage.store_calls += 2
-        started = {
-            row.key
-            for row in self._store.scan(model.PROGRESS_TABLE, pool).rows
-        }
-        return sum(
-            1
-            for row in self._store.scan(model.jobs_table(pool), pool).rows
-            if not row.key.endswith(model.CANCEL_SUFFIX)
-            and row.key not in started
-            and _queue_name(row) == call.queue.name
-        )
-
     def _report_unanswered(
         self, kind: str, call: Call, outcome: t.Any
     ) -> None:
@@ -708,15 +688,3 @@
     repeat_at = now + REJECTED_READ_PAUSE_SECONDS
     repeat = repeat_at <= min(began_at + REJECTED_READ_SECONDS, until)
     return repeat_at if repeat else None
-
-
-def _queue_name(row: ports.Row) -> str:
-    """Return the queue of a stored job, empty when it can't be decoded."""
-    try:
-        return model.decode(row.value, model.Job).queue
-    except exceptions.Undecodable as error:
-        LOG.debug(
-            "stored job not counted as pending",
-            extra={"job": row.key, "why": error},
-        )
-        return ""
--- a/src/agaterudder/jobs/model.py
+++ b/src/agaterudder/jobs/model.py
@@ -209,10 +209,13 @@
     """A pool that a queue has.
 
     :ivar since: version of the configuration with which it was recorded.
+    :ivar queue: name of the queue in that configuration, empty in rows of
+        releases that did not store it.
     """
 
     pool: str
     since: int
+    queue: str = ""
 
 
 class QueuePools(msgspec.Struct, frozen=True, array_like=True):
--- a/src/agaterudder/jobs/queuepools.py
+++ b/src/agaterudder/jobs/queuepools.py
@@ -46,7 +46,7 @@
         "_configuration",
         "_recorded_version",
         "_read_version",
-        "_pools",
+        "_uses",
         "_needed",
         "_recorded",
     )
@@ -56,7 +56,7 @@
         self._configuration: operatorconfig.Configuration | None = None
         self._recorded_version = 0
         self._read_version = 0
-        self._pools: dict[str, list[str]] = {}
+        self._uses: dict[str, list[model.UsedPool]] = {}
         self._needed = gevent.event.Event()
         self._recorded = gevent.event.Event()
 
@@ -98,9 +98,8 @@
         found = (configuration.version, read_version)
         if found >= (self._recorded_version, self._read_version):
             self._recorded_version, self._read_version = found
-            self._pools = {
-                key: [used.pool for used in row.pools]
-                for key, (row, _) in (known | moved).items()
+            self._uses = {
+                key: row.pools for key, (row, _) in (known | moved).items()
             }
         self._recorded.set()
         return True
@@ -174,16 +173,28 @@
                 return codes.Refused(
                     codes.Result.STALE, "the queue's pool is not recorded yet"
                 )
-        found = self._pools.get(queue_key(queue), ())
+        found = [used.pool for used in self.uses(queue)]
         if not found or found[-1] != queue.pool:
             return codes.Refused(
                 codes.Result.STALE, "the queue has moved to another pool"
             )
         return [pool for pool in dict.fromkeys(found) if pool != queue.pool]
 
+    @property
+    def read(self) -> bool:
+        """Whether the pools that the queues have had are known."""
+        return self._recorded_version > 0
+
     def known(self, queue: operatorconfig.Queue) -> list[str]:
         """Return the pools that a queue is known to have had."""
-        return list(dict.fromkeys(self._pools.get(queue_key(queue), ())))
+        return list(dict.fromkeys(used.pool for used in self.uses(queue)))
+
+    def uses(self, queue: operatorconfig.Queue) -> list[model.UsedPool]:
+        """Return the pools that a queue is known to have had, in order.
+
+        A pool is there once for each name that the queue had with it.
+        """
+        return self._uses.get(queue_key(queue), [])
 
 
 def _moved(
@@ -204,9 +215,10 @@
         served.add(key)
         row, version = known.get(key, (model.QueuePools("", []), 0))
         last = row.pools[-1] if row.pools else model.UsedPool("", 0)
-        if last.pool == queue.pool or last.since > configuration.version:
+        same = last.pool == queue.pool and last.queue == queue.name
+        if same or last.since > configuration.version:
             continue
-        used = model.UsedPool(queue.pool, configuration.version)
+        used = model.UsedPool(queue.pool, configuration.version, queue.name)
         address = f"{queue.host} {queue.prefix}"
         moved[key] = (model.QueuePools(address, [*row.pools, used]), version)
     return moved
--- a/tests/features/job_api.feature
+++ b/tests/features/job_api.feature
@@ -304,6 +304,39 @@
     And job 1 has started
     Then 1 job is pending
 
+  # Guards against jobs that wait and are not counted, as their queue has moved
+  # to another pool or has another name since.
+  Scenario Outline: Jobs wait while operators <change>
+    When job 1 is submitted
+    And job 2 is submitted
+    And job 3 is submitted
+    And job 1 has started
+    And the pending jobs of pool "count" are <published>
+    And operators <change>
+    And job 4 is submitted
+    Then 3 job is pending
+
+    Examples:
+      | change                                                  | published     |
+      | move the queue to pool "other"                          | not published |
+      | move the queue to pool "other"                          | published     |
+      | move the queue to pool "other" and put its pool on standby | published  |
+      | add the queue as "audits" with pool "count"             | not published |
+      | add the queue as "audits" with pool "other"             | not published |
+
+  # Guards against jobs that are not counted in a pool which the queue had before
+  # this release, whose row has no name.
+  Scenario: The pending jobs of a queue that an earlier release recorded
+    When an earlier release has recorded that the queue had pool "other"
+    And job 1 waits there
+    Then 1 job is pending
+
+  # Guards against a count that leaves pools out, by a process that has not read
+  # yet which pools the queues had.
+  Scenario: A new process counts pending jobs before it has read the pools
+    When a new process that can't read the store yet counts the pending jobs
+    Then the answers are "STALE"
+
   Scenario: The longest matching path prefix selects the queue
     Given queues at "/a/", "/a/b/" and "/c/" of "north.example"
     Then the queues of these paths are
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -13,6 +13,7 @@
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
+from agaterudder.jobs import queuepools
 from agaterudder import metrics
 from tests import job_builders
 from tests import memory_store
@@ -447,6 +448,56 @@
     step_cancel(context, number)
 
 
+@behave.when('the pending jobs of pool "{pool}" are {published}')
+def step_publish(context: Context, pool: str, published: str) -> None:
+    if published == "not published":
+        return
+    table = context.store.scan(model.jobs_table(pool), pool)
+    started = context.store.scan(model.PROGRESS_TABLE, pool)
+    count = len(table.rows) - len(started.rows)
+    content = model.Pending(context.store.clock, {job_builders.QUEUE: count})
+    context.store.transact(
+        model.pending_partition(pool),
+        [],
+        [
+            ports.Put(
+                model.PENDING_TABLE, model.PENDING_KEY, model.encode(content)
+            )
+        ],
+    )
+
+
+@behave.when(
+    'an earlier release has recorded that the queue had pool "{pool}"'
+)
+def step_recorded_before(context: Context, pool: str) -> None:
+    (queue,) = context.cluster.configuration.queues.values()
+    row = ["", [[pool, 0], [queue.pool, 0]]]
+    put = ports.Put(
+        model.QUEUE_POOLS_TABLE, queuepools.queue_key(queue), model.encode(row)
+    )
+    context.store.transact(model.QUEUE_POOLS_PARTITION, [], [put])
+    _apply(context.job_api, _with_queues(context, queue))
+
+
+@behave.when("job {number:d} waits there")
+def step_waits_there(context: Context, number: int) -> None:
+    name = f"{number:016x}"
+    job = job_builders.job(job=name)
+    put = ports.Put(model.jobs_table(OTHER_POOL), name, model.encode(job))
+    context.store.transact(OTHER_POOL, [], [put])
+
+
+@behave.when(
+    "a new process that can't read the store yet counts the pending jobs"
+)
+def step_count_unread(context: Context) -> None:
+    context.store.away = True
+    api = job_builders.job_api(context.store, context.cluster.configuration)
+    context.store.away = False
+    context.answers.append(api.pending(_call(context, 0)))
+
+
 @behave.then("{count:d} job is pending")
 def step_pending(context: Context, count: int) -> None:
     answer = context.job_api.pending(_call(context, 0))
