LOST: no 410 before the pools of the queues are read

A process that has just started and has not read yet which pools the queues had looked into the configured pools only, and answered 410 for a job that lies in another one.

It answers 503 (STALE) now, as it does for submissions and for `pending`; a job that it finds is shown as before. The scenario of a lookup before that reading failed without the change: the answer was NOT_FOUND.

--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -35,6 +35,8 @@
 REJECTED_READ_SECONDS = 0.5
 REJECTED_READ_PAUSE_SECONDS = 0.2
 RETRY_AFTER_SECONDS = 1
+# Reason of a refusal while jobs may lie in pools that are not known.
+POOLS_NOT_READ = "the pools of the queues are not read yet"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -399,6 +401,8 @@
             found = self._state_in_pool(pool, call)
             if found is not None:
                 return found
+        if not self._queue_pools.read:
+            return codes.Refused(codes.Result.STALE, POOLS_NOT_READ)
         return codes.Refused(codes.Result.NOT_FOUND, "no such job")
 
     def _state_in_pool(self, pool: str, call: Call) -> JobState | None:
@@ -562,9 +566,7 @@
         if refusal is not None:
             return refusal
         if not self._queue_pools.read:
-            return codes.Refused(
-                codes.Result.STALE, "the pools of the queues are not read yet"
-            )
+            return codes.Refused(codes.Result.STALE, POOLS_NOT_READ)
         try:
             return QueueState(
                 self._pending_counts.count(call.queue, call.usage)
--- a/tests/features/job_api.feature
+++ b/tests/features/job_api.feature
@@ -337,6 +337,14 @@
     When a new process that can't read the store yet counts the pending jobs
     Then the answers are "STALE"
 
+  # Guards against a job that seems lost, to a process that does not know yet of
+  # the pool where it lies.
+  Scenario: A new process looks a job up before it has read the pools
+    When job 1 is submitted
+    And a new process that can't read the store yet looks up job 1
+    And a new process that can't read the store yet looks up job 2
+    Then the answers are "Accepted, JobState, STALE"
+
   Scenario: The longest matching path prefix selects the queue
     Given queues at "/a/", "/a/b/" and "/c/" of "north.example"
     Then the queues of these paths are
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -492,10 +492,24 @@
     "a new process that can't read the store yet counts the pending jobs"
 )
 def step_count_unread(context: Context) -> None:
+    api = _api_without_record(context)
+    context.answers.append(api.pending(_call(context, 0)))
+
+
+@behave.when(
+    "a new process that can't read the store yet looks up job {number:d}"
+)
+def step_look_up_unread(context: Context, number: int) -> None:
+    api = _api_without_record(context)
+    context.answers.append(api.state(_call(context, number)))
+
+
+def _api_without_record(context: Context) -> jobapi.JobApi:
+    """Return the API of a process that has not read the queues' pools."""
     context.store.away = True
     api = job_builders.job_api(context.store, context.cluster.configuration)
     context.store.away = False
-    context.answers.append(api.pending(_call(context, 0)))
+    return api
 
 
 @behave.then("{count:d} job is pending")
