Attempts and the rows of jobs in modules of their own

No change of behaviour: crashes.py held what is stored before a start beside what is made of crashes, jobapi.py the reading of rows beside the calls.

--- a/models/crashes.py
+++ b/models/crashes.py
@@ -73,8 +73,8 @@
 FENCED = "an attempt is settled once its worker accepted the epoch"
 OUTLIVED = "an attempt is settled only if its worker still runs"
 GUARDS = {
-    ATTEMPT: "crashes.prepare",
-    WAIT: "crashes.stored_numbers",
+    ATTEMPT: "storedattempts.stored_numbers",
+    WAIT: "storedattempts.stored_numbers",
     EPOCH: "journalwriter.JournalWriter._write_batch",
     FENCED: "crashes._outlived",
     OUTLIVED: "crashes._outlived",
--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -12,14 +12,13 @@
 import typing as t
 
 from agaterudder import codes
-from agaterudder.jobs import attemptworkers
 from agaterudder.jobs import fleet
 from agaterudder.jobs import linelimit
 from agaterudder.jobs import model
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
-from agaterudder.jobs import storedprogress
+from agaterudder.jobs import storedattempts
 from agaterudder.jobs import suspects
 
 LOG = logging.getLogger(__name__)
@@ -80,7 +79,7 @@
     if run.started_up:
         # What crashes its worker now is not its start, and to give its job up
         # would stop the other tasks, which are at work.
-        _settle(state, task, run.number)
+        storedattempts.settle(state, task, run.number)
         return False
     progress = task.step.job.progress
     key = task.progress_key
@@ -96,7 +95,7 @@
     else:
         known = progress.late_crashes
     known.setdefault(key, []).append(run.number)
-    _remove_attempt(progress, key, run.number)
+    storedattempts.remove(progress, key, run.number)
     life = (run.worker.name, run.worker.incarnation)
     if not just_started:
         state.suspects.add_victim(life, task, run.number)
@@ -243,32 +242,10 @@
     state.suspects.discard(task)
     first = task.unit[0]
     if first.prepared is not None:
-        _settle(state, first, first.prepared.number)
+        storedattempts.settle(state, first, first.prepared.number)
         first.prepared = None
 
 
-def prepare(
-    state: pools.Pool,
-    task: runs.Task,
-    workers: tuple[model.WorkerLife, ...],
-) -> None:
-    """Record an attempt that is to be stored before its start.
-
-    :param workers: where it is to start. If it was prepared for others, the
-        same attempt is stored anew.
-    """
-    job = task.step.job
-    if task.prepared is None:
-        number = state.next_run()
-        job.progress.attempts.setdefault(task.progress_key, []).append(number)
-    else:
-        number = task.prepared.number
-    job.progress.attempt_workers[number] = workers
-    state.journal.mark(job)
-    task.prepared = runs.Prepared(number, state.journal.marked, workers)
-    state.suspects.prepared_mark = state.journal.marked
-
-
 def resolve_attempts(state: pools.Pool) -> None:
     """Settle the attempts of earlier holders that crashed no worker.
 
@@ -304,7 +281,7 @@
         if number < state.first_run and _outlived(state, task, number)
     ]
     for number in harmless:
-        _settle(state, task, number)
+        storedattempts.settle(state, task, number)
     found = suspects.evidence(task)
     if harmless and found.total < suspects.SUSPECT_CRASHES_RESTORED:
         _end_suspicion(state, task)
@@ -323,75 +300,6 @@
     )
 
 
-def stored_numbers(
-    state: pools.Pool,
-    tasks: t.Sequence[runs.Task],
-    workers: t.Sequence[runs.Worker],
-) -> list[int] | None:
-    """Return the run numbers of tasks that start together.
-
-    Some tasks start only once the attempt is stored, and only so many of a
-    job at a time.
-
-    :param workers: where each of the tasks is to start.
-    :returns: None while an attempt is being stored, or can't be yet.
-    """
-    firsts = {task.unit_name: task.unit[0] for task in tasks}
-    lives: dict[str, dict[model.WorkerLife, None]] = {}
-    for task, worker in zip(tasks, workers):
-        found = lives.setdefault(task.unit_name, {})
-        found[attemptworkers.life(worker)] = None
-    numbers: dict[str, int] = {}
-    for name, first in firsts.items():
-        if not _stored_before_start(state, first):
-            numbers[name] = state.next_run()
-            continue
-        if not _prepared_for(first, lives[name]) and (
-            first.prepared is not None
-            or storedprogress.attempts_left(
-                first.step.job.progress, state.first_run
-            )
-        ):
-            prepare(state, first, tuple(lives[name]))
-        if (
-            first.prepared is not None
-            and first.prepared.mark <= state.journal.stored
-        ):
-            numbers[name] = first.prepared.number
-    if len(numbers) < len(firsts):
-        return None
-    for first in firsts.values():
-        first.prepared = None
-    return [numbers[task.unit_name] for task in tasks]
-
-
-def _prepared_for(
-    task: runs.Task, lives: t.Collection[model.WorkerLife]
-) -> bool:
-    """Return whether the prepared attempt of a task names its workers."""
-    return task.prepared is not None and all(
-        life in task.prepared.workers for life in lives
-    )
-
-
-def _stored_before_start(state: pools.Pool, task: runs.Task) -> bool:
-    """Return whether the next start of a task is stored before.
-
-    That is the case for suspects, and for the first start by this holder of a
-    task that an earlier one may have started without a trace.
-    """
-    job = task.step.job
-    if task in state.suspects:
-        return True
-    return job.recovered and job.started and task.last_run < state.first_run
-
-
-def withdraw(state: pools.Pool, run: runs.Run) -> None:
-    """Remove the attempt of a run that no crash ended."""
-    if run.task is not None:
-        _settle(state, run.task, run.number)
-
-
 def run_listed(state: pools.Pool, run: runs.Run, now: float) -> None:
     """Apply that a worker lists a run as running."""
     task = run.task
@@ -411,7 +319,7 @@
     if not all(member.runs for member in task.unit):
         return
     run.attempt = False
-    _settle(state, task, run.number)
+    storedattempts.settle(state, task, run.number)
     if run.apart:
         run.apart = False
         _end_suspicion(state, task)
@@ -428,22 +336,15 @@
     if outcome in (ports.END_BROKEN, ports.END_ALONE):
         return
     _remove_crash(state, task, number)
-    _settle(state, task, number)
+    storedattempts.settle(state, task, number)
     found = suspects.evidence(task)
     if task in state.suspects and found.total < suspects.REPEATED_CRASHES:
         _end_suspicion(state, task)
 
 
-def watch(run: runs.Run) -> None:
-    """Watch a run if it was stored before its start."""
-    if run.task is not None:
-        attempts = run.task.step.job.progress.attempts
-        run.attempt = run.number in attempts.get(run.task.progress_key, ())
-
-
 def adopt(state: pools.Pool, run: runs.Run) -> None:
     """Watch a run of an earlier holder that was stored before its start."""
-    watch(run)
+    storedattempts.watch(run)
     task = run.task
     if not run.attempt or task is None or task not in state.suspects:
         return
@@ -457,7 +358,7 @@
 def _remove_crash(state: pools.Pool, task: runs.Task, number: int) -> None:
     progress = task.step.job.progress
     for known in progress.crash_records:
-        if _remove(known, task.progress_key, number):
+        if storedattempts.remove_number(known, task.progress_key, number):
             state.journal.mark(task.step.job)
 
 
@@ -474,36 +375,3 @@
             state.journal.mark(task.step.job)
     if task.progress_key not in task.step.job.progress.late_crashes:
         state.suspects.forget_share(task)
-
-
-def _settle(state: pools.Pool, task: runs.Task, number: int) -> None:
-    job = task.step.job
-    if _remove_attempt(job.progress, task.progress_key, number):
-        state.journal.mark(job)
-
-
-def forget_done(progress: model.Progress, key: str) -> None:
-    """Forget the attempts and crashes of a task that is done."""
-    for number in progress.attempts.pop(key, ()):
-        progress.attempt_workers.pop(number, None)
-    for known in progress.crash_records:
-        known.pop(key, None)
-
-
-def _remove_attempt(progress: model.Progress, key: str, number: int) -> bool:
-    """Remove an attempt; return whether it was there."""
-    progress.attempt_workers.pop(number, None)
-    return _remove(progress.attempts, key, number)
-
-
-def _remove(
-    stored: t.MutableMapping[str, list[int]], key: str, number: int
-) -> bool:
-    """Remove a number; return whether it was there."""
-    numbers = stored.get(key)
-    if numbers is None or number not in numbers:
-        return False
-    numbers.remove(number)
-    if not numbers:
-        del stored[key]
-    return True
--- a/src/agaterudder/jobs/jobapi.py
+++ b/src/agaterudder/jobs/jobapi.py
@@ -11,6 +11,7 @@
 from agaterudder.jobs import callreports
 from agaterudder.jobs import clock
 from agaterudder.jobs import clustercache
+from agaterudder.jobs import jobrows
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import pendingcounts
@@ -237,7 +238,7 @@
         outcome = self._write(
             call,
             pool,
-            _absent(pool, call.job),
+            jobrows.absent(pool, call.job),
             [ports.Put(model.ENDED_TABLE, call.job, model.encode(moved))],
         )
         match outcome:
@@ -254,11 +255,11 @@
 
         :returns: None when the job was only kept out of it.
         """
-        found = _keeping_out(rows)
+        found = jobrows.keeping_out(rows)
         match found:
-            case _KeepingOut(state=model.STATE_MOVED):
+            case jobrows.KeepingOut(state=model.STATE_MOVED):
                 return None
-            case _KeepingOut(row=row):
+            case jobrows.KeepingOut(row=row):
                 return self._store_withdrawn(call, pool, row)
         return Accepted()
 
@@ -267,12 +268,14 @@
     ) -> Accepted | codes.Refused:
         pool = call.queue.pool
         put = ports.Put(model.jobs_table(pool), call.job, content)
-        outcome = self._write(call, pool, _absent(pool, call.job), [put])
+        outcome = self._write(
+            call, pool, jobrows.absent(pool, call.job), [put]
+        )
         if isinstance(outcome, ports.Conflicted):
-            match _keeping_out(outcome.rows):
-                case _KeepingOut(state=model.STATE_MOVED, row=row):
+            match jobrows.keeping_out(outcome.rows):
+                case jobrows.KeepingOut(state=model.STATE_MOVED, row=row):
                     return self._bring_back(call, row, put)
-                case _KeepingOut(row=row):
+                case jobrows.KeepingOut(row=row):
                     return self._store_withdrawn(call, pool, row)
         return _accepted(outcome)
 
@@ -478,7 +481,7 @@
             if row is not None:
                 return self._store_cancel(call, pool, row)
             ended = self._read(model.ENDED_TABLE, pool, call)
-            if ended is not None and _keeping_out([ended]) is None:
+            if ended is not None and jobrows.keeping_out([ended]) is None:
                 return Accepted()
         return self._withdraw(call)
 
@@ -496,7 +499,9 @@
         if isinstance(earlier, codes.Refused):
             return earlier
         for pool in (call.queue.pool, *earlier):
-            found = self._withdraw_from(call, pool, _absent(pool, call.job))
+            found = self._withdraw_from(
+                call, pool, jobrows.absent(pool, call.job)
+            )
             if found is not None:
                 return found
         return codes.Refused(codes.Result.NOT_FOUND, "no such job")
@@ -523,10 +528,10 @@
                 return outcome
             case ports.Committed():
                 return None
-        match _keeping_out(outcome.rows):
-            case _KeepingOut(state=model.STATE_WITHDRAWN):
+        match jobrows.keeping_out(outcome.rows):
+            case jobrows.KeepingOut(state=model.STATE_WITHDRAWN):
                 return None
-            case _KeepingOut(row=row):
+            case jobrows.KeepingOut(row=row):
                 moved = [
                     ports.Precondition(model.jobs_table(pool), call.job, 0),
                     ports.Precondition(row.table, call.job, row.version),
@@ -620,51 +625,6 @@
     )
 
 
-def _absent(pool: str, job: str) -> list[ports.Precondition]:
-    """Return the conditions that a pool has no row of a job."""
-    return [
-        ports.Precondition(model.jobs_table(pool), job, 0),
-        ports.Precondition(model.ENDED_TABLE, job, 0),
-    ]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _KeepingOut:
-    """A row by which a job is kept out of a pool, with its decoded state."""
-
-    row: ports.Row
-    state: str
-
-
-def _keeping_out(rows: t.Iterable[ports.Row]) -> _KeepingOut | None:
-    """Return the row by which a job is kept out of a pool, if any."""
-    ended = (
-        (row, _decoded_end(row))
-        for row in rows
-        if row.table == model.ENDED_TABLE and row.version
-    )
-    return next(
-        (
-            _KeepingOut(row, found.state)
-            for row, found in ended
-            if found is not None and found.keeps_out
-        ),
-        None,
-    )
-
-
-def _decoded_end(row: ports.Row) -> model.Ended | None:
-    """Return the end of a job, None when it can't be decoded."""
-    try:
-        return model.decode(row.value, model.Ended)
-    except exceptions.Undecodable as error:
-        LOG.warning(
-            "end of a job can't be decoded",
-            extra={"job": row.key, "why": error},
-        )
-        return None
-
-
 def _pause_before_repeat(sent_at: float) -> None:
     """Wait as long as a call may not be repeated after it was sent."""
     next_at = sent_at + MIN_REPEAT_INTERVAL_SECONDS
--- a/src/agaterudder/jobs/listings.py
+++ b/src/agaterudder/jobs/listings.py
@@ -9,6 +9,7 @@
 from agaterudder.jobs import runends
 from agaterudder.jobs import runs
 from agaterudder.jobs import runstarts
+from agaterudder.jobs import storedattempts
 from agaterudder.jobs import workerends
 from agaterudder import resources
 
@@ -115,5 +116,5 @@
     stopped = run.stop_answered_at and sent_at >= run.stop_answered_at
     if start_expired or stopped:
         reason = "start expired" if start_expired else "stop answered"
-        crashes.withdraw(state, run)
+        storedattempts.withdraw(state, run)
         workerends.remove_run(state, run, f"not listed: {reason}", now)
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -15,6 +15,7 @@
 from agaterudder.jobs import runstarts
 from agaterudder.jobs import steporder
 from agaterudder.jobs import stops
+from agaterudder.jobs import storedattempts
 from agaterudder.jobs import suspects
 from agaterudder.jobs import throttling
 from agaterudder.jobs import workerchoice
@@ -133,7 +134,9 @@
                 return
             if not self._grant_covers(step, [task], tasks):
                 return
-            numbers = crashes.stored_numbers(self._state, [task], [worker])
+            numbers = storedattempts.stored_numbers(
+                self._state, [task], [worker]
+            )
             if numbers is None and not task.unit[0].prepared:
                 # Enough attempts of its job are being stored.
                 return
@@ -163,7 +166,7 @@
             )
             if chosen is None or not self._grant_covers(step, unit, unit):
                 continue
-            numbers = crashes.stored_numbers(self._state, unit, chosen)
+            numbers = storedattempts.stored_numbers(self._state, unit, chosen)
             for task, worker, number in zip(unit, chosen, numbers or ()):
                 self._start(task, worker, number).apart = True
 
@@ -252,7 +255,7 @@
             return
         if not self._grant_covers(step, tasks, tasks):
             return
-        numbers = crashes.stored_numbers(self._state, tasks, chosen)
+        numbers = storedattempts.stored_numbers(self._state, tasks, chosen)
         for task, worker, number in zip(tasks, chosen, numbers or ()):
             self._start(task, worker, number)
 
@@ -303,7 +306,7 @@
         before = task.last_run
         runstarts.record_placement(state, task, kind, self._now)
         run = state.add_run(task, worker, number, self._now)
-        crashes.watch(run)
+        storedattempts.watch(run)
         self._free.reread(worker)
         state.limits.charge(step.job.job.team, run.limit_key, step.step.size)
         run.deadline = worker.lease_deadline(
--- a/src/agaterudder/jobs/runends.py
+++ b/src/agaterudder/jobs/runends.py
@@ -11,6 +11,7 @@
 from agaterudder.jobs import poolreports
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import storedattempts
 
 LOG = logging.getLogger(__name__)
 
@@ -90,7 +91,7 @@
             step.done += 1
             job.progress.done.setdefault(step.key, []).append(member.index)
             job.progress.checkpoints.pop(member.checkpoint_key, None)
-            crashes.forget_done(job.progress, member.progress_key)
+            storedattempts.forget_done(job.progress, member.progress_key)
         for other in member.runs:
             other.require_stop("the task is done")
     state.journal.mark(job)
--- a/src/agaterudder/jobs/runstarts.py
+++ b/src/agaterudder/jobs/runstarts.py
@@ -2,10 +2,10 @@
 
 import logging
 
-from agaterudder.jobs import crashes
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import storedattempts
 
 LOG = logging.getLogger(__name__)
 
@@ -89,7 +89,7 @@
         run.task.step.tickets = None
     if reason == ports.REJECTED_INVALID and run.task is not None:
         run.task.not_before = now + INVALID_TASK_PAUSE_SECONDS
-    crashes.withdraw(state, run)
+    storedattempts.withdraw(state, run)
     state.remove_run(run, now)
 
 
--- a/src/agaterudder/jobs/workerends.py
+++ b/src/agaterudder/jobs/workerends.py
@@ -7,6 +7,7 @@
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import poolreports
 from agaterudder.jobs import runs
+from agaterudder.jobs import storedattempts
 
 LOG = logging.getLogger(__name__)
 
@@ -100,7 +101,7 @@
         crashes.worker_crashed(state, worker, now)
     for run in list(worker.runs.values()):
         if ended and not crashed:
-            crashes.withdraw(state, run)
+            storedattempts.withdraw(state, run)
         running = run.state is runs.RunState.RUNNING
         may_arrive = now - run.sent_at < fleet.MAX_ORDER_DELAY_SECONDS
         if not running and may_arrive and not ended:
