--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -13,7 +13,7 @@
 
 from agaterudder import codes  # noqa: E402
 from agaterudder.jobs import clock  # noqa: E402
-from agaterudder.jobs import jobapi  # noqa: E402
+from agaterudder.jobs import jobcalls  # noqa: E402
 from agaterudder.jobs import load as loads  # noqa: E402
 from agaterudder.jobs import machines  # noqa: E402
 from agaterudder.jobs import model  # noqa: E402
@@ -641,11 +641,11 @@
 def step_code(context: Context, name: str) -> None:
     store = context.simulation.store
     api = job_builders.job_api(store, job_builders.configuration())
-    call = jobapi.Call(
+    call = jobcalls.Call(
         job_builders.queue(), CULPRIT, "key-1", clock.now() + 3.0
     )
     state = api.state(call)
-    assert isinstance(state, jobapi.JobState), state
+    assert isinstance(state, jobcalls.JobState), state
     context.reply = gateway._reply(state)
     code = str(codes.Result[name].value)
     assert dict(context.reply.headers)["Agaterudder-Code"] == code
--- a/tests/features/steps/job_api_steps.py
+++ b/tests/features/steps/job_api_steps.py
@@ -10,6 +10,7 @@
 from agaterudder import exceptions
 from agaterudder.jobs import clock
 from agaterudder.jobs import jobapi
+from agaterudder.jobs import jobcalls
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import ports
@@ -41,11 +42,11 @@
     context: Context,
     number: int,
     queue: operatorconfig.Queue | None = None,
-) -> jobapi.Call:
+) -> jobcalls.Call:
     """Return a call about a queue, by default the only one."""
     if queue is None:
         (queue,) = context.cluster.configuration.queues.values()
-    return jobapi.Call(
+    return jobcalls.Call(
         queue,
         f"{number:016x}",
         context.key,
@@ -423,7 +424,7 @@
 @behave.then('the state of job {number:d} is "{state}"')
 def step_has_state(context: Context, number: int, state: str) -> None:
     answer = context.job_api.state(_call(context, number))
-    assert answer == jobapi.JobState(state), answer
+    assert answer == jobcalls.JobState(state), answer
 
 
 @behave.then("the state of job {number:d} is not found")
@@ -515,7 +516,7 @@
 @behave.then("{count:d} job is pending")
 def step_pending(context: Context, count: int) -> None:
     answer = context.job_api.pending(_call(context, 0))
-    assert answer == jobapi.QueueState(count), answer
+    assert answer == jobcalls.QueueState(count), answer
 
 
 @behave.then("the queues of these paths are")
--- a/tests/features/steps/large_job_steps.py
+++ b/tests/features/steps/large_job_steps.py
@@ -10,7 +10,7 @@
 from agaterudder.jobs import clock
 from agaterudder.jobs import deployment
 from agaterudder.jobs import estimates
-from agaterudder.jobs import jobapi
+from agaterudder.jobs import jobcalls
 from agaterudder.jobs import journalwriter
 from agaterudder.jobs import model
 from agaterudder.jobs import orders
@@ -302,7 +302,7 @@
     step = job_builders.step(count=count)
     request = model.Request("text", (step,) * steps, times)
     (queue,) = configured.queues.values()
-    call = jobapi.Call(queue, OTHER, "key-1", clock.now() + 3.0)
+    call = jobcalls.Call(queue, OTHER, "key-1", clock.now() + 3.0)
     context.answer = api.submit(call, request)
 
 
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -9,6 +9,7 @@
 from agaterudder.jobs import deployment
 from agaterudder.jobs import fleet
 from agaterudder.jobs import jobapi
+from agaterudder.jobs import jobcalls
 from agaterudder.jobs import leases
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
@@ -190,9 +191,9 @@
     """Return a job of one task as it is stored when its queue accepts it."""
     store = memory_store.MemoryStore()
     api = job_api(store, configuration(queues=(found,)))
-    call = jobapi.Call(found, name, "key-1", clock.now() + DEADLINE_SECONDS)
+    call = jobcalls.Call(found, name, "key-1", clock.now() + DEADLINE_SECONDS)
     answer = api.submit(call, job(step(count=1)).request)
-    assert isinstance(answer, jobapi.Accepted), answer
+    assert isinstance(answer, jobcalls.Accepted), answer
     row = store.read(model.jobs_table(POOL), POOL, name)
     assert row is not None
     return model.decode(row.value, model.Job)
