LOST: judge attempts once more before a job is given up

Attempts are settled when a pool is recovered, by the workers that have answered then. One whose worker was cut off from the new holder went on counting, though the worker answered later in the same incarnation; four of them gave the job up without a crash.

They are judged again right before the job is given up. The scenario "The worker of all attempts answers after the last take-over" failed without it; the one in which that worker has restarted is still given up.

--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -273,6 +273,17 @@
         )
 
 
+def judge_attempts(state: pools.Pool, task: runs.Task) -> None:
+    """Give a task up that has had too many attempts without an outcome.
+
+    Some of their workers may have answered only since the pool's recovery.
+    """
+    _resolve_attempts_of(state, task)
+    found = suspects.evidence(task)
+    if found.exhausted:
+        give_up(state, task, found)
+
+
 def _resolve_attempts_of(state: pools.Pool, task: runs.Task) -> int:
     """Settle the harmless attempts of a task; return their number."""
     harmless = [
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -154,9 +154,8 @@
             workers = self._isolation.workers_for(unit[0])
             if not workers:
                 continue
-            found = suspects.evidence(unit[0])
-            if found.exhausted:
-                crashes.give_up(self._state, unit[0], found)
+            if suspects.evidence(unit[0]).exhausted:
+                crashes.judge_attempts(self._state, unit[0])
                 return
             candidates = self._candidates(step, workers)
             if candidates is None:
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -306,6 +306,12 @@
             if process.alive and process.answers:
                 listing = self._listing(process)
                 listings.apply(self.state, worker, listing, self.now, self.now)
+                worker.fenced = True
+                worker.registration = job_builders.registration(
+                    process.name,
+                    rack=process.rack,
+                    incarnation=process.incarnation,
+                )
             elif not process.alive:
                 self._poll_dead(worker)
 
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -260,6 +260,21 @@
       | has not answered the new holder    | 1     |
       | is not named by an earlier release | 1     |
 
+  # Guards against a job that is given up as the worker of its attempts was cut
+  # off from the holders that took the pool over.
+  Scenario Outline: The worker of all attempts <fate> after the last take-over
+    Given a simulated pool of 1 workers
+    And a simulated job "culprit" of 2 tasks of 1 core that last 0.5 seconds
+    When 4 holders end after they stored an attempt, unheard by its worker
+    And the worker of its attempt <fate>
+    And 30 simulated seconds pass
+    Then job "culprit" is stored as <state>
+
+    Examples: fates
+      | fate                         | state     |
+      | answers                      | completed |
+      | has restarted under its name | failed    |
+
   # Guards against an attempt that is judged by a worker on which it did not
   # start.
   Scenario: The worker of a stored attempt has no room any more
--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -246,7 +246,10 @@
     match fate:
         case "still runs":
             pass
+        case "answers":
+            process.answers = True
         case "has restarted under its name":
+            process.answers = True
             process.incarnation += 1
         case "is gone":
             process.alive = False
@@ -265,6 +268,23 @@
             raise AssertionError(fate)
 
 
+@behave.when(
+    "{count:d} holders end after they stored an attempt, unheard by its worker"
+)
+def step_unheard(context: Context, count: int) -> None:
+    simulation = context.simulation
+    (process,) = simulation.processes.values()
+    for _ in range(count):
+        step_attempt_stored(context)
+        process.answers = False
+        simulation.take_over()
+        # It is heard again once the pool counts as recovered.
+        process.answers = True
+        simulation.poll()
+    process.answers = False
+    simulation.take_over()
+
+
 @behave.when("the pool is recovered by another holder")
 def step_recovered(context: Context) -> None:
     context.simulation.take_over()
