--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -51,6 +51,10 @@
     :ivar incarnation: start of its incarnation, Unix milliseconds.
     :ivar incarnation_known_at: when that incarnation became known.
     :ivar polled_at: when the last answered poll was sent, 0 before.
+    :ivar answered_at: when its last answer to a poll or an order arrived, 0
+        before.
+    :ivar end_asked: whether the list of machines is being asked whether it
+        has ended.
     :ivar unanswered_since: when the first poll or start since the last
         answered poll failed, 0 before.
     :ivar unanswered_polls: number of polls since the last answered one.
@@ -91,6 +95,8 @@
         "incarnation",
         "incarnation_known_at",
         "polled_at",
+        "answered_at",
+        "end_asked",
         "unanswered_since",
         "unanswered_polls",
         "latest_deadline",
@@ -130,6 +136,8 @@
         self.incarnation = registration.incarnation
         self.incarnation_known_at = 0.0
         self.polled_at = 0.0
+        self.answered_at = 0.0
+        self.end_asked = False
         self.unanswered_since = 0.0
         self.unanswered_polls = 0
         self.latest_deadline = 0.0
@@ -220,6 +228,7 @@
             self.registered
             and self.size_confirmed
             and not self.terminated
+            and not self.end_asked
             and self.fenced
             and self.persisted
             and not self.cordon_reason
@@ -277,11 +286,24 @@
             self.used = resources.ZERO
             self.idle_since = now
 
+    @property
+    def learnt_at(self) -> float:
+        """When something was last learnt that shows that it lives.
+
+        What was so before does not tell whether it has ended.
+        """
+        return self.answered_at
+
+    def record_answer(self, now: float) -> None:
+        """Record that an answer of it arrived."""
+        self.answered_at = max(self.answered_at, now)
+
     def record_poll(
         self, listing: ports.Listing, sent_at: float, now: float
     ) -> None:
         """Record an answered poll."""
         self.polled_at = max(self.polled_at, sent_at)
+        self.record_answer(now)
         self.unanswered_since = 0.0
         self.unanswered_polls = 0
         self.clock = listing.clock
--- a/src/agaterudder/jobs/orderexecutor.py
+++ b/src/agaterudder/jobs/orderexecutor.py
@@ -85,7 +85,7 @@
             )
             return
         job = run.task.step.job
-        sent_at = clock.now()
+        run.ordered_at = clock.now()
         answer = run.worker.link.start(
             ports.StartOrder(
                 run.task_name,
@@ -99,8 +99,9 @@
             ORDER_TIMEOUT_SECONDS,
         )
         now = clock.now()
+        _record_answer(run.worker, answer, now)
         self._context.metrics.observe(
-            "worker_start", now - sent_at, pool=self._context.pool
+            "worker_start", now - run.ordered_at, pool=self._context.pool
         )
         match answer:
             case ports.Started():
@@ -139,6 +140,7 @@
         answer = run.worker.link.renew(
             self._context.lease.epoch, 0, None, 0.0, PROBE_TIMEOUT_SECONDS
         )
+        _record_answer(run.worker, answer, clock.now())
         run.probed = isinstance(answer, ports.Listing)
         if run.probed:
             return ""
@@ -167,6 +169,7 @@
         if run.worker.incarnation != incarnation:
             # The answer may be that of the incarnation before.
             return
+        _record_answer(run.worker, answer, clock.now())
         match answer:
             case ports.Done():
                 run.stop_answered_at = clock.now()
@@ -191,6 +194,7 @@
             self._context.lease.epoch,
             ORDER_TIMEOUT_SECONDS,
         )
+        _record_answer(run.worker, answer, clock.now())
         if isinstance(answer, ports.Done):
             run.speed_percent = percent
         LOG.info(
@@ -243,6 +247,16 @@
         )
 
 
+def _record_answer(worker: runs.Worker, answer: object, now: float) -> None:
+    """Record that a worker lives if the answer to an order is its own."""
+    match answer:
+        case ports.NoAnswer():
+            return
+        case ports.Rejected(reason=ports.REJECTED_OTHER_INCARNATION):
+            return
+    worker.record_answer(now)
+
+
 def _subject(order: orders.Order) -> dict[str, str]:
     """Return what an order is about, for log lines."""
     if isinstance(order, orders.RequestTickets):
--- a/src/agaterudder/jobs/runs.py
+++ b/src/agaterudder/jobs/runs.py
@@ -84,6 +84,9 @@
     def earlier_stops_visible(self, stop_seconds: float) -> bool:
         """Return whether its listing reflects stops of earlier holders."""
 
+    def record_answer(self, now: float) -> None:
+        """Record that an answer of it arrived."""
+
     def remove(self, run: "Run", now: float) -> None:
         """Remove a run that has ended and release its capacity."""
 
@@ -96,6 +99,8 @@
         job that is not known.
     :ivar size_known: False for a run that an earlier holder started for a
         job that has ended since, as its size is no longer known.
+    :ivar sent_at: when its start was planned.
+    :ivar ordered_at: when the order to start it was sent, 0 before.
     :ivar deadline: end of the lease given with the start, after which the
         worker rejects the start; seconds of the worker's clock, 0 for a run
         that an earlier holder started.
@@ -127,6 +132,7 @@
         "worker",
         "state",
         "sent_at",
+        "ordered_at",
         "deadline",
         "uncertain_since",
         "running_since",
@@ -164,6 +170,7 @@
         self.worker = worker
         self.state = RunState.SENT
         self.sent_at = sent_at
+        self.ordered_at = 0.0
         self.deadline = 0.0
         self.uncertain_since = 0.0
         self.running_since = 0.0
@@ -192,6 +199,11 @@
         if self.stop_reason in ("", START_UNANSWERED):
             self.stop_reason = reason
 
+    @property
+    def in_flight(self) -> bool:
+        """Whether its start was sent and is neither answered nor given up."""
+        return self.state is RunState.SENT and self.ordered_at > 0
+
     @property
     def limit_key(self) -> str:
         """Key under which it is counted against its team's limit."""
--- a/src/agaterudder/jobs/stalls.py
+++ b/src/agaterudder/jobs/stalls.py
@@ -238,6 +238,7 @@
         return ""
     obstacles = {
         "terminated": worker.terminated,
+        "end_asked": worker.end_asked,
         "unregistered": not worker.registered,
         "taken_out": worker.registration.data_centre in taken_out,
         "unresponsive": worker.unresponsive(now),
--- a/src/agaterudder/jobs/workerends.py
+++ b/src/agaterudder/jobs/workerends.py
@@ -72,7 +72,8 @@
     """Handle the loss of a worker, which ended its runs.
 
     A worker that has ended carries out no start any more. One whose lease
-    has lapsed may, for as long as an order can be delayed.
+    has lapsed may, for as long as an order can be delayed. A start in flight
+    may have reached its next incarnation: its own answer tells.
 
     :param learnt: what the reason rests on.
     :param ended: whether the worker is known to have ended.
@@ -104,7 +105,7 @@
             storedattempts.withdraw(state, run)
         running = run.state is runs.RunState.RUNNING
         may_arrive = now - run.sent_at < fleet.MAX_ORDER_DELAY_SECONDS
-        if not running and may_arrive and not ended:
+        if not running and may_arrive and (run.in_flight or not ended):
             continue
         remove_run(state, run, reason, now)
 
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -363,9 +363,7 @@
                 },
             )
         state = self._holder.state
-        reason = self._holder.termination_reason(
-            worker, worker.unanswered_since
-        )
+        reason = self._termination_reason()
         evidence = f"{worker.unanswered_polls} polls without an answer"
         ended = bool(reason)
         crashed = reason == machines.NO_MACHINE and not worker.end_expected
@@ -395,6 +393,35 @@
         self._holder.request_planning()
         gevent.sleep(RETRY_SECONDS)
 
+    def _termination_reason(self) -> str:
+        """Return why the worker has ended, empty if it may run.
+
+        The list of machines tells what was so when it was asked for. What is
+        learnt of the worker until it is answered is newer.
+        """
+        worker = self._worker
+        asked_at = clock.now()
+        worker.end_asked = True
+        try:
+            reason = self._holder.termination_reason(
+                worker, max(worker.unanswered_since, worker.learnt_at)
+            )
+        finally:
+            worker.end_asked = False
+        if not reason or worker.learnt_at <= asked_at:
+            return reason
+        LOG.info(
+            "list of machines not used: the worker was heard since",
+            extra={
+                "worker": worker.name,
+                "why": reason,
+                "asked": round(clock.now() - asked_at, 3),
+                "heard": round(clock.now() - worker.learnt_at, 3),
+                "runs": len(worker.runs),
+            },
+        )
+        return ""
+
 
 def replacement_pause(replacements: int) -> float:
     """Return the seconds before a worker is asked again.
--- /dev/null
+++ b/tests/features/late_answers.feature
@@ -0,0 +1,54 @@
+Feature: An answer tells what was so when it was asked for
+  What is learnt of a worker while an answer about it is on its way is newer.
+
+  # Guards against tasks that are done twice (TWICE, review/11): a worker
+  # crashes and is soon back, and the list of machines, asked for in between,
+  # ends what its next life has been given since.
+  Scenario Outline: The list says a worker has ended; meanwhile <event>
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the list of machines says that its worker has ended; meanwhile <event>
+    And the pool is planned
+    And all progress is stored
+    And the pool is planned
+    Then <starts> starts are ordered
+
+    Examples: kept while it may run, else started elsewhere
+      | event                                 | starts |
+      | the worker accepts the start          | 1      |
+      | the worker answers a stop             | 1      |
+      | the worker answers a throttle         | 1      |
+      | the worker answers a probe            | 1      |
+      | the start stays in flight             | 1      |
+      | another worker answers the start      | 2      |
+      | the start gets no answer at all       | 2      |
+      | the start's connection is refused     | 2      |
+      | nothing, as the start was not sent    | 2      |
+
+  # Guards against a second run of a task whose start was in flight when its
+  # worker was found ended, and that the worker's next life accepted.
+  Scenario Outline: A start in flight when its worker was found ended <outcome>
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And the start is sent; its worker is found ended, and the start <outcome>
+    And the pool is planned
+    And all progress is stored
+    And the pool is planned
+    Then <starts> starts are ordered
+
+    Examples:
+      | outcome         | starts |
+      | is accepted     | 1      |
+      | was not sent    | 2      |
+
+  # Guards against starts that go to a worker of which the holder is asking
+  # whether it has ended.
+  Scenario: No task is placed on a worker while its end is asked for
+    Given a pool with 1 workers
+    And a job of 1 tasks of 1 core
+    When a poll gets no answer, and the pool is planned while the list is asked for
+    Then 0 starts are ordered
+    When the pool is planned
+    Then 1 starts are ordered
--- a/tests/features/steps/ended_worker_steps.py
+++ b/tests/features/steps/ended_worker_steps.py
@@ -9,7 +9,6 @@
 from agaterudder.jobs import clock
 from agaterudder.jobs import fleet
 from agaterudder.jobs import listings
-from agaterudder.jobs import orderexecutor
 from agaterudder.jobs import orders
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
@@ -300,22 +299,13 @@
     assert context.state.jobs
 
 
-def _executor(context: Context, link: mock.Mock) -> t.Any:
-    for worker in context.state.workers.values():
-        worker.link = link
-    pool_context = job_builders.context(
-        context.state, memory_store.MemoryStore()
-    )
-    return orderexecutor.OrderExecutor(pool_context, mock.Mock(), None)
-
-
 @behave.when("its worker ends before the start is sent")
 def step_ends_before(context: Context) -> None:
     (start,) = (o for o in context.orders if isinstance(o, orders.Start))
     worker = start.run.worker
     workerends.lost(context.state, worker, "gone", context.now, ended=True)
     context.link = mock.Mock()
-    _executor(context, context.link)._start_run(start)
+    pool_fakes.executor(context.state, context.link)._start_run(start)
 
 
 @behave.then("the start is not sent")
@@ -332,7 +322,8 @@
         workerends.restarted(context.state, run.worker, 2, context.now)
         return ports.Done()
 
-    _executor(context, mock.Mock(stop=stop))._stop_run(run)
+    link = mock.Mock(stop=stop)
+    pool_fakes.executor(context.state, link)._stop_run(run)
 
 
 @behave.then("the stop does not count as answered")
--- /dev/null
+++ b/tests/features/steps/late_answer_steps.py
@@ -0,0 +1,138 @@
+"""Steps for answers that were true when they were asked for."""
+
+import typing as t
+from unittest import mock
+
+import behave
+
+from agaterudder.jobs import clock
+from agaterudder.jobs import machines
+from agaterudder.jobs import orders
+from agaterudder.jobs import planning
+from agaterudder.jobs import ports
+from agaterudder.jobs import runs
+from agaterudder.jobs import workerloop
+from tests import job_builders
+from tests import pool_fakes
+
+Context = t.Any
+LEASE_SECONDS = 6.0
+# How long an answer is on its way.
+DELAY_SECONDS = 0.1
+
+
+def _poll_in_vain(
+    context: Context,
+    worker: t.Any,
+    meanwhile: t.Callable[[], None],
+    reason: str,
+) -> None:
+    """Let a worker's loop poll it, in vain.
+
+    :param meanwhile: what happens while the list of machines is asked for.
+    :param reason: why the worker has ended by that list.
+    """
+
+    def wait() -> None:
+        context.now += DELAY_SECONDS
+        meanwhile()
+        context.now += DELAY_SECONDS
+
+    holder = pool_fakes.FakeHolder(context.state)
+    holder.reason = reason
+    holder.on_list = wait
+    worker.link = pool_fakes.FakeLink([ports.NoAnswer("reset")])
+    loop = workerloop.WorkerLoop(worker, t.cast(t.Any, holder), LEASE_SECONDS)
+    with (
+        mock.patch.object(clock, "now", lambda: context.now),
+        mock.patch.object(workerloop.gevent, "sleep", lambda _: None),
+    ):
+        loop._poll()
+
+
+def _start(context: Context) -> orders.Start:
+    (start,) = (o for o in context.orders if isinstance(o, orders.Start))
+    return start
+
+
+def _happen(context: Context, event: str, run: runs.Run) -> None:
+    """Let something happen to a run or its worker."""
+    other = ports.Rejected(ports.REJECTED_OTHER_INCARNATION)
+    refused = ports.NoAnswer("connection refused", may_take_effect=False)
+    link = mock.Mock()
+    link.start.return_value = ports.Started()
+    link.stop.return_value = ports.Done()
+    link.throttle.return_value = ports.Done()
+    link.renew.return_value = job_builders.listing()
+    executor = pool_fakes.executor(context.state, link)
+    match event:
+        case "the worker accepts the start":
+            executor._start_run(_start(context))
+        case "the worker answers a stop":
+            run.require_stop("by the test")
+            executor._stop_run(run)
+        case "the worker answers a throttle":
+            executor._throttle(run, 50)
+        case "the worker answers a probe":
+            executor._probe(run)
+        case "the start stays in flight":
+            run.ordered_at = context.now
+        case "another worker answers the start":
+            link.start.return_value = other
+            executor._start_run(_start(context))
+        case "the start gets no answer at all":
+            link.start.return_value = ports.NoAnswer("time-out")
+            executor._start_run(_start(context))
+        case "the start's connection is refused":
+            link.start.return_value = refused
+            executor._start_run(_start(context))
+        case "nothing, as the start was not sent":
+            assert not run.ordered_at
+        case _:
+            raise AssertionError(event)
+
+
+@behave.when(
+    "the list of machines says that its worker has ended; meanwhile {event}"
+)
+def step_ended_meanwhile(context: Context, event: str) -> None:
+    run = _start(context).run
+    _poll_in_vain(
+        context,
+        run.worker,
+        lambda: _happen(context, event, run),
+        machines.NO_MACHINE,
+    )
+
+
+@behave.when(
+    "the start is sent; its worker is found ended, and the start {outcome}"
+)
+def step_ended_in_flight(context: Context, outcome: str) -> None:
+    run = _start(context).run
+    answers = {
+        "is accepted": ports.Started(),
+        "was not sent": ports.NoAnswer("refused", may_take_effect=False),
+    }
+
+    def start(*_: t.Any) -> t.Any:
+        _poll_in_vain(context, run.worker, lambda: None, machines.NO_MACHINE)
+        return answers[outcome]
+
+    with mock.patch.object(clock, "now", lambda: context.now):
+        executor = pool_fakes.executor(context.state, mock.Mock(start=start))
+        executor._start_run(_start(context))
+    assert (run.state is runs.RunState.RUNNING) == (outcome == "is accepted")
+
+
+@behave.when(
+    "a poll gets no answer, and the pool is planned while the list is asked"
+    " for"
+)
+def step_planned_meanwhile(context: Context) -> None:
+    (worker,) = context.state.workers.values()
+
+    def plan() -> None:
+        context.orders += planning.Plan(context.state, context.now).orders()
+
+    _poll_in_vain(context, worker, plan, "")
--- a/tests/pool_fakes.py
+++ b/tests/pool_fakes.py
@@ -1,10 +1,13 @@
 """Fakes of what surrounds a pool, for the tests of the job scheduler."""
 
 import typing as t
+from unittest import mock
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import orderexecutor
 from agaterudder.jobs import pool as pools
 from tests import job_builders
+from tests import memory_store
 
 MACHINES = 5
 
@@ -51,6 +54,7 @@
     :ivar on_wait: called while the ends are being stored.
     :ivar stores: whether the store stores them in time.
     :ivar reason: why its workers have ended, empty while they may run.
+    :ivar on_list: called while the list of machines is asked for.
     """
 
     def __init__(self, state: pools.Pool) -> None:
@@ -59,6 +63,7 @@
         self.on_wait: t.Callable[[], None] = lambda: None
         self.stores = True
         self.reason = ""
+        self.on_list: t.Callable[[], None] = lambda: None
 
     def holds_lease(self) -> bool:
         """Hold the lease."""
@@ -70,7 +75,8 @@
     def termination_reason(
         self, worker: fleet.WorkerState, since: float
     ) -> str:
-        """Return the reason that the test says."""
+        """Return the reason that the test says, after what is to happen."""
+        self.on_list()
         return self.reason
 
     def machine_evidence(self, now: float) -> str:
@@ -85,6 +91,16 @@
         return self.stores
 
 
+def executor(
+    state: pools.Pool, link: mock.Mock
+) -> orderexecutor.OrderExecutor:
+    """Return the executor of a pool's orders, which all go to one link."""
+    for worker in state.workers.values():
+        worker.link = link
+    context = job_builders.context(state, memory_store.MemoryStore())
+    return orderexecutor.OrderExecutor(context, mock.Mock(), None)
+
+
 class FakeScaledHolder:
     """A holder of a pool that has a standby pool.
 
