--- a/src/agaterudder/jobs/autoscaler.py
+++ b/src/agaterudder/jobs/autoscaler.py
@@ -276,7 +276,8 @@
         """Order the move of a worker's machine to standby.
 
         Without an answer the worker may run on: it stays cordoned, and the
-        order is repeated until it is answered or the worker has ended.
+        order is repeated until it is answered or the worker has ended. The
+        same holds for an answer before which the worker has restarted.
         """
         standby = self._holder.standby_pools()
         if not standby or not self._machine_cache.refresh():
@@ -294,10 +295,11 @@
             return
         if worker.cordon_reason != scaling.MOVE_UNANSWERED:
             self._holder.cordon_worker(worker, scaling.NOT_NEEDED)
+        incarnation = worker.incarnation
         match self._move(machine, standby[0]):
-            case ports.Done():
+            case ports.Done() if worker.incarnation == incarnation:
                 self._holder.mark_worker_terminated(worker, "moved to standby")
-            case ports.NoAnswer():
+            case ports.Done() | ports.NoAnswer():
                 self._holder.cordon_worker(worker, scaling.MOVE_UNANSWERED)
             case _ if worker.cordon_reason != scaling.MOVE_UNANSWERED:
                 self._holder.uncordon_worker(worker)
--- a/src/agaterudder/jobs/fleet.py
+++ b/src/agaterudder/jobs/fleet.py
@@ -292,7 +292,7 @@
 
         What was so before does not tell whether it has ended.
         """
-        return self.answered_at
+        return max(self.answered_at, self.incarnation_known_at)
 
     def record_answer(self, now: float) -> None:
         """Record that an answer of it arrived."""
--- a/src/agaterudder/jobs/maintenance.py
+++ b/src/agaterudder/jobs/maintenance.py
@@ -328,19 +328,23 @@
             return
         up = machine.state == ports.MACHINE_UP
         if not up or machine.worker != step.worker:
-            self._end_worker(step)
+            self._end_worker(step, self._machine_cache.asked_at)
         if up:
             self._finish(wave, step)
 
-    def _end_worker(self, step: _Step) -> None:
+    def _end_worker(self, step: _Step, asked_at: float) -> None:
         """Record that maintenance has ended a machine's worker.
 
         The answer to the order doesn't show it: the maintenance may have
         been over, and the worker started after it.
+
+        :param asked_at: when the list that shows it was asked for. A worker
+            that was heard since is back.
         """
         worker = self._holder.worker_state(step.worker)
-        if worker is not None and not worker.terminated:
-            self._holder.mark_worker_terminated(worker, MAINTENANCE_REASON)
+        if worker is None or worker.terminated or worker.learnt_at > asked_at:
+            return
+        self._holder.mark_worker_terminated(worker, MAINTENANCE_REASON)
 
     def _drained(self, step: _Step, machine: ports.Machine) -> bool:
         """Drain a machine's worker; return whether it is drained."""
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -410,17 +410,23 @@
             worker.end_asked = False
         if not reason or worker.learnt_at <= asked_at:
             return reason
+        self._log_outdated(reason, asked_at, clock.now())
+        return ""
+
+    def _log_outdated(self, reason: str, asked_at: float, now: float) -> None:
+        """Log an answer that is older than what is known of the worker."""
+        worker = self._worker
         LOG.info(
-            "list of machines not used: the worker was heard since",
+            "worker not taken for ended: it was heard since",
             extra={
                 "worker": worker.name,
                 "why": reason,
-                "asked": round(clock.now() - asked_at, 3),
-                "heard": round(clock.now() - worker.learnt_at, 3),
+                "asked": round(now - asked_at, 3),
+                "heard": round(now - worker.learnt_at, 3),
+                "life_start": worker.incarnation,
                 "runs": len(worker.runs),
             },
         )
-        return ""
 
 
 def replacement_pause(replacements: int) -> float:
--- a/tests/features/late_answers.feature
+++ b/tests/features/late_answers.feature
@@ -52,3 +52,33 @@
     Then 0 starts are ordered
     When the pool is planned
     Then 1 starts are ordered
+
+  # Guards against workers that are up and not used any more (LOST, review/12):
+  # a worker was back under its name before an answer about its life before
+  # arrived, and the new life was taken for the one that had ended.
+  Scenario Outline: A worker is back under its name before <answer> arrives
+    Given a pool with 1 workers whose registration is known
+    And a job of 1 tasks of 1 core
+    When it registers as a new incarnation before <answer> arrives
+    And its new incarnation answers a poll
+    And the pool is planned
+    Then 1 starts are ordered
+
+    Examples:
+      | answer                                           |
+      | the list of machines                             |
+      | the answer to the move of its machine to standby |
+
+  # Guards against the same by the list that shows the upkeep of its machine.
+  Scenario Outline: A worker registers anew <when> the list is asked for
+    Given a wave of 1 machines with at most 1 down at once
+    And two pools with 1 and 0 of them, without running tasks
+    When the maintenance of both pools has run 3 times
+    And its worker registers anew <when> the list that shows the maintenance
+    And the maintenance of both pools has run 1 times
+    Then <ended> workers count as ended
+
+    Examples:
+      | when   | ended |
+      | after  | 0     |
+      | before | 1     |
--- a/tests/features/steps/late_answer_steps.py
+++ b/tests/features/steps/late_answer_steps.py
@@ -5,14 +5,18 @@
 
 import behave
 
+from agaterudder.jobs import autoscaler
 from agaterudder.jobs import clock
+from agaterudder.jobs import listings
 from agaterudder.jobs import machines
 from agaterudder.jobs import orders
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 from agaterudder.jobs import workerloop
+from agaterudder.jobs import workerregistry
 from tests import job_builders
+from tests import memory_store
 from tests import pool_fakes
 
 Context = t.Any
@@ -50,6 +54,114 @@
         loop._poll()
 
 
+@behave.given("a pool with 1 workers whose registration is known")
+def step_registered_pool(context: Context) -> None:
+    context.execute_steps("Given a pool with 1 workers")
+    (worker,) = context.workers
+    context.cluster = mock.Mock(workers={worker.name: worker.registration})
+    context.holder = pool_fakes.FakeHolder(context.state)
+    context.registry = workerregistry.WorkerRegistry(
+        job_builders.context(context.state, memory_store.MemoryStore()),
+        context.cluster,
+        lambda registration: pool_fakes.FakeLink(),
+        mock.Mock(),
+        LEASE_SECONDS,
+        t.cast(t.Any, context.holder),
+    )
+    context.loop = workerloop.WorkerLoop(
+        worker, t.cast(t.Any, context.holder), LEASE_SECONDS
+    )
+
+
+def _register_anew(context: Context) -> None:
+    """Let the worker register as a new incarnation, a moment later."""
+    (worker,) = context.workers
+    context.now += DELAY_SECONDS
+    found = job_builders.registration(worker.name, incarnation=2)
+    context.cluster.workers = {worker.name: found}
+    context.registry.sync_registrations()
+
+
+def _await_list(context: Context) -> None:
+    context.holder.reason = machines.NO_MACHINE
+    context.holder.on_list = lambda: _register_anew(context)
+    (worker,) = context.workers
+    worker.link = pool_fakes.FakeLink([ports.NoAnswer("reset")])
+    context.loop._poll()
+
+
+def _await_move(context: Context) -> None:
+    (worker,) = context.workers
+    machine = ports.Machine(
+        "m1", job_builders.POOL, ports.MACHINE_UP, "north", worker.name
+    )
+
+    def move(*_: t.Any) -> ports.Done:
+        _register_anew(context)
+        return ports.Done()
+
+    scaler = autoscaler.Autoscaler(
+        pool_fakes.FakeScaledHolder(context.state),
+        machines.MachineCache(mock.Mock(list=lambda: [machine])),
+        t.cast(t.Any, mock.Mock(move=move)),
+    )
+    scaler._scale_down(worker)
+    # The order would be repeated.
+    worker.cordon_reason = ""
+
+
+AWAITED = {
+    "the list of machines": _await_list,
+    "the answer to the move of its machine to standby": _await_move,
+}
+
+
+@behave.when("it registers as a new incarnation before {answer} arrives")
+def step_registers_before(context: Context, answer: str) -> None:
+    with (
+        mock.patch.object(clock, "now", lambda: context.now),
+        mock.patch.object(workerloop.gevent, "sleep", lambda _: None),
+        mock.patch.object(workerloop.WorkerLoop, "start", lambda _: None),
+    ):
+        context.loop._wake = mock.Mock()
+        AWAITED[answer](context)
+        (worker,) = context.workers
+        if context.loop._removable():
+            context.registry.remove_worker(worker)
+        context.now += workerloop.UNREGISTERED_GRACE_SECONDS
+        context.registry.sync_registrations()
+
+
+@behave.when("its new incarnation answers a poll")
+def step_polled_anew(context: Context) -> None:
+    for worker in context.state.workers.values():
+        listing = job_builders.listing(incarnation=2)
+        listings.apply(
+            context.state, worker, listing, context.now, context.now
+        )
+        context.state.recovery.worker_fenced(worker, context.now)
+        worker.persisted = True
+
+
+@behave.when(
+    "its worker registers anew {when} the list that shows the maintenance"
+)
+def step_registers_in_wave(context: Context, when: str) -> None:
+    worker = context.holders["one"].worker_state("w-m0")
+    if when == "before":
+        worker.reset_incarnation(2, context.now - DELAY_SECONDS)
+        return
+    read = context.store.read
+
+    def read_slowly(*arguments: t.Any) -> t.Any:
+        context.store.read = read
+        context.now += DELAY_SECONDS
+        worker.reset_incarnation(2, context.now)
+        return read(*arguments)
+
+    context.store.read = read_slowly
+
+
 def _start(context: Context) -> orders.Start:
     (start,) = (o for o in context.orders if isinstance(o, orders.Start))
     return start
