TWICE: another worker's answer ends nothing that was heard since the poll

What callers would see: a task runs twice.

Cause: a poll that another worker at the address answers ends all runs of the worker, also those that it accepted after the poll was sent. Answers on different connections may overtake each other.

Change: if the worker answered an order or registered anew since the poll was sent, it is asked again.

Evidence: 2 of 3 new scenarios of late_answers.feature failed before.

--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -228,6 +228,11 @@
             case _ if worker.link is not link:
                 # The worker has moved to another address meanwhile.
                 return
+            case ports.Rejected(reason=ports.REJECTED_OTHER_INCARNATION) if (
+                worker.learnt_at > sent_at
+            ):
+                self._log_outdated("another worker answered", sent_at, now)
+                gevent.sleep(RETRY_SECONDS)
             case ports.Rejected(reason=ports.REJECTED_OTHER_INCARNATION):
                 self._handle_replacement(now)
             case ports.Rejected() | ports.NoAnswer():
--- a/tests/features/late_answers.feature
+++ b/tests/features/late_answers.feature
@@ -43,6 +43,24 @@
       | is accepted     | 1      |
       | was not sent    | 2      |
 
+  # Guards against a second run of what a worker was given since its poll was
+  # sent, which another worker at its address answered.
+  Scenario Outline: Another worker answers a poll; meanwhile <event>
+    Given a pool with 2 workers
+    And a job of 1 tasks of 1 core
+    When the pool is planned
+    And another worker answers its worker's poll; meanwhile <event>
+    And the pool is planned
+    And all progress is stored
+    And the pool is planned
+    Then <starts> starts are ordered
+
+    Examples: kept while it may run, else started elsewhere
+      | event                              | starts |
+      | the worker accepts the start       | 1      |
+      | the worker registers anew          | 1      |
+      | nothing, as the start was not sent | 2      |
+
   # Guards against starts that go to a worker of which the holder is asking
   # whether it has ended.
   Scenario: No task is placed on a worker while its end is asked for
--- a/tests/features/steps/late_answer_steps.py
+++ b/tests/features/steps/late_answer_steps.py
@@ -13,6 +13,7 @@
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
+from agaterudder.jobs import workerends
 from agaterudder.jobs import workerloop
 from agaterudder.jobs import workerregistry
 from tests import job_builders
@@ -30,11 +31,13 @@
     worker: t.Any,
     meanwhile: t.Callable[[], None],
     reason: str,
+    answer: t.Any = ports.NoAnswer("reset"),
 ) -> None:
     """Let a worker's loop poll it, in vain.
 
-    :param meanwhile: what happens while the list of machines is asked for.
-    :param reason: why the worker has ended by that list.
+    :param meanwhile: what happens before it is known whether it has ended.
+    :param reason: why the worker has ended by the list of machines.
+    :param answer: the answer to the poll.
     """
 
     def wait() -> None:
@@ -44,9 +47,13 @@
 
     holder = pool_fakes.FakeHolder(context.state)
     holder.reason = reason
-    holder.on_list = wait
-    worker.link = pool_fakes.FakeLink([ports.NoAnswer("reset")])
+    link = worker.link = pool_fakes.FakeLink([answer])
+    if isinstance(answer, ports.Rejected):
+        link.on_renew = wait
+    else:
+        holder.on_list = wait
     loop = workerloop.WorkerLoop(worker, t.cast(t.Any, holder), LEASE_SECONDS)
+    loop._wake = mock.Mock()
     with (
         mock.patch.object(clock, "now", lambda: context.now),
         mock.patch.object(workerloop.gevent, "sleep", lambda _: None),
@@ -176,6 +183,7 @@
     link.stop.return_value = ports.Done()
     link.throttle.return_value = ports.Done()
     link.renew.return_value = job_builders.listing()
+    polled = run.worker.link
     executor = pool_fakes.executor(context.state, link)
     match event:
         case "the worker accepts the start":
@@ -198,10 +206,13 @@
         case "the start's connection is refused":
             link.start.return_value = refused
             executor._start_run(_start(context))
+        case "the worker registers anew":
+            workerends.restarted(context.state, run.worker, 2, context.now)
         case "nothing, as the start was not sent":
             assert not run.ordered_at
         case _:
             raise AssertionError(event)
+    run.worker.link = polled
 
 
 @behave.when(
@@ -217,6 +228,18 @@
     )
 
 
+@behave.when("another worker answers its worker's poll; meanwhile {event}")
+def step_replaced_meanwhile(context: Context, event: str) -> None:
+    run = _start(context).run
+    _poll_in_vain(
+        context,
+        run.worker,
+        lambda: _happen(context, event, run),
+        "",
+        ports.Rejected(ports.REJECTED_OTHER_INCARNATION),
+    )
+
+
 @behave.when(
     "the start is sent; its worker is found ended, and the start {outcome}"
 )
