LIMIT: take a machine's row and the time of its list together

What callers would see: more machines of a wave down at once than it allows.

Cause: a look at a wave takes the rows of its machines from the cached list, and then orders one machine after the other. The cache may be read again meanwhile; the time of the newer list made an older row count as seen after the order, so that a machine counted as back before its upkeep.

Change: the time is taken with the rows.

Evidence: the new scenario of late_answers.feature failed before.

--- a/src/agaterudder/jobs/maintenance.py
+++ b/src/agaterudder/jobs/maintenance.py
@@ -173,10 +173,11 @@
             machine.machine: machine
             for machine in self._machine_cache.in_pool(self._holder.pool)
         }
+        asked_at = self._machine_cache.asked_at
         self._drop_moved_machines(wave, record, own)
         for name in record.down:
             if name in own:
-                self._advance(wave, own[name])
+                self._advance(wave, own[name], asked_at)
         candidates = self._candidates(wave, record, own)
         chosen = self._next_machines(wave, record, own, candidates)
         if chosen:
@@ -317,18 +318,27 @@
     # Continuing
 
     def _advance(
-        self, wave: operatorconfig.Wave, machine: ports.Machine
+        self,
+        wave: operatorconfig.Wave,
+        machine: ports.Machine,
+        asked_at: float,
     ) -> None:
+        """Take the next step for a machine that is down for a wave.
+
+        :param machine: as it is listed.
+        :param asked_at: when that list was asked for. The one that is cached
+            may be newer, as the orders for other machines take a while.
+        """
         step = self._step(machine)
         if not step.ordered_at:
             if self._drained(step, machine):
                 self._order(wave, step)
             return
-        if self._machine_cache.asked_at <= step.ordered_at:
+        if asked_at <= step.ordered_at:
             return
         up = machine.state == ports.MACHINE_UP
         if not up or machine.worker != step.worker:
-            self._end_worker(step, self._machine_cache.asked_at)
+            self._end_worker(step, asked_at)
         if up:
             self._finish(wave, step)
 
--- a/tests/features/late_answers.feature
+++ b/tests/features/late_answers.feature
@@ -87,7 +87,21 @@
       | the list of machines                             |
       | the answer to the move of its machine to standby |
 
-  # Guards against the same by the list that shows the upkeep of its machine.
+  # Guards against more machines down for a wave than it allows (LIMIT): a
+  # machine was taken for back by a list from before its upkeep, as the list
+  # was read again while another machine was ordered.
+  Scenario: The list is read again while a machine of the wave is ordered
+    Given a wave of 6 machines with at most 2 down at once
+    And a pool on standby with all of them
+    And every second answer of the machine API is lost
+    When the maintenance of both pools has run 3 times
+    And the list is read again while the first machine is ordered once more
+    And the maintenance of both pools has run 400 times
+    Then at most 2 machines were down at once
+    And each machine was maintained once
+
+  # Guards against a worker that is back and not used any more, by the list
+  # that shows the upkeep of its machine.
   Scenario Outline: A worker registers anew <when> the list is asked for
     Given a wave of 1 machines with at most 1 down at once
     And two pools with 1 and 0 of them, without running tasks
--- a/tests/features/steps/late_answer_steps.py
+++ b/tests/features/steps/late_answer_steps.py
@@ -24,6 +24,8 @@
 LEASE_SECONDS = 6.0
 # How long an answer is on its way.
 DELAY_SECONDS = 0.1
+# How much earlier than usual a wave is looked at once more.
+SINCE_LAST_SECONDS = 0.3
 
 
 def _poll_in_vain(
@@ -169,6 +171,26 @@
     context.store.read = read_slowly
 
 
+@behave.when(
+    "the list is read again while the first machine is ordered once more"
+)
+def step_list_read_again(context: Context) -> None:
+    """Run the maintenance soon, so that the list is still that of before."""
+    (found,) = context.maintenance.values()
+    maintain = context.machines.maintain
+
+    def read_again(*arguments: t.Any) -> t.Any:
+        context.machines.maintain = maintain
+        context.now += DELAY_SECONDS
+        assert found._machine_cache.refresh(context.now - DELAY_SECONDS / 2)
+        return maintain(*arguments)
+
+    context.machines.maintain = read_again
+    context.now -= SINCE_LAST_SECONDS
+    found.reconcile([context.wave])
+    context.now += SINCE_LAST_SECONDS
+
+
 def _start(context: Context) -> orders.Start:
     (start,) = (o for o in context.orders if isinstance(o, orders.Start))
     return start
