Leases: no epoch is raised once the claim has run out

What callers would see: nothing starts in a pool until its lease has run out once more.

Cause: a process claims a lease, reads the holder row and writes it. If the read took longer than the lease, the row was that of the next holder, and the write raised the epoch above it: the holder gave the pool up, and the lease of the writer was not valid.

Change: the row is not written once the lease has run out.

Evidence: one of two new scenarios of leases.feature failed before.

--- a/src/agaterudder/jobs/leases.py
+++ b/src/agaterudder/jobs/leases.py
@@ -324,7 +324,7 @@
             pool, outcome.version, sent_at + self._holder_lease_seconds
         )
         self._store_clock.update(outcome.clock, sent_at)
-        epoch = self._raise_epoch(pool)
+        epoch = self._raise_epoch(lease)
         if epoch is None:
             self._release(lease)
             self._claim_due_at[pool] = clock.now() + SCAN_INTERVAL_SECONDS
@@ -370,8 +370,13 @@
             timeout=RENEW_TIMEOUT_SECONDS,
         )
 
-    def _raise_epoch(self, pool: str) -> int | None:
-        """Write the holder row; return its version as the new epoch."""
+    def _raise_epoch(self, lease: Lease) -> int | None:
+        """Write the holder row; return its version as the new epoch.
+
+        It is not written once the lease has run out: the row that was read
+        may be that of the next holder.
+        """
+        pool = lease.pool
         own = model.Holder(self._vm, self._incarnation)
         try:
             row = self._store.read(model.HOLDERS_TABLE, pool, model.HOLDER_KEY)
@@ -381,6 +386,12 @@
                 extra={"pool": pool, "why": error},
             )
             return None
+        if not lease.valid(clock.now()):
+            LOG.warning(
+                "pool epoch not raised; releasing the lease",
+                extra={"pool": pool, "why": "the lease has run out"},
+            )
+            return None
         outcome = self._store.transact(
             pool,
             [
--- a/tests/features/leases.feature
+++ b/tests/features/leases.feature
@@ -46,6 +46,18 @@
     Then "a" holds the pool
     And the lease of "a" is valid
 
+  # Guards against a pool without a holder: a process whose lease ran out while
+  # it read the holder row raised the epoch above that of the next holder.
+  Scenario Outline: The holder row is read within <seconds> s of a claim
+    Given processes "a" and "b" and one pool
+    When "a" claims the pool, and "b" scans while "a" reads the holder row for <seconds> s
+    Then "<holder>" holds the pool with the highest epoch
+
+    Examples: leases last 2 s
+      | seconds | holder |
+      | 0.5     | a      |
+      | 3.0     | b      |
+
   Scenario: A process that shuts down releases its pools at once
     Given processes "a" and "b" and one pool
     And "a" holds the pool
--- a/tests/features/steps/lease_steps.py
+++ b/tests/features/steps/lease_steps.py
@@ -261,3 +261,30 @@
 @behave.then("nothing was stored")
 def step_nothing(context: Context) -> None:
     assert isinstance(context.outcome, ports.Conflicted)
+
+
+@behave.when(
+    '"a" claims the pool, and "b" scans while "a" reads the holder row for'
+    " {seconds:g} s"
+)
+def step_slow_claim(context: Context, seconds: float) -> None:
+    read = context.store.read
+
+    def read_slowly(*arguments: t.Any) -> t.Any:
+        context.store.read = read
+        _advance_clock(context, seconds)
+        _scan(context, "b")
+        return read(*arguments)
+
+    context.store.read = read_slowly
+    _scan(context, "a")
+
+
+@behave.then('"{name}" holds the pool with the highest epoch')
+def step_highest_epoch(context: Context, name: str) -> None:
+    holders = [
+        manager for manager in context.managers.values() if manager.leases
+    ]
+    assert holders == [context.managers[name]], len(holders)
+    row = context.store.read(model.HOLDERS_TABLE, POOL, model.HOLDER_KEY)
+    assert row.version == _lease(context, name).epoch
