TWICE: store the address that a worker has now, before it gets tasks

What callers would see: a task runs twice after a take-over.

Cause: the stored list of used workers kept the address of before, if a worker came back under its name at another one, before or while the list was stored. The next holder, without an entry of the worker, would ask there.

Change: a worker that has moved counts as not stored until its address is.

Evidence: 2 of 22 scenarios of late_answers.feature failed before; each of the two guards taken out makes one fail.

--- a/src/agaterudder/jobs/workerregistry.py
+++ b/src/agaterudder/jobs/workerregistry.py
@@ -198,6 +198,8 @@
         if registration.address != worker.registration.address:
             worker.link.close()
             worker.link = self._connect(registration)
+            # The stored list has the address from before.
+            worker.persisted = False
         # The worker's listings may know of a later restart. Its clock may have
         # been set back, so that the latest start is not always the highest.
         if (
@@ -337,7 +339,9 @@
                 self._persisted = wanted
                 self._persisted_version = version
                 for worker in present:
-                    worker.persisted = True
+                    # It may have moved while the list was being stored.
+                    address = worker.registration.address
+                    worker.persisted = wanted[worker.name].address == address
                 return True
             case ports.Conflicted(rows=rows):
                 self._context.check_epoch(rows)
--- a/tests/features/late_answers.feature
+++ b/tests/features/late_answers.feature
@@ -87,6 +87,25 @@
       | the list of machines                             |
       | the answer to the move of its machine to standby |
 
+  # Guards against a second run of a task (TWICE): the next holder asks a worker
+  # that has moved at its old address, where another one answers.
+  Scenario Outline: A worker moves <when> the list of used workers is stored
+    Given a pool with 1 workers whose registration is known
+    And a job of 1 tasks of 1 core
+    When it registers at another address <when> the list of used workers is stored
+    And its new incarnation has accepted the epoch
+    And the pool is planned
+    Then 0 starts are ordered
+    When the list of used workers is stored once more
+    And the pool is planned
+    Then 1 starts are ordered
+    And the stored list has its new address
+
+    Examples:
+      | when  |
+      | while |
+      | after |
+
   # Guards against more machines down for a wave than it allows (LIMIT): a
   # machine was taken for back by a list from before its upkeep, as the list
   # was read again while another machine was ordered.
--- a/tests/features/steps/late_answer_steps.py
+++ b/tests/features/steps/late_answer_steps.py
@@ -9,6 +9,7 @@
 from agaterudder.jobs import clock
 from agaterudder.jobs import listings
 from agaterudder.jobs import machines
+from agaterudder.jobs import model
 from agaterudder.jobs import orders
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
@@ -22,6 +23,8 @@
 
 Context = t.Any
 LEASE_SECONDS = 6.0
+FIRST_ADDRESS = job_builders.registration().address
+OTHER_ADDRESS = "127.0.0.1:10"
 # How long an answer is on its way.
 DELAY_SECONDS = 0.1
 # How much earlier than usual a wave is looked at once more.
@@ -67,10 +70,14 @@
 def step_registered_pool(context: Context) -> None:
     context.execute_steps("Given a pool with 1 workers")
     (worker,) = context.workers
+    worker.link = pool_fakes.FakeLink()
     context.cluster = mock.Mock(workers={worker.name: worker.registration})
     context.holder = pool_fakes.FakeHolder(context.state)
+    context.store = memory_store.MemoryStore()
+    place = (model.HOLDERS_TABLE, job_builders.POOL, model.HOLDER_KEY)
+    context.store.rows[place] = (b"", job_builders.EPOCH)
     context.registry = workerregistry.WorkerRegistry(
-        job_builders.context(context.state, memory_store.MemoryStore()),
+        job_builders.context(context.state, context.store),
         context.cluster,
         lambda registration: pool_fakes.FakeLink(),
         mock.Mock(),
@@ -82,11 +89,13 @@
     )
 
 
-def _register_anew(context: Context) -> None:
+def _register_anew(context: Context, address: str = FIRST_ADDRESS) -> None:
     """Let the worker register as a new incarnation, a moment later."""
     (worker,) = context.workers
     context.now += DELAY_SECONDS
-    found = job_builders.registration(worker.name, incarnation=2)
+    found = job_builders.registration(
+        worker.name, incarnation=2, address=address
+    )
     context.cluster.workers = {worker.name: found}
     context.registry.sync_registrations()
 
@@ -141,15 +150,55 @@
         context.registry.sync_registrations()
 
 
+@behave.when(
+    "it registers at another address {when} the list of used workers is"
+    " stored"
+)
+def step_moves_while_stored(context: Context, when: str) -> None:
+    transact = context.store.transact
+
+    def store(*arguments: t.Any) -> ports.Outcome:
+        context.store.transact = transact
+        if when == "while":
+            _register_anew(context, OTHER_ADDRESS)
+        return t.cast(ports.Outcome, transact(*arguments))
+
+    context.store.transact = store
+    with mock.patch.object(clock, "now", lambda: context.now):
+        assert context.registry._persist_workers()
+        if when == "after":
+            _register_anew(context, OTHER_ADDRESS)
+
+
+@behave.when("the list of used workers is stored once more")
+def step_stored_again(context: Context) -> None:
+    assert context.registry._persist_workers()
+
+
+@behave.then("the stored list has its new address")
+def step_stored_address(context: Context) -> None:
+    row = context.store.read(
+        model.HOLDERS_TABLE, job_builders.POOL, workerregistry.WORKERS_KEY
+    )
+    (known,) = model.decode(row.value, list[workerregistry.KnownWorker])
+    assert known.address == OTHER_ADDRESS, known
+
+
 @behave.when("its new incarnation answers a poll")
 def step_polled_anew(context: Context) -> None:
+    step_accepted_anew(context)
+    for worker in context.state.workers.values():
+        worker.persisted = True
+
+
+@behave.when("its new incarnation has accepted the epoch")
+def step_accepted_anew(context: Context) -> None:
     for worker in context.state.workers.values():
         listing = job_builders.listing(incarnation=2)
         listings.apply(
             context.state, worker, listing, context.now, context.now
         )
         context.state.recovery.worker_fenced(worker, context.now)
-        worker.persisted = True
 
 
 @behave.when(
