--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -30,6 +30,9 @@
 # crashes; one that was alone, at fewer.
 MAX_CRASHES_ALONE = 2
 MAX_CRASHES_APART = 3
+# The same if tasks of the job are at work, which would all be stopped; or if
+# other workers crash, and one of the crashes is a guess.
+MAX_CRASHES_DOUBTED = 4
 # The same with crashes under runs that had not just started.
 MAX_CRASHES_LATE = 5
 LINES_PER_SECOND = 20
@@ -52,7 +55,7 @@
 def _runs_crashed(
     state: pools.Pool, found: t.Iterable[runs.Run], now: float
 ) -> None:
-    state.suspects.crashes_seen += 1
+    state.suspects.crash_seen(now)
     recorded = [run for run in found if _record(state, run, now)]
     for run in recorded:
         _judge(state, run, now)
@@ -97,12 +100,15 @@
     known.setdefault(key, []).append(run.number)
     storedattempts.remove(progress, key, run.number)
     life = (run.worker.name, run.worker.incarnation)
+    state.suspects.crash_under(task, now)
     if not just_started:
         state.suspects.add_victim(life, task, run.number)
     else:
         state.suspects.add_crash(life, task, run.number)
     if known is not progress.lost_starts:
         state.suspects.count(task)
+    if known is progress.crashes and run.state is not runs.RunState.RUNNING:
+        state.suspects.add_guess(run.number)
     state.journal.mark(task.step.job)
     return True
 
@@ -117,7 +123,7 @@
     if not found.total - found.unresolved:
         # The cause of the crash is found.
         return
-    if run.apart and _proven(state, run, found):
+    if run.apart and _proven(state, run, found, now):
         give_up(state, task, found, run)
     elif just_started or found.total >= suspects.SUSPECT_CRASHES_LATE:
         state.suspects.add(task, just_started)
@@ -125,31 +131,46 @@
 
 
 def _proven(
-    state: pools.Pool, run: runs.Run, found: suspects.Evidence
+    state: pools.Pool, run: runs.Run, found: suspects.Evidence, now: float
 ) -> bool:
     """Return whether the crash of its worker shows that a run caused it.
 
     A run that had lasted for a while may have met a crash of another cause,
-    unless most crashes of the pool are under its task.
+    unless most crashes of the pool are under its task. So may one that had
+    just started, if other workers crash too.
     """
-    if not _confirmed(run):
+    task = run.task
+    if not _confirmed(run) or task is None:
+        return False
+    others_crash = state.suspects.others_crash(task, now)
+    at_work = _has_tasks_at_work(task.step.job)
+    if others_crash and at_work:
         return False
     if (
-        run.task is not None
-        and found.crashes + found.late_crashes >= MAX_CRASHES_LATE
-        and state.suspects.mostly_under(run.task)
+        found.crashes + found.late_crashes >= MAX_CRASHES_LATE
+        and state.suspects.mostly_under(task)
     ):
         return True
     company = [
         other
         for other in run.worker.runs.values()
-        if other.task is None
-        or run.task is None
-        or other.task.unit_name != run.task.unit_name
+        if other.task is None or other.task.unit_name != task.unit_name
     ]
-    if not company:
-        return found.crashes >= MAX_CRASHES_ALONE
-    return found.crashes >= MAX_CRASHES_APART
+    most = MAX_CRASHES_APART if company else MAX_CRASHES_ALONE
+    if at_work or others_crash and state.suspects.guessed(task):
+        most = MAX_CRASHES_DOUBTED
+    return found.crashes >= most
+
+
+def _has_tasks_at_work(job: runs.JobRun) -> bool:
+    """Return whether long-running tasks of a job are at work."""
+    return any(
+        run.started_up
+        for step in job.steps.values()
+        if step.step.long_running
+        for task in step.tasks
+        for run in task.runs
+    )
 
 
 def _report_suspect(
--- a/src/agaterudder/jobs/suspects.py
+++ b/src/agaterudder/jobs/suspects.py
@@ -8,6 +8,7 @@
 workers on which it was to start still run.
 """
 
+import collections
 import dataclasses
 import typing as t
 
@@ -32,6 +33,9 @@
 MAX_UNRESOLVED = 2
 # Crashes of workers that are remembered until their cause is found.
 MAX_CRASHES_KEPT = 100
+# Crashes of other workers within this time make it likely that a crash has
+# another cause than the task that had just started.
+OTHER_CRASHES_SECONDS = 10.0
 
 # Name and incarnation of the worker that crashed.
 Life = tuple[str, int]
@@ -112,6 +116,11 @@
     own: int = 0
 
 
+def _lately(times: t.Iterable[float], now: float) -> int:
+    """Return how many of the times were a short while ago."""
+    return sum(now - at < OTHER_CRASHES_SECONDS for at in times)
+
+
 class Suspects:
     """Tasks of a pool that start apart from all others.
 
@@ -124,6 +133,9 @@
     __slots__ = (
         "prepared_mark",
         "crashes_seen",
+        "_seen_at",
+        "_guessed",
+        "_under_at",
         "_shares",
         "_tasks",
         "_just_started",
@@ -134,6 +146,13 @@
     def __init__(self) -> None:
         self.prepared_mark = 0
         self.crashes_seen = 0
+        self._seen_at: collections.deque[float] = collections.deque(
+            maxlen=MAX_CRASHES_KEPT
+        )
+        self._guessed: collections.deque[int] = collections.deque(
+            maxlen=MAX_CRASHES_KEPT
+        )
+        self._under_at: dict[str, collections.deque[float]] = {}
         self._shares: dict[str, _Share] = {}
         self._tasks: dict[str, runs.Task] = {}
         self._just_started: set[str] = set()
@@ -155,6 +174,39 @@
         if just_started:
             self._just_started.add(task.unit_name)
 
+    def crash_seen(self, now: float) -> None:
+        """Note that a worker crashed, whatever ran there."""
+        self.crashes_seen += 1
+        self._seen_at.append(now)
+
+    def crash_under(self, task: "runs.Task", now: float) -> None:
+        """Note that a worker crashed that may have had a run of a task."""
+        times = self._under_at.setdefault(
+            task.unit_name, collections.deque(maxlen=MAX_CRASHES_KEPT)
+        )
+        # The members of a gang may have run on one worker.
+        if now not in times:
+            times.append(now)
+        if len(self._under_at) > MAX_CRASHES_KEPT:
+            del self._under_at[next(iter(self._under_at))]
+
+    def add_guess(self, number: int) -> None:
+        """Note that a run counts as crashed that its worker may not have had.
+
+        Its worker answered right before the start, and not the start itself.
+        """
+        self._guessed.append(number)
+
+    def guessed(self, task: "runs.Task") -> bool:
+        """Return whether a crash under a task is such a guess."""
+        known = task.step.job.progress.crashes.get(task.progress_key, ())
+        return any(number in self._guessed for number in known)
+
+    def others_crash(self, task: "runs.Task", now: float) -> bool:
+        """Return whether a worker crashed lately that had no run of a task."""
+        own = _lately(self._under_at.get(task.unit_name, ()), now)
+        return _lately(self._seen_at, now) > own
+
     def count(self, task: "runs.Task") -> None:
         """Count the latest crash as one under a task."""
         share = self._shares.get(task.unit_name)
--- a/src/agaterudder/jobs/workerloop.py
+++ b/src/agaterudder/jobs/workerloop.py
@@ -384,7 +384,7 @@
                 state, worker, reason, now, evidence, ended, crashed
             )
         elif crashed:
-            state.suspects.crashes_seen += 1
+            state.suspects.crash_seen(now)
         expired = [
             run
             for run in worker.runs.values()
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -33,9 +33,11 @@
 AFTER_STORE = "after its crash is stored"
 MAX_FORCED_TAKE_OVERS = 12
 # What happens at a start: its worker has crashed before, and the answer is
-# missed; or the worker crashes for another cause, after it has answered.
+# missed; the worker crashes for another cause, after it has answered; or it
+# does so after it has answered a probe, and before it has the start.
 LOST = "lost"
 CRASH = "crash"
+PROBED = "probed"
 # A random play, and the quiet time at its end.
 RANDOM_SECONDS = 12.0
 QUIET_SECONDS = 60.0
@@ -366,6 +368,10 @@
                 runstarts.unanswered(self.state, run, "time-out", self.now)
             return
         run.probed = run.apart
+        if fate == PROBED:
+            self.crash(process)
+            runstarts.unanswered(self.state, run, "reset", self.now)
+            return
         beside = tuple(task for task, _ in process.running)
         self.begun.append(
             Begun(run.task_name, run.number, process.name, self.epoch, beside)
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -166,6 +166,66 @@
       | 0.4   | 1, 1, 1, 1, 1, 1             |
       | 0.8   | 1, 0.6, 0.6, 0.6, 1, 1, 1, 1 |
 
+  # Guards against a long-running job whose tasks at work are all stopped
+  # (AVAIL), as workers crash for other causes when one of them starts.
+  Scenario Outline: Workers crash at <count> starts of a task, <others>
+    Given a simulated pool of 40 workers
+    And a simulated job "lasting" of 4 long-running tasks, 1 per worker
+    And long-running tasks are available 0.4 s after their start
+    When the worker of a task of job "lasting" crashes, and those of its next <count> starts, as <others>
+    Then every task of job "lasting" runs
+
+    Examples: others of its job are at work
+      | count | others                  |
+      | 1     | 0 others crash a second |
+      | 2     | 0 others crash a second |
+      | 3     | 0 others crash a second |
+      | 6     | 5 others crash a second |
+
+  # Guards against the same where no other worker crashes.
+  Scenario Outline: Workers crash at the first starts of a task: <fates>
+    Given a simulated pool of 8 workers
+    And a simulated job "culprit" of 4 long-running tasks, 1 per worker
+    And long-running tasks are available 0 s after their start
+    And the next starts of its task are <fates>
+    When 30 simulated seconds pass
+    Then every task of job "culprit" runs
+
+    Examples: others of its job are at work
+      | fates             |
+      | crash,crash       |
+      | crash,crash,crash |
+
+  # Guards against the opposite: a long-running task that crashes its workers
+  # again and again, as others of its job are at work.
+  Scenario Outline: A task crashes its worker after <seconds> s beside others at work
+    Given a simulated pool of 8 workers
+    And a simulated job "culprit" of 4 long-running tasks, 1 per worker
+    And long-running tasks are available 0.4 s after their start
+    And task 1 of job "culprit" crashes its worker after <seconds> seconds
+    When 60 simulated seconds pass
+    Then task 1 of job "culprit" was started 5 times at most
+    And job "culprit" is stored as failed
+
+    Examples:
+      | seconds |
+      | 0.0     |
+      | 0.2     |
+
+  # Guards against a job that is given up for starts that its workers never had:
+  # they answered a probe, and crashed before the start, as others did.
+  Scenario Outline: The starts of a suspect are lost after a probe; <others>
+    Given a simulated pool of 8 workers
+    And a simulated job "culprit" of 1 tasks of 1 core that last 0.5 seconds
+    And the next starts of its task are lost,probed,probed
+    When 10 simulated seconds pass in which <others>
+    Then job "culprit" is stored as <state>
+
+    Examples: without other crashes, its task is the likely cause
+      | others                  | state     |
+      | 2 others crash a second | completed |
+      | 0 others crash a second | failed    |
+
   # Guards against crashes that are counted where a worker ended by order, or
   # was only silent.
   Scenario Outline: A worker that <event> has not crashed
