--- a/src/agaterudder/jobs/attemptworkers.py
+++ b/src/agaterudder/jobs/attemptworkers.py
@@ -7,6 +7,7 @@
 import typing as t
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import model
 from agaterudder.jobs import runs
 
@@ -17,7 +18,7 @@
 
 
 def named(
-    tasks: t.Iterable[runs.Task], candidates: t.Sequence[fleet.WorkerState]
+    tasks: t.Iterable[jobruns.Task], candidates: t.Sequence[fleet.WorkerState]
 ) -> list[fleet.WorkerState]:
     """Return the candidates that the prepared attempts of tasks name."""
     lives = {
@@ -32,14 +33,14 @@
 
 
 def matched(
-    tasks: t.Sequence[runs.Task], chosen: t.Sequence[fleet.WorkerState]
+    tasks: t.Sequence[jobruns.Task], chosen: t.Sequence[fleet.WorkerState]
 ) -> list[fleet.WorkerState]:
     """Return the chosen workers in an order that suits their attempts.
 
     The tasks are of one step, so that each may take the worker of another.
     """
     left = list(chosen)
-    found: dict[runs.Task, fleet.WorkerState] = {}
+    found: dict[jobruns.Task, fleet.WorkerState] = {}
     for task in tasks:
         worker = next(iter(named([task], left)), None)
         if worker is not None:
--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -13,6 +13,7 @@
 
 from agaterudder import codes
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import linelimit
 from agaterudder.jobs import model
 from agaterudder.jobs import pool as pools
@@ -162,7 +163,7 @@
     return found.crashes >= most
 
 
-def _has_tasks_at_work(job: runs.JobRun) -> bool:
+def _has_tasks_at_work(job: jobruns.JobRun) -> bool:
     """Return whether long-running tasks of a job are at work."""
     return any(
         run.started_up
@@ -176,7 +177,7 @@
 def _report_suspect(
     state: pools.Pool,
     run: runs.Run,
-    task: runs.Task,
+    task: jobruns.Task,
     found: suspects.Evidence,
     now: float,
 ) -> None:
@@ -206,7 +207,7 @@
 
 def give_up(
     state: pools.Pool,
-    task: runs.Task,
+    task: jobruns.Task,
     found: suspects.Evidence,
     run: runs.Run | None = None,
 ) -> None:
@@ -252,14 +253,14 @@
     )
 
 
-def _clear(state: pools.Pool, task: runs.Task, number: int) -> None:
+def _clear(state: pools.Pool, task: jobruns.Task, number: int) -> None:
     """Remove a crash from a task, as another one caused it."""
     _remove_crash(state, task, number)
     if not suspects.evidence(task).total:
         _end_suspicion(state, task)
 
 
-def _end_suspicion(state: pools.Pool, task: runs.Task) -> None:
+def _end_suspicion(state: pools.Pool, task: jobruns.Task) -> None:
     state.suspects.discard(task)
     first = task.unit[0]
     if first.prepared is not None:
@@ -294,7 +295,7 @@
         )
 
 
-def judge_attempts(state: pools.Pool, task: runs.Task) -> None:
+def judge_attempts(state: pools.Pool, task: jobruns.Task) -> None:
     """Give a task up that has had too many attempts without an outcome.
 
     Some of their workers may have answered only since the pool's recovery.
@@ -305,7 +306,7 @@
         give_up(state, task, found)
 
 
-def _resolve_attempts_of(state: pools.Pool, task: runs.Task) -> int:
+def _resolve_attempts_of(state: pools.Pool, task: jobruns.Task) -> int:
     """Settle the harmless attempts of a task; return their number."""
     harmless = [
         number
@@ -320,7 +321,7 @@
     return len(harmless)
 
 
-def _outlived(state: pools.Pool, task: runs.Task, number: int) -> bool:
+def _outlived(state: pools.Pool, task: jobruns.Task, number: int) -> bool:
     """Return whether all workers that an attempt names still run."""
     named = task.step.job.progress.attempt_workers.get(number, ())
     return bool(named) and all(
@@ -358,7 +359,7 @@
 
 
 def run_ended(
-    state: pools.Pool, task: runs.Task, number: int, outcome: str
+    state: pools.Pool, task: jobruns.Task, number: int, outcome: str
 ) -> None:
     """Apply that a worker lists the end of a run: it did not crash.
 
@@ -387,7 +388,7 @@
     run.apart = True
 
 
-def _remove_crash(state: pools.Pool, task: runs.Task, number: int) -> None:
+def _remove_crash(state: pools.Pool, task: jobruns.Task, number: int) -> None:
     progress = task.step.job.progress
     for known in progress.crash_records:
         if storedattempts.remove_number(known, task.progress_key, number):
@@ -396,7 +397,7 @@
 
 def _forget(
     state: pools.Pool,
-    task: runs.Task,
+    task: jobruns.Task,
     records: t.Iterable[t.MutableMapping[str, list[int]]],
 ) -> None:
     """Forget crashes under a task that has done better since."""
--- a/src/agaterudder/jobs/draining.py
+++ b/src/agaterudder/jobs/draining.py
@@ -2,6 +2,7 @@
 
 from agaterudder.jobs import deployment
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import runs
 
 # Time that tasks other than long-running ones get to end by themselves.
@@ -85,7 +86,7 @@
     )
 
 
-def _earlier_stops_visible(step: runs.StepRun, stop_seconds: float) -> bool:
+def _earlier_stops_visible(step: jobruns.StepRun, stop_seconds: float) -> bool:
     """Return whether the listings show all stops of earlier holders."""
     return all(
         run.worker.earlier_stops_visible(stop_seconds)
--- a/src/agaterudder/jobs/estimates.py
+++ b/src/agaterudder/jobs/estimates.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from agaterudder.jobs import runs
+from agaterudder.jobs import jobruns
 
 # Weight of the latest duration in the exponential moving average.
 SMOOTHING_FACTOR = 0.2
@@ -22,12 +22,12 @@
             collections.OrderedDict()
         )
 
-    def seconds(self, step: runs.StepRun) -> float:
+    def seconds(self, step: jobruns.StepRun) -> float:
         """Return the expected duration of a task in the rack of its data."""
         declared = step.step.estimate_seconds or DEFAULT_SECONDS
         return declared * self._factors.get(_kind(step), 1.0)
 
-    def update(self, step: runs.StepRun, seconds: float) -> None:
+    def update(self, step: jobruns.StepRun, seconds: float) -> None:
         """Add the duration of an uninterrupted run near the task's data."""
         declared = step.step.estimate_seconds or DEFAULT_SECONDS
         kind = _kind(step)
@@ -38,7 +38,9 @@
         while len(self._factors) > MAX_KINDS:
             self._factors.popitem(last=False)
 
-    def critical_paths(self, job: runs.JobRun, occurrence: int) -> list[float]:
+    def critical_paths(
+        self, job: jobruns.JobRun, occurrence: int
+    ) -> list[float]:
         """Return the critical path from each step to the end of its job.
 
         Takes time in proportion to the steps and their dependencies.
@@ -56,5 +58,5 @@
         return longest
 
 
-def _kind(step: runs.StepRun) -> tuple[str, str]:
+def _kind(step: jobruns.StepRun) -> tuple[str, str]:
     return (step.job.job.queue, step.step.image)
--- a/src/agaterudder/jobs/groupchoice.py
+++ b/src/agaterudder/jobs/groupchoice.py
@@ -4,8 +4,8 @@
 
 from agaterudder.jobs import fleet
 from agaterudder.jobs import freecapacity
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import pool as pools
-from agaterudder.jobs import runs
 
 # Longest time that tasks wait for one rack with room for all of them.
 MAX_RACK_WAIT_SECONDS = 2.0
@@ -13,8 +13,8 @@
 
 def choose(
     state: pools.Pool,
-    step: runs.StepRun,
-    tasks: t.Sequence[runs.Task],
+    step: jobruns.StepRun,
+    tasks: t.Sequence[jobruns.Task],
     candidates: list[fleet.WorkerState],
     free: freecapacity.FreeCapacity,
     now: float,
@@ -38,7 +38,7 @@
 
 def _rack_groups(
     state: pools.Pool,
-    step: runs.StepRun,
+    step: jobruns.StepRun,
     candidates: list[fleet.WorkerState],
     now: float,
 ) -> list[list[fleet.WorkerState]]:
@@ -66,8 +66,8 @@
 
 def _assign_workers(
     state: pools.Pool,
-    step: runs.StepRun,
-    tasks: t.Sequence[runs.Task],
+    step: jobruns.StepRun,
+    tasks: t.Sequence[jobruns.Task],
     group: list[fleet.WorkerState],
     capacity: freecapacity.FreeCapacity,
 ) -> list[fleet.WorkerState] | None:
--- a/src/agaterudder/jobs/isolation.py
+++ b/src/agaterudder/jobs/isolation.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import runs
 
@@ -57,7 +58,7 @@
             worker for worker in accepting if worker.name not in self._names
         ]
 
-    def workers_for(self, task: runs.Task) -> list[fleet.WorkerState]:
+    def workers_for(self, task: jobruns.Task) -> list[fleet.WorkerState]:
         """Return the workers on which a suspect may start now."""
         kept = self._kept.get(task.unit_name, [])
         ready = all(
@@ -69,7 +70,7 @@
 
     def _keep_for(
         self,
-        waiting: t.Sequence[runs.Task],
+        waiting: t.Sequence[jobruns.Task],
         accepting: t.Sequence[fleet.WorkerState],
     ) -> None:
         limit = max(len(accepting) // WORKERS_PER_KEPT, 1)
@@ -95,7 +96,7 @@
             worker.name for kept in self._kept.values() for worker in kept
         )
 
-    def _grant_covers(self, task: runs.Task) -> bool:
+    def _grant_covers(self, task: jobruns.Task) -> bool:
         """Return whether the team's grant covers a suspect, or ask for it."""
         team = task.step.job.job.team
         limits = self._state.limits
@@ -107,7 +108,7 @@
 
     def _choose(
         self,
-        task: runs.Task,
+        task: jobruns.Task,
         accepting: t.Sequence[fleet.WorkerState],
         kept_before: frozenset[str],
     ) -> list[fleet.WorkerState]:
--- a/src/agaterudder/jobs/journal.py
+++ b/src/agaterudder/jobs/journal.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
-from agaterudder.jobs import runs
 from agaterudder.jobs import storedprogress
 
 # The store accepts 100 entries in a transaction; a job needs at most 5.
@@ -27,15 +27,15 @@
     :ivar oversized: jobs whose progress exceeds a row, which is not written.
     """
 
-    marks: dict[runs.JobRun, int]
+    marks: dict[jobruns.JobRun, int]
     preconditions: tuple[ports.Precondition, ...]
     puts: tuple[ports.Put, ...]
     deletes: tuple[ports.Delete, ...]
     upto: int
-    oversized: tuple[runs.JobRun, ...] = ()
+    oversized: tuple[jobruns.JobRun, ...] = ()
 
     @property
-    def jobs(self) -> tuple[runs.JobRun, ...]:
+    def jobs(self) -> tuple[jobruns.JobRun, ...]:
         """Jobs whose progress the transaction stores."""
         return tuple(self.marks)
 
@@ -57,13 +57,13 @@
         self._row_bytes = row_bytes
         self.marked = 0
         self.stored = 0
-        self._dirty: dict[runs.JobRun, int] = {}
+        self._dirty: dict[jobruns.JobRun, int] = {}
         self._orphans: list[ports.Delete] = []
 
     def __len__(self) -> int:
         return len(self._dirty) + len(self._orphans)
 
-    def mark(self, job: runs.JobRun) -> None:
+    def mark(self, job: jobruns.JobRun) -> None:
         """Note that a job's progress changed."""
         if job.ending_stored:
             return
@@ -109,7 +109,7 @@
             tuple(oversized),
         )
 
-    def committed(self, batch: Batch, version: int) -> list[runs.JobRun]:
+    def committed(self, batch: Batch, version: int) -> list[jobruns.JobRun]:
         """Mark a batch as stored; return the jobs that ended."""
         self.stored = max(self.stored, batch.upto)
         progressed = {
@@ -149,7 +149,7 @@
 
 def _add_job(
     pool: str,
-    job: runs.JobRun,
+    job: jobruns.JobRun,
     progress: bytes | None,
     clock: float,
     preconditions: list[ports.Precondition],
--- a/src/agaterudder/jobs/listedtasks.py
+++ b/src/agaterudder/jobs/listedtasks.py
@@ -1,12 +1,12 @@
 """Tasks of the runs that workers list."""
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import poolreports
-from agaterudder.jobs import runs
 
 
-def find(state: pools.Pool, name: str, now: float) -> runs.Task | None:
+def find(state: pools.Pool, name: str, now: float) -> jobruns.Task | None:
     """Return the task of a listed run, None when its job is unknown.
 
     Creates the occurrences up to that of the task: as it was started,
@@ -33,7 +33,7 @@
 
 def report_duplicates(
     state: pools.Pool,
-    task: runs.Task,
+    task: jobruns.Task,
     worker: fleet.WorkerState,
     number: int,
     outcome: str,
--- a/src/agaterudder/jobs/load.py
+++ b/src/agaterudder/jobs/load.py
@@ -10,8 +10,8 @@
 
 from agaterudder.jobs import demand
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import pool as pools
-from agaterudder.jobs import runs
 from agaterudder.jobs import suspects
 from agaterudder import resources
 
@@ -157,7 +157,7 @@
     )
 
 
-def _counts_as_demand(step: runs.StepRun) -> bool:
+def _counts_as_demand(step: jobruns.StepRun) -> bool:
     """Return whether the pool may scale up for the tasks of a step."""
     return (
         bool(step.ready_at)
@@ -166,13 +166,13 @@
     )
 
 
-def _waiting(step: runs.StepRun) -> int:
+def _waiting(step: jobruns.StepRun) -> int:
     return sum(1 for task in step.tasks if task.waiting)
 
 
 def steps_without_room(
     state: pools.Pool, workers: list[fleet.WorkerState], now: float
-) -> list[runs.StepRun]:
+) -> list[jobruns.StepRun]:
     """Return steps whose tasks have no room beside long-running tasks.
 
     Room that short tasks use becomes free; a task that needs more than the
@@ -207,14 +207,14 @@
     ]
 
 
-def _within_limit(step: runs.StepRun, worker: fleet.WorkerState) -> bool:
+def _within_limit(step: jobruns.StepRun, worker: fleet.WorkerState) -> bool:
     """Return whether a worker may take a task once its short ones ended."""
     return not step.step.long_running or step.within_worker_limit(worker.name)
 
 
 def workers_for(
     state: pools.Pool,
-    steps: list[runs.StepRun],
+    steps: list[jobruns.StepRun],
     workers: list[fleet.WorkerState],
 ) -> int:
     """Return how many more workers have room for steps that have none.
--- a/src/agaterudder/jobs/loadreports.py
+++ b/src/agaterudder/jobs/loadreports.py
@@ -7,9 +7,9 @@
 import logging
 import typing as t
 
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import linelimit
 from agaterudder.jobs import ports
-from agaterudder.jobs import runs
 
 LOG = logging.getLogger(__name__)
 
@@ -33,7 +33,9 @@
         self._limit = linelimit.LineLimit(LINES_PER_SECOND)
         self._jobs: list[str] = []
 
-    def job_loaded(self, job: runs.JobRun, version: int, now: float) -> None:
+    def job_loaded(
+        self, job: jobruns.JobRun, version: int, now: float
+    ) -> None:
         """Note a job that was loaded.
 
         :param version: version of its row.
@@ -69,7 +71,7 @@
         self._jobs.clear()
 
     def cancellation_loaded(
-        self, job: str, version: int, found: runs.JobRun | None
+        self, job: str, version: int, found: jobruns.JobRun | None
     ) -> None:
         """Report a cancellation that was loaded.
 
@@ -106,7 +108,7 @@
             },
         )
 
-    def row_removed(self, job: runs.JobRun, lease_held: bool) -> None:
+    def row_removed(self, job: jobruns.JobRun, lease_held: bool) -> None:
         """Report a row that was removed while its job has not ended here.
 
         :param lease_held: whether this process holds the pool's lease;
--- a/src/agaterudder/jobs/orders.py
+++ b/src/agaterudder/jobs/orders.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import runs
 
 
@@ -33,7 +34,7 @@
 class RequestTickets:
     """Request tickets for a step from the placement policy."""
 
-    step: runs.StepRun
+    step: jobruns.StepRun
     workers: tuple[str, ...]
 
 
--- a/src/agaterudder/jobs/planning.py
+++ b/src/agaterudder/jobs/planning.py
@@ -8,6 +8,7 @@
 from agaterudder.jobs import freecapacity
 from agaterudder.jobs import groupchoice
 from agaterudder.jobs import isolation
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import orders
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import preemption
@@ -100,7 +101,7 @@
             and worker.registration.data_centre not in self._state.taken_out
         )
 
-    def _place_step(self, step: runs.StepRun) -> None:
+    def _place_step(self, step: jobruns.StepRun) -> None:
         tasks = step.waiting_tasks(self._now)
         if self._state.suspects:
             suspected = [
@@ -146,7 +147,7 @@
             self._start(task, worker, numbers[0])
 
     def _place_apart(
-        self, step: runs.StepRun, suspected: list[runs.Task]
+        self, step: jobruns.StepRun, suspected: list[jobruns.Task]
     ) -> None:
         """Place suspects, each on the workers that are kept for it."""
         units = {task.unit_name: task.unit for task in suspected}
@@ -170,7 +171,7 @@
                 self._start(task, worker, number).apart = True
 
     def _candidates(
-        self, step: runs.StepRun, workers: t.Sequence[fleet.WorkerState]
+        self, step: jobruns.StepRun, workers: t.Sequence[fleet.WorkerState]
     ) -> list[fleet.WorkerState] | None:
         """Return the workers for a step, None without valid tickets.
 
@@ -199,7 +200,7 @@
         return allowed
 
     def _request_tickets(
-        self, step: runs.StepRun, usable: list[fleet.WorkerState]
+        self, step: jobruns.StepRun, usable: list[fleet.WorkerState]
     ) -> None:
         """Ask the policy about workers that it has not judged for a step."""
         tickets = step.tickets
@@ -216,9 +217,9 @@
 
     def _grant_covers(
         self,
-        step: runs.StepRun,
-        tasks: t.Sequence[runs.Task],
-        waiting: t.Sequence[runs.Task],
+        step: jobruns.StepRun,
+        tasks: t.Sequence[jobruns.Task],
+        waiting: t.Sequence[jobruns.Task],
     ) -> bool:
         """Return whether the team's grant covers the tasks.
 
@@ -241,8 +242,8 @@
 
     def _place_all(
         self,
-        step: runs.StepRun,
-        tasks: list[runs.Task],
+        step: jobruns.StepRun,
+        tasks: list[jobruns.Task],
         candidates: list[fleet.WorkerState],
     ) -> None:
         """Place all tasks or none, on one rack if the step asks for it."""
@@ -260,8 +261,8 @@
 
     def _prepared_worker(
         self,
-        step: runs.StepRun,
-        task: runs.Task,
+        step: jobruns.StepRun,
+        task: jobruns.Task,
         candidates: list[fleet.WorkerState],
     ) -> fleet.WorkerState | None:
         """Return the worker of a prepared attempt that can still take it."""
@@ -278,8 +279,8 @@
 
     def _choose_together(
         self,
-        step: runs.StepRun,
-        tasks: list[runs.Task],
+        step: jobruns.StepRun,
+        tasks: list[jobruns.Task],
         candidates: list[fleet.WorkerState],
         free: freecapacity.FreeCapacity,
     ) -> list[fleet.WorkerState] | None:
@@ -297,7 +298,7 @@
         return None
 
     def _start(
-        self, task: runs.Task, worker: fleet.WorkerState, number: int
+        self, task: jobruns.Task, worker: fleet.WorkerState, number: int
     ) -> runs.Run:
         state = self._state
         step = task.step
@@ -321,8 +322,8 @@
 
     def _make_room(
         self,
-        step: runs.StepRun,
-        task: runs.Task,
+        step: jobruns.StepRun,
+        task: jobruns.Task,
         candidates: list[fleet.WorkerState],
     ) -> None:
         """Preempt runs for a task and order their stops."""
--- a/src/agaterudder/jobs/pool.py
+++ b/src/agaterudder/jobs/pool.py
@@ -13,6 +13,7 @@
 from agaterudder.jobs import endedjobs
 from agaterudder.jobs import estimates
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import journal
 from agaterudder.jobs import latestarts
 from agaterudder.jobs import model
@@ -102,10 +103,10 @@
         self.name = name
         self.epoch = epoch
         self.bounds = bounds
-        self.jobs: dict[str, runs.JobRun] = {}
+        self.jobs: dict[str, jobruns.JobRun] = {}
         self.workers: dict[str, fleet.WorkerState] = {}
-        self.ready: dict[str, runs.StepRun] = {}
-        self.awaiting_occurrences: dict[str, runs.JobRun] = {}
+        self.ready: dict[str, jobruns.StepRun] = {}
+        self.awaiting_occurrences: dict[str, jobruns.JobRun] = {}
         self.journal = journal.Journal(bounds.row_bytes)
         self.limits = limits
         self.estimates = estimates.Estimates()
@@ -158,7 +159,7 @@
             )
             self.metrics.count("ended_jobs_read", pool=self.name)
             return
-        found = runs.JobRun(job, accepted_at, recovered)
+        found = jobruns.JobRun(job, accepted_at, recovered)
         found.progress = progress
         found.row_version = row_version
         found.started = row_version > 0
@@ -197,7 +198,7 @@
                 del self.awaiting_occurrences[name]
             self.check_finished(job)
 
-    def add_step(self, step: runs.StepRun) -> None:
+    def add_step(self, step: jobruns.StepRun) -> None:
         """Add a step that was created, unless all of its tasks are done."""
         if not step.finished:
             self.ready[step.name] = step
@@ -205,7 +206,7 @@
 
     def finish_job(
         self,
-        job: runs.JobRun,
+        job: jobruns.JobRun,
         state: str,
         reason: str,
         clock: float,
@@ -238,7 +239,7 @@
             },
         )
 
-    def remove_ended_job(self, job: runs.JobRun, now: float) -> None:
+    def remove_ended_job(self, job: jobruns.JobRun, now: float) -> None:
         """Remove a job whose end is stored.
 
         Runs of it that have not ended become orphaned.
@@ -250,7 +251,7 @@
             run.task = None
             self.orphaned_runs.append(run)
 
-    def check_finished(self, job: runs.JobRun) -> None:
+    def check_finished(self, job: jobruns.JobRun) -> None:
         """End a job whose occurrences are all done."""
         if job.ending is None and job.finished:
             self.finish_job(job, model.STATE_COMPLETED, "all done", 0.0)
@@ -259,7 +260,7 @@
         """Return how many runs of a task of a job may fail."""
         return max(self._queue_of_job(job).max_attempts, 1)
 
-    def queue_of(self, step: runs.StepRun) -> operatorconfig.Queue:
+    def queue_of(self, step: jobruns.StepRun) -> operatorconfig.Queue:
         """Return the queue of a step."""
         return self._queue_of_job(step.job.job)
 
@@ -292,7 +293,7 @@
 
     def add_run(
         self,
-        task: runs.Task,
+        task: jobruns.Task,
         worker: fleet.WorkerState,
         number: int,
         now: float,
@@ -307,7 +308,7 @@
         return run
 
     @staticmethod
-    def reserved_size(step: runs.StepRun) -> resources.Vector:
+    def reserved_size(step: jobruns.StepRun) -> resources.Vector:
         """Return the capacity that a task of a step reserves on a worker."""
         size = step.step.size
         if step.step.best_effort:
@@ -315,7 +316,7 @@
         return size
 
     def _arrival(
-        self, steps: list[runs.StepRun], arrived_at: float
+        self, steps: list[jobruns.StepRun], arrived_at: float
     ) -> demand.Arrival:
         """Return the demand of new steps, except long-running ones."""
         work = peak_size = resources.ZERO
--- a/src/agaterudder/jobs/poolrecovery.py
+++ b/src/agaterudder/jobs/poolrecovery.py
@@ -8,8 +8,8 @@
 import typing as t
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import poolreports
-from agaterudder.jobs import runs
 
 LOG = logging.getLogger(__name__)
 
@@ -43,7 +43,7 @@
         pool: str,
         epoch: int,
         workers: t.Mapping[str, fleet.WorkerState],
-        ready: t.Mapping[str, runs.StepRun],
+        ready: t.Mapping[str, jobruns.StepRun],
         longest_lease: float,
         now: float,
     ) -> None:
--- a/src/agaterudder/jobs/poolreports.py
+++ b/src/agaterudder/jobs/poolreports.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
 from agaterudder import metrics
@@ -57,7 +58,7 @@
 
 
 def duplicate_runs(
-    task: runs.Task, worker: fleet.WorkerState, number: int, outcome: str
+    task: jobruns.Task, worker: fleet.WorkerState, number: int, outcome: str
 ) -> int:
     """Report other runs of a task that must run only once at a time.
 
--- a/src/agaterudder/jobs/preemption.py
+++ b/src/agaterudder/jobs/preemption.py
@@ -8,13 +8,14 @@
 import typing as t
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import runs
 from agaterudder import resources
 
 # Shortest time between two preemptions for the same task.
 PREEMPT_RETRY_SECONDS = 1.0
-PriorityOf = t.Callable[[runs.StepRun], int]
+PriorityOf = t.Callable[[jobruns.StepRun], int]
 
 
 class Preemption:
@@ -36,8 +37,8 @@
 
     def preempt(
         self,
-        step: runs.StepRun,
-        task: runs.Task,
+        step: jobruns.StepRun,
+        task: jobruns.Task,
         candidates: list[fleet.WorkerState],
     ) -> bool:
         """Mark runs of lower priority to be stopped, to free capacity.
@@ -73,7 +74,7 @@
         """Least urgent priority that can be preempted in this round."""
         return least_urgent(self._usable, self._priority)
 
-    def _priority(self, step: runs.StepRun) -> int:
+    def _priority(self, step: jobruns.StepRun) -> int:
         return self._state.queue_of(step).priority
 
 
--- a/src/agaterudder/jobs/runends.py
+++ b/src/agaterudder/jobs/runends.py
@@ -5,6 +5,7 @@
 from agaterudder import codes
 from agaterudder.jobs import crashes
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import listedtasks
 from agaterudder.jobs import model
 from agaterudder.jobs import pool as pools
@@ -70,7 +71,7 @@
 
 def _task_done(
     state: pools.Pool,
-    task: runs.Task,
+    task: jobruns.Task,
     run: runs.Run | None,
     worker: fleet.WorkerState,
     now: float,
@@ -103,7 +104,7 @@
 
 def _task_failed(
     state: pools.Pool,
-    task: runs.Task,
+    task: jobruns.Task,
     run_number: int,
     worker: fleet.WorkerState,
     now: float,
--- a/src/agaterudder/jobs/runstarts.py
+++ b/src/agaterudder/jobs/runstarts.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import ports
 from agaterudder.jobs import runs
@@ -18,7 +19,7 @@
 
 
 def record_placement(
-    state: pools.Pool, task: runs.Task, kind: str, now: float
+    state: pools.Pool, task: jobruns.Task, kind: str, now: float
 ) -> None:
     """Count a start that is about to be ordered.
 
--- a/src/agaterudder/jobs/stalls.py
+++ b/src/agaterudder/jobs/stalls.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import poolreports
 from agaterudder.jobs import runs
@@ -25,7 +26,7 @@
         long-running task, since when it has not been running itself.
     """
 
-    task: runs.Task
+    task: jobruns.Task
     since: float
 
 
@@ -46,7 +47,7 @@
     That is every long-running task, and of any other step the first task of
     a job of which nothing runs.
     """
-    by_job: dict[str, list[runs.StepRun]] = collections.defaultdict(list)
+    by_job: dict[str, list[jobruns.StepRun]] = collections.defaultdict(list)
     for step in state.ready.values():
         if step.ready_at and step.job.ending is None:
             by_job[step.job.job.job].append(step)
@@ -60,7 +61,7 @@
     return sorted(found, key=lambda stall: stall.since)
 
 
-def forgotten(state: pools.Pool) -> list[runs.JobRun]:
+def forgotten(state: pools.Pool) -> list[jobruns.JobRun]:
     """Return jobs that have not ended and have nothing left to start.
 
     There are none unless a step was dropped before its tasks were done.
@@ -77,13 +78,13 @@
     ]
 
 
-def _of_job(steps: list[runs.StepRun], now: float) -> t.Iterator[Stall]:
+def _of_job(steps: list[jobruns.StepRun], now: float) -> t.Iterator[Stall]:
     """Return the tasks of a job that do not run.
 
     :param steps: its steps that are ready and unfinished.
     """
     job = steps[0].job
-    finite: list[runs.Task] = []
+    finite: list[jobruns.Task] = []
     job_runs = False
     for step in steps:
         for task in step.tasks:
@@ -100,7 +101,7 @@
         yield Stall(first, since)
 
 
-def _runs(task: runs.Task, now: float) -> bool:
+def _runs(task: jobruns.Task, now: float) -> bool:
     """Return whether a run of a task is known to run at present."""
     return bool(task.runs) and any(
         _running(run) and not run.unreachable(now) for run in task.runs
@@ -111,7 +112,7 @@
     return run.state is runs.RunState.RUNNING
 
 
-def _stopped_at(task: runs.Task, ready_at: float) -> float:
+def _stopped_at(task: jobruns.Task, ready_at: float) -> float:
     """Return since when a task does not run, as far as is known."""
     if not task.runs:
         return max(ready_at, task.stopped_at)
@@ -120,7 +121,7 @@
 
 
 def reason(
-    state: pools.Pool, task: runs.Task, lease_held: bool, now: float
+    state: pools.Pool, task: jobruns.Task, lease_held: bool, now: float
 ) -> Reason:
     """Return why a task has not started.
 
@@ -156,7 +157,7 @@
 
 
 def _reason_of_workers(
-    state: pools.Pool, task: runs.Task, now: float
+    state: pools.Pool, task: jobruns.Task, now: float
 ) -> Reason:
     step = task.step
     label = step.step.required_label
@@ -185,7 +186,7 @@
     return _reason_of_grant(state, step)
 
 
-def _reason_of_grant(state: pools.Pool, step: runs.StepRun) -> Reason:
+def _reason_of_grant(state: pools.Pool, step: jobruns.StepRun) -> Reason:
     team = step.job.job.team
     limits = state.limits
     if limits.limited(team) and not limits.covers(team, step.step.size):
@@ -199,7 +200,7 @@
 
 def _allowed_by_policy(
     state: pools.Pool,
-    step: runs.StepRun,
+    step: jobruns.StepRun,
     usable: list[fleet.WorkerState],
     now: float,
 ) -> list[fleet.WorkerState] | Reason:
@@ -256,7 +257,7 @@
     return next((name for name, holds in obstacles.items() if holds), "")
 
 
-def _within_limit(step: runs.StepRun, worker: fleet.WorkerState) -> bool:
+def _within_limit(step: jobruns.StepRun, worker: fleet.WorkerState) -> bool:
     limit = step.step.max_per_worker
     return not limit or step.count_on_worker(worker.name) < limit
 
--- a/src/agaterudder/jobs/steporder.py
+++ b/src/agaterudder/jobs/steporder.py
@@ -16,9 +16,9 @@
 
 from agaterudder.jobs import estimates
 from agaterudder.jobs import fleet
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import pool as pools
-from agaterudder.jobs import runs
 from agaterudder import resources
 
 # A job without a started task that has less laxity will miss its objective
@@ -30,7 +30,7 @@
     state: pools.Pool,
     usable: t.Sequence[fleet.WorkerState],
     now: float,
-) -> list[runs.StepRun]:
+) -> list[jobruns.StepRun]:
     """Return the steps whose tasks may start, the first to be served first.
 
     :param usable: workers that accept tasks.
@@ -54,9 +54,9 @@
 
     def __init__(self, found: estimates.Estimates) -> None:
         self._estimates = found
-        self._known: dict[tuple[runs.JobRun, int], list[float]] = {}
+        self._known: dict[tuple[jobruns.JobRun, int], list[float]] = {}
 
-    def seconds(self, step: runs.StepRun) -> tuple[float, float]:
+    def seconds(self, step: jobruns.StepRun) -> tuple[float, float]:
         """Return the critical paths of a job, and from a step on."""
         key = (step.job, step.occurrence)
         found = self._known.get(key)
@@ -68,7 +68,7 @@
 
 def _rank(
     state: pools.Pool,
-    step: runs.StepRun,
+    step: jobruns.StepRun,
     shares: t.Mapping[str, float],
     paths: _CriticalPaths,
     now: float,
@@ -100,7 +100,7 @@
 
 
 def _laxity(
-    step: runs.StepRun,
+    step: jobruns.StepRun,
     queue: operatorconfig.Queue,
     paths: _CriticalPaths,
     now: float,
--- a/src/agaterudder/jobs/storedattempts.py
+++ b/src/agaterudder/jobs/storedattempts.py
@@ -7,6 +7,7 @@
 import typing as t
 
 from agaterudder.jobs import attemptworkers
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import model
 from agaterudder.jobs import pool as pools
 from agaterudder.jobs import runs
@@ -15,7 +16,7 @@
 
 def stored_numbers(
     state: pools.Pool,
-    tasks: t.Sequence[runs.Task],
+    tasks: t.Sequence[jobruns.Task],
     workers: t.Sequence[runs.Worker],
 ) -> list[int] | None:
     """Return the run numbers of tasks that start together.
@@ -44,7 +45,7 @@
 
 
 def _number(
-    state: pools.Pool, task: runs.Task, lives: tuple[model.WorkerLife, ...]
+    state: pools.Pool, task: jobruns.Task, lives: tuple[model.WorkerLife, ...]
 ) -> int | None:
     """Return the number of the next run of a task, or of its gang.
 
@@ -65,7 +66,7 @@
 
 
 def _prepared_for(
-    task: runs.Task, lives: t.Collection[model.WorkerLife]
+    task: jobruns.Task, lives: t.Collection[model.WorkerLife]
 ) -> bool:
     """Return whether the prepared attempt of a task names its workers."""
     return task.prepared is not None and all(
@@ -73,7 +74,7 @@
     )
 
 
-def _stored_before_start(state: pools.Pool, task: runs.Task) -> bool:
+def _stored_before_start(state: pools.Pool, task: jobruns.Task) -> bool:
     """Return whether the next start of a task is stored before.
 
     That is the case for suspects, and for the first start by this holder of a
@@ -87,7 +88,7 @@
 
 def _prepare(
     state: pools.Pool,
-    task: runs.Task,
+    task: jobruns.Task,
     workers: tuple[model.WorkerLife, ...],
 ) -> None:
     """Record an attempt that is to be stored before its start.
@@ -103,7 +104,7 @@
         number = task.prepared.number
     job.progress.attempt_workers[number] = workers
     state.journal.mark(job)
-    task.prepared = runs.Prepared(number, state.journal.marked, workers)
+    task.prepared = jobruns.Prepared(number, state.journal.marked, workers)
     state.suspects.prepared_mark = state.journal.marked
 
 
@@ -120,7 +121,7 @@
         settle(state, run.task, run.number)
 
 
-def settle(state: pools.Pool, task: runs.Task, number: int) -> None:
+def settle(state: pools.Pool, task: jobruns.Task, number: int) -> None:
     """Remove an attempt whose outcome is known."""
     job = task.step.job
     if remove(job.progress, task.progress_key, number):
--- a/src/agaterudder/jobs/stragglers.py
+++ b/src/agaterudder/jobs/stragglers.py
@@ -6,6 +6,7 @@
 
 import statistics
 
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import runs
 
 # The progress of a shorter run is no reliable measure of its speed.
@@ -48,7 +49,7 @@
     return left > MIN_SPEEDUP_FACTOR * (usual + stop_seconds)
 
 
-def usual_seconds(step: runs.StepRun, excluded: runs.Run) -> float | None:
+def usual_seconds(step: jobruns.StepRun, excluded: runs.Run) -> float | None:
     """Return the median duration of a step's tasks on other workers.
 
     None when none is known.
--- a/src/agaterudder/jobs/suspects.py
+++ b/src/agaterudder/jobs/suspects.py
@@ -13,7 +13,7 @@
 import typing as t
 
 if t.TYPE_CHECKING:
-    from agaterudder.jobs import runs
+    from agaterudder.jobs import jobruns
 
 # Crashes and attempts without an outcome from which on a task stays suspected
 # when the cause of one of them is found.
@@ -83,7 +83,7 @@
         return REPEATED_ALONE_SECONDS if repeated else ALONE_SECONDS
 
 
-def evidence(task: "runs.Task") -> Evidence:
+def evidence(task: "jobruns.Task") -> Evidence:
     """Return what is known against a task."""
     progress = task.step.job.progress
     key = task.progress_key
@@ -95,7 +95,7 @@
     )
 
 
-def unresolved_attempts(task: "runs.Task") -> list[int]:
+def unresolved_attempts(task: "jobruns.Task") -> list[int]:
     """Return the attempts of a task that have no run and no outcome."""
     attempts = task.step.job.progress.attempts.get(task.progress_key, ())
     open_numbers = {run.number for member in task.unit for run in member.runs}
@@ -154,18 +154,18 @@
         )
         self._under_at: dict[str, collections.deque[float]] = {}
         self._shares: dict[str, _Share] = {}
-        self._tasks: dict[str, runs.Task] = {}
+        self._tasks: dict[str, jobruns.Task] = {}
         self._just_started: set[str] = set()
-        self._crashes: dict[Life, dict[str, tuple[runs.Task, int]]] = {}
-        self._victims: dict[Life, dict[str, tuple[runs.Task, int]]] = {}
+        self._crashes: dict[Life, dict[str, tuple[jobruns.Task, int]]] = {}
+        self._victims: dict[Life, dict[str, tuple[jobruns.Task, int]]] = {}
 
     def __len__(self) -> int:
         return len(self._tasks)
 
-    def __contains__(self, task: "runs.Task") -> bool:
+    def __contains__(self, task: "jobruns.Task") -> bool:
         return task.unit_name in self._tasks
 
-    def add(self, task: "runs.Task", just_started: bool = False) -> None:
+    def add(self, task: "jobruns.Task", just_started: bool = False) -> None:
         """Suspect a task.
 
         :param just_started: whether a worker crashed when it had just started.
@@ -179,7 +179,7 @@
         self.crashes_seen += 1
         self._seen_at.append(now)
 
-    def crash_under(self, task: "runs.Task", now: float) -> None:
+    def crash_under(self, task: "jobruns.Task", now: float) -> None:
         """Note that a worker crashed that may have had a run of a task."""
         times = self._under_at.setdefault(
             task.unit_name, collections.deque(maxlen=MAX_CRASHES_KEPT)
@@ -197,17 +197,17 @@
         """
         self._guessed.append(number)
 
-    def guessed(self, task: "runs.Task") -> bool:
+    def guessed(self, task: "jobruns.Task") -> bool:
         """Return whether a crash under a task is such a guess."""
         known = task.step.job.progress.crashes.get(task.progress_key, ())
         return any(number in self._guessed for number in known)
 
-    def others_crash(self, task: "runs.Task", now: float) -> bool:
+    def others_crash(self, task: "jobruns.Task", now: float) -> bool:
         """Return whether a worker crashed lately that had no run of a task."""
         own = _lately(self._under_at.get(task.unit_name, ()), now)
         return _lately(self._seen_at, now) > own
 
-    def count(self, task: "runs.Task") -> None:
+    def count(self, task: "jobruns.Task") -> None:
         """Count the latest crash as one under a task."""
         share = self._shares.get(task.unit_name)
         if share is None:
@@ -217,35 +217,37 @@
                 del self._shares[next(iter(self._shares))]
         share.own += 1
 
-    def mostly_under(self, task: "runs.Task") -> bool:
+    def mostly_under(self, task: "jobruns.Task") -> bool:
         """Return whether most crashes were under a task, from its first."""
         share = self._shares.get(task.unit_name)
         if share is None:
             return False
         return share.own * 2 > self.crashes_seen - share.before
 
-    def forget_share(self, task: "runs.Task") -> None:
+    def forget_share(self, task: "jobruns.Task") -> None:
         """Count the crashes under a task from none again."""
         self._shares.pop(task.unit_name, None)
 
-    def discard(self, task: "runs.Task") -> None:
+    def discard(self, task: "jobruns.Task") -> None:
         """End the suspicion of a task."""
         self._tasks.pop(task.unit_name, None)
         self._just_started.discard(task.unit_name)
 
-    def add_crash(self, life: Life, task: "runs.Task", number: int) -> None:
+    def add_crash(self, life: Life, task: "jobruns.Task", number: int) -> None:
         """Note that a worker crashed under a run that had just started."""
         self._note(self._crashes, life, task, number)
 
-    def add_victim(self, life: Life, task: "runs.Task", number: int) -> None:
+    def add_victim(
+        self, life: Life, task: "jobruns.Task", number: int
+    ) -> None:
         """Note that a worker crashed under a run that had lasted."""
         self._note(self._victims, life, task, number)
 
     @staticmethod
     def _note(
-        noted: "dict[Life, dict[str, tuple[runs.Task, int]]]",
+        noted: "dict[Life, dict[str, tuple[jobruns.Task, int]]]",
         life: Life,
-        task: "runs.Task",
+        task: "jobruns.Task",
         number: int,
     ) -> None:
         noted.setdefault(life, {})[task.unit_name] = (task, number)
@@ -253,8 +255,8 @@
             del noted[next(iter(noted))]
 
     def explained_by(
-        self, task: "runs.Task"
-    ) -> "tuple[list[tuple[runs.Task, int]], list[runs.Task]]":
+        self, task: "jobruns.Task"
+    ) -> "tuple[list[tuple[jobruns.Task, int]], list[jobruns.Task]]":
         """Return what else was on the workers that a task crashed.
 
         Forgets these crashes, as their cause is found.
@@ -285,7 +287,7 @@
             ]
         return victims, others
 
-    def restore(self, step: "runs.StepRun") -> None:
+    def restore(self, step: "jobruns.StepRun") -> None:
         """Suspect the tasks against which enough is stored."""
         progress = step.job.progress
         if not (progress.attempts or any(progress.crash_records)):
@@ -295,7 +297,7 @@
             if not task.done and total >= SUSPECT_CRASHES_RESTORED:
                 self.add(task)
 
-    def waiting(self, now: float) -> "list[runs.Task]":
+    def waiting(self, now: float) -> "list[jobruns.Task]":
         """Return those that may start now, the more likely causes first.
 
         Forgets those that have ended.
@@ -315,7 +317,7 @@
         waiting.sort(key=self._order)
         return waiting
 
-    def _order(self, task: "runs.Task") -> tuple[bool, int]:
+    def _order(self, task: "jobruns.Task") -> tuple[bool, int]:
         """Rank the more likely causes first."""
         return (
             task.unit_name not in self._just_started,
--- a/src/agaterudder/jobs/workerchoice.py
+++ b/src/agaterudder/jobs/workerchoice.py
@@ -5,8 +5,8 @@
 
 from agaterudder.jobs import fleet
 from agaterudder.jobs import freecapacity
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import pool as pools
-from agaterudder.jobs import runs
 from agaterudder import resources
 
 # Fraction of a task's expected duration that it waits for a worker in the
@@ -23,7 +23,7 @@
     :ivar seen: how many changes of capacity they take into account.
     """
 
-    step: runs.StepRun
+    step: jobruns.StepRun
     candidates: list[fleet.WorkerState]
     fitting: list[fleet.WorkerState]
     seen: int
@@ -54,8 +54,8 @@
 
     def choose(
         self,
-        step: runs.StepRun,
-        task: runs.Task,
+        step: jobruns.StepRun,
+        task: jobruns.Task,
         candidates: list[fleet.WorkerState],
     ) -> fleet.WorkerState | None:
         """Return the worker for a task of a step, None if it has to wait."""
@@ -82,8 +82,8 @@
 
     def _fitting_for(
         self,
-        step: runs.StepRun,
-        task: runs.Task,
+        step: jobruns.StepRun,
+        task: jobruns.Task,
         need: resources.Vector,
         candidates: list[fleet.WorkerState],
     ) -> list[fleet.WorkerState]:
@@ -102,7 +102,7 @@
 
     def _refitted(
         self,
-        step: runs.StepRun,
+        step: jobruns.StepRun,
         need: resources.Vector,
         candidates: list[fleet.WorkerState],
     ) -> list[fleet.WorkerState]:
@@ -136,7 +136,7 @@
 
     def _fitting(
         self,
-        step: runs.StepRun,
+        step: jobruns.StepRun,
         need: resources.Vector,
         workers: list[fleet.WorkerState],
     ) -> list[fleet.WorkerState]:
@@ -156,8 +156,8 @@
 
     def hold_room(
         self,
-        step: runs.StepRun,
-        tasks: t.Sequence[runs.Task],
+        step: jobruns.StepRun,
+        tasks: t.Sequence[jobruns.Task],
         candidates: list[fleet.WorkerState],
     ) -> None:
         """Keep room free for the waiting tasks of a long-running step.
@@ -186,7 +186,7 @@
 
     def _may_use_excluded(
         self,
-        task: runs.Task,
+        task: jobruns.Task,
         need: resources.Vector,
         others: list[fleet.WorkerState],
     ) -> bool:
@@ -208,7 +208,7 @@
 
     def _prefer_data_rack(
         self,
-        step: runs.StepRun,
+        step: jobruns.StepRun,
         fitting: list[fleet.WorkerState],
         candidates: list[fleet.WorkerState],
     ) -> list[fleet.WorkerState]:
--- a/tests/features/steps/accepted_job_steps.py
+++ b/tests/features/steps/accepted_job_steps.py
@@ -5,12 +5,12 @@
 import behave
 import msgspec
 
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import listings
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
 from agaterudder.jobs import planning
 from agaterudder.jobs import ports
-from agaterudder.jobs import runs
 from agaterudder.jobs import runstarts
 from agaterudder.jobs import scaling
 from agaterudder import resources
@@ -132,7 +132,7 @@
     )
 
 
-def _lasting_tasks(context: Context) -> list[runs.Task]:
+def _lasting_tasks(context: Context) -> list[jobruns.Task]:
     return list(context.state.jobs[LASTING].steps["0.0"].tasks)
 
 
--- a/tests/features/steps/job_trace_steps.py
+++ b/tests/features/steps/job_trace_steps.py
@@ -14,6 +14,7 @@
 from agaterudder.jobs import deployment
 from agaterudder.jobs import fleet
 from agaterudder.jobs import inbox
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import leases
 from agaterudder.jobs import model
 from agaterudder.jobs import operatorconfig
@@ -171,10 +172,10 @@
         _hamper(context, worker, how)
 
 
-def _only_task(context: Context) -> runs.Task:
+def _only_task(context: Context) -> jobruns.Task:
     (job,) = context.state.jobs.values()
     (step,) = job.steps.values()
-    return t.cast(runs.Task, step.tasks[0])
+    return t.cast(jobruns.Task, step.tasks[0])
 
 
 @behave.given("the task has failed on both workers")
@@ -182,7 +183,7 @@
     _only_task(context).excluded_workers.update({"w1", "w2"})
 
 
-def _change_step(context: Context, **fields: t.Any) -> runs.Task:
+def _change_step(context: Context, **fields: t.Any) -> jobruns.Task:
     task = _only_task(context)
     task.step.step = job_builders.step(count=1, **fields)
     return task
@@ -192,7 +193,7 @@
 def step_worker_limit(context: Context) -> None:
     task = _change_step(context, max_per_worker=1)
     for worker in context.workers:
-        other = runs.Task(f"{task.name}-{worker.name}", task.step, 1)
+        other = jobruns.Task(f"{task.name}-{worker.name}", task.step, 1)
         other.done = True
         task.step.tasks.append(other)
         context.state.add_run(other, worker, 1, context.now)
--- a/tests/features/steps/journal_steps.py
+++ b/tests/features/steps/journal_steps.py
@@ -6,10 +6,10 @@
 
 from agaterudder import codes
 from agaterudder.jobs import deployment
+from agaterudder.jobs import jobruns
 from agaterudder.jobs import journal
 from agaterudder.jobs import model
 from agaterudder.jobs import ports
-from agaterudder.jobs import runs
 from tests import job_builders
 from tests import memory_store
 
@@ -17,9 +17,9 @@
 MAX_ATTEMPTS = 20
 
 
-def _job(number: int) -> runs.JobRun:
+def _job(number: int) -> jobruns.JobRun:
     job = job_builders.job(job=f"{number:016x}")
-    return runs.JobRun(job, 0.0, False)
+    return jobruns.JobRun(job, 0.0, False)
 
 
 def _store(context: Context) -> bool:
