Read once more: one walk over the runs of a job, one poll in vain

Cause: the verdict on a suspect walked over the steps, tasks and runs of its job by itself, and a test polled a worker in vain by itself; both stood already.

Change: `JobRun.live_runs` and `_poll_in_vain` are called instead. Only long-running runs count as started up, so that the verdict is the same.

--- a/src/agaterudder/jobs/crashes.py
+++ b/src/agaterudder/jobs/crashes.py
@@ -144,7 +144,7 @@
     if not _confirmed(run) or task is None:
         return False
     others_crash = state.suspects.others_crash(task, now)
-    at_work = _has_tasks_at_work(task.step.job)
+    at_work = any(other.started_up for other in task.step.job.live_runs())
     if others_crash and at_work:
         return False
     if (
@@ -163,17 +163,6 @@
     return found.crashes >= most
 
 
-def _has_tasks_at_work(job: jobruns.JobRun) -> bool:
-    """Return whether long-running tasks of a job are at work."""
-    return any(
-        run.started_up
-        for step in job.steps.values()
-        if step.step.long_running
-        for task in step.tasks
-        for run in task.runs
-    )
-
-
 def _report_suspect(
     state: pools.Pool,
     run: runs.Run,
--- a/tests/features/steps/late_answer_steps.py
+++ b/tests/features/steps/late_answer_steps.py
@@ -101,11 +101,10 @@
 
 
 def _await_list(context: Context) -> None:
-    context.holder.reason = machines.NO_MACHINE
-    context.holder.on_list = lambda: _register_anew(context)
     (worker,) = context.workers
-    worker.link = pool_fakes.FakeLink([ports.NoAnswer("reset")])
-    context.loop._poll()
+    _poll_in_vain(
+        context, worker, lambda: _register_anew(context), machines.NO_MACHINE
+    )
 
 
 def _await_move(context: Context) -> None:
@@ -138,10 +137,8 @@
 def step_registers_before(context: Context, answer: str) -> None:
     with (
         mock.patch.object(clock, "now", lambda: context.now),
-        mock.patch.object(workerloop.gevent, "sleep", lambda _: None),
         mock.patch.object(workerloop.WorkerLoop, "start", lambda _: None),
     ):
-        context.loop._wake = mock.Mock()
         AWAITED[answer](context)
         (worker,) = context.workers
         if context.loop._removable():
