--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -23,6 +23,8 @@
 from tests import memory_store
 from tests import pool_fakes
 
+# Name of the job whose task crashes its workers, or is thought to.
+CULPRIT = "00000000000000cc"
 TICK_SECONDS = 0.05
 RETURN_SECONDS = 3.0
 LEASE_SECONDS = 6.0
